--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits that several concerns share."""
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/membership/decide.py
@@ -0,0 +1,77 @@
+"""Decide which members are live and which instance holds which endpoint."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+import xxhash
+
+from .models import Member, Phase
+
+# Phases in which an instance may hold endpoints. A draining one hands its endpoints over.
+HOLDING_PHASES = frozenset({Phase.STARTING, Phase.READY})
+
+
+def rank_instances(key: str, names: Iterable[str]) -> list[str]:
+    """Order instances by rendezvous hashing, the first choice for `key` first.
+
+    Every instance that knows the same names gets the same order. A change of one name moves only
+    the keys that had it as their first choice.
+    """
+
+    def weight(name: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{key}\x00{name}".encode())
+
+    return sorted(names, key=lambda name: (-weight(name), name))
+
+
+def is_live(member: Member, now_ms: float, suspect_after_ms: float) -> bool:
+    """Tell whether a member was heard recently and has not said that it stopped."""
+    if member.phase is Phase.STOPPED:
+        return False
+    return now_ms - member.heard_at_ms <= suspect_after_ms
+
+
+def live_members(
+    members: Mapping[str, Member], now_ms: float, suspect_after_ms: float
+) -> dict[str, Member]:
+    """Return the live members by name."""
+    return {
+        name: member
+        for name, member in members.items()
+        if is_live(member, now_ms, suspect_after_ms)
+    }
+
+
+class Candidate(NamedTuple):
+    """An instance that may hold endpoints, and its availability zone."""
+
+    instance: str
+    zone: str
+
+
+def holding_candidates(live: Mapping[str, Member]) -> list[Candidate]:
+    """Return the live members whose phase allows them to hold endpoints."""
+    return [Candidate(m.instance, m.zone) for m in live.values() if m.phase in HOLDING_PHASES]
+
+
+def holder_of(endpoint: str, zone: str, candidates: Iterable[Candidate]) -> str | None:
+    """Return the instance that holds the connections to an endpoint.
+
+    Parameters
+    ----------
+    endpoint : str
+        Name of the endpoint.
+    zone : str
+        Availability zone of the endpoint. Instances of this zone are preferred.
+    candidates : iterable of Candidate
+        Instances that may hold endpoints, this one included.
+
+    Returns
+    -------
+    str or None
+        None when there is no candidate.
+    """
+    everyone = list(candidates)
+    local = [c.instance for c in everyone if c.zone == zone]
+    names = local or [c.instance for c in everyone]
+    return rank_instances(endpoint, names)[0] if names else None
