--- a/packages/wisteriarock/src/wisteriarock/admission/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/admission/decide.py
@@ -100,21 +100,10 @@
 ) -> Result[KindSpec, Rejection]:
     """Check a request's form and the caller's rights.
 
-    Parameters
-    ----------
-    state : AdmissionState
-        Index of `bundle`.
-    bundle : ActiveBundle
-        The bundle in force.
-    caller : str
-        Name of the caller.
-    body : QueryBody
-        The decoded body.
-
     Returns
     -------
     Result
-        The kind of request, or the first rejection.
+        The kind of request, or the first rejection, which names the field.
     """
     if found := _check_form(body):
         return Failure(found)
--- a/packages/wisteriarock/src/wisteriarock/api/internal.py
+++ b/packages/wisteriarock/src/wisteriarock/api/internal.py
@@ -28,9 +28,7 @@
     return hmac.compare_digest(request.headers.get("authorization", "").encode(), expected)
 
 
-def create_internal_app(
-    handlers: InternalHandlers, peer_routes: list[Route]
-) -> Starlette:
+def create_internal_app(handlers: InternalHandlers, peer_routes: list[Route]) -> Starlette:
     """Return the ASGI application of the internal listener."""
 
     def guarded(produce: Callable[[], dict[str, Any]]) -> Callable[[Request], Any]:
--- a/packages/wisteriarock/src/wisteriarock/api/public.py
+++ b/packages/wisteriarock/src/wisteriarock/api/public.py
@@ -50,9 +50,7 @@
             return
 
 
-async def run_until_disconnect(
-    request: Request, work: Awaitable[Response]
-) -> Response:
+async def run_until_disconnect(request: Request, work: Awaitable[Response]) -> Response:
     """Run `work` and cancel it when the client disconnects, which uvicorn does not do itself."""
     task = asyncio.ensure_future(work)
     gone = asyncio.create_task(_wait_for_disconnect(request))
--- a/packages/wisteriarock/src/wisteriarock/tickets/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/tickets/decide.py
@@ -138,8 +138,7 @@
     old = [
         serial
         for serial, record in book.records.items()
-        if record.state is not TicketState.RUNNING
-        and now_ms >= record.expires_at_ms + retention_ms
+        if record.state is not TicketState.RUNNING and now_ms >= record.expires_at_ms + retention_ms
     ]
     for serial in old:
         del book.records[serial]
