--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/servers.py
@@ -0,0 +1,65 @@
+"""HTTP servers of the process."""
+
+import socket
+from collections.abc import Generator
+from contextlib import contextmanager
+from typing import Any
+
+import uvicorn
+
+from wisteriarock.settings.models import TlsSetting
+
+BACKLOG = 2_048
+# Longer than callers and peers keep idle connections, so that the server never closes a connection
+# on which a request is already under way.
+KEEP_ALIVE_S = 120
+
+
+class Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the process, which has two servers."""
+
+    @contextmanager
+    def capture_signals(self) -> Generator[None, None, None]:
+        """Capture nothing."""
+        yield
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """Return a listening socket, or raise `OSError` when the address is in use."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def create_server(app: Any, tls: TlsSetting | None, grace_s: float) -> Server:
+    """Return a server for an ASGI application.
+
+    Parameters
+    ----------
+    app : ASGI application
+        What is served.
+    tls : TlsSetting or None
+        Certificate and key; plain HTTP without them.
+    grace_s : float
+        Longest wait for running requests at a stop, in seconds.
+    """
+    config = uvicorn.Config(
+        app,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        access_log=False,
+        log_config=None,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=max(1, round(grace_s)),
+        ssl_certfile=tls["certificate_path"] if tls else None,
+        ssl_keyfile=tls["key_path"] if tls else None,
+    )
+    return Server(config)
--- /dev/null
+++ b/tests/wisteriarock/requests/test_controller.py
@@ -0,0 +1,161 @@
+"""Tests of the course of a request, with fakes for the query and the way to other instances."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+from wisteriarock.blackboard.models import Blackboard
+from wisteriarock.bundle.models import ActiveBundle
+from wisteriarock.membership.models import Member, Phase
+from wisteriarock.query.models import Outcome, QueryAnswer, QueryRequest
+from wisteriarock.requests.answers import empty_answer
+from wisteriarock.requests.controller import RequestController, create_requests
+from wisteriarock.requests.models import Reply
+from wisteriarock.tickets.models import TicketBook
+
+from tests.common import function_suite
+from tests.wisteriarock.fixtures import CREDENTIAL, make_board
+
+BEARER = f"Bearer {CREDENTIAL}"
+
+
+class Fakes:
+    """A query that records its runs, and a way to peers that can be cut."""
+
+    def __init__(self) -> None:
+        self.runs: list[str] = []
+        self.release = asyncio.Event()
+        self.release.set()
+        self.controllers: dict[str, RequestController] = {}
+        self.cut = False
+
+    async def run_query(self, request: QueryRequest, bundle: ActiveBundle) -> QueryAnswer:
+        """Record a run and wait until it may end."""
+        self.runs.append(request.request_id)
+        await self.release.wait()
+        answer = empty_answer(request.request_id, Outcome.COMPLETE, "", "", "", bundle.revision)
+        answer["error"] = None
+        return answer
+
+    async def forward(
+        self, instance: str, path: str, body: bytes, limit_ms: float
+    ) -> Result[bytes, Any]:
+        """Call the other controller; when cut, the request arrives but its reply is lost."""
+        forwarded = msgspec.json.decode(body)
+        answer = await self.controllers[instance].handle_forwarded(forwarded)
+        return Failure("lost") if self.cut else Success(msgspec.json.encode(answer))
+
+    def instance(self, name: str) -> tuple[RequestController, Blackboard]:
+        """Return a ready instance of which the others know."""
+        board = make_board(name)
+        book = TicketBook(name, board.incarnation, name.encode())
+        controller = create_requests(board, book, self.run_query, self.forward, lambda: 1_000.0)
+        self.controllers[name] = controller
+        return controller, board
+
+
+def _know(board: Blackboard, other: Blackboard) -> None:
+    name = other.settings.instance
+    board.members[name] = Member(
+        name, other.incarnation, "north", "127.0.0.1", 1, Phase.READY, 1_000, 1, ""
+    )
+
+
+def _body(ticket: str | None = None, **fields: object) -> bytes:
+    body = {
+        "request_id": "r1",
+        "kind": "recall_screen" if ticket is None else "invoice_lookup",
+        "shards": ["mill-00"],
+        "deadline_ms": 500,
+        "repeatable": ticket is None,
+        **({} if ticket is None else {"ticket": ticket}),
+        **fields,
+    }
+    return msgspec.json.encode(body)
+
+
+def _ticket(controller: RequestController) -> str:
+    return controller.handle_tickets(b'{"count": 1}', BEARER).unwrap()["tickets"][0]
+
+
+def _outline(reply: Reply) -> tuple[int, str, str]:
+    error = reply.answer["error"]
+    return reply.status, reply.answer["outcome"], error["code"] if error else ""
+
+
+async def test_bad_input_is_not_run() -> None:
+    """Guards against a request that is executed although it was answered with an error."""
+    fakes = Fakes()
+    controller, board = fakes.instance("e1")
+    cases = [
+        (_body(), "Bearer wrong", (401, "not_run", "unknown_caller")),
+        (b"{", BEARER, (400, "not_run", "invalid_json")),
+        (b"x" * 70_000, BEARER, (413, "not_run", "too_long")),
+        (_body(color=1), BEARER, (400, "not_run", "unknown_field")),
+        (_body(deadline_ms="1"), BEARER, (400, "not_run", "invalid_field")),
+        (_body(shards=["x"]), BEARER, (400, "not_run", "unknown_shard")),
+        (_body("forged"), BEARER, (400, "not_run", "invalid_ticket")),
+    ]
+    for raw, header, expected in cases:
+        assert _outline(await controller.handle_query(raw, header)) == expected
+    board.phase = Phase.STARTING
+    assert _outline(await controller.handle_query(_body(), BEARER))[0] == 503
+    assert fakes.runs == []
+
+
+async def test_resends_to_any_instance_run_once() -> None:
+    """Guards against a balancer that resends to another instance and so runs a request twice."""
+    fakes = Fakes()
+    first, first_board = fakes.instance("e1")
+    second, second_board = fakes.instance("e2")
+    _know(second_board, first_board)
+    ticket = _ticket(first)
+    fakes.release.clear()
+    tasks = [
+        asyncio.create_task(controller.handle_query(_body(ticket, request_id=name), BEARER))
+        for controller, name in ((first, "a"), (second, "b"), (first, "c"))
+    ]
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    # The first caller goes away while its request runs.
+    tasks[0].cancel()
+    fakes.release.set()
+    replies = await asyncio.gather(*tasks[1:])
+    assert [r.answer["request_id"] for r in replies] == ["b", "c"]
+    assert all(r.answer["outcome"] == "complete" for r in replies)
+    again = await second.handle_query(_body(ticket, request_id="d"), BEARER)
+    assert again.answer["outcome"] == "complete"
+    assert len(fakes.runs) == 1
+
+
+async def test_a_lost_or_restarted_issuer_gives_unknown() -> None:
+    """Guards against "not run" or a second run when the issuer of a ticket cannot be asked."""
+    fakes = Fakes()
+    first, first_board = fakes.instance("e1")
+    second, second_board = fakes.instance("e2")
+    ticket = _ticket(first)
+    gone = await second.handle_query(_body(ticket), BEARER)
+    assert _outline(gone) == (200, "unknown", "issuer_gone")
+    _know(second_board, first_board)
+    fakes.cut = True
+    lost = await second.handle_query(_body(ticket), BEARER)
+    assert _outline(lost) == (200, "unknown", "issuer_silent")
+    assert lost.answer["coverage"]["missing"] == [{"shard": "mill-00", "reason": "unknown"}]
+    fakes.instance("e1")
+    second_board.members["e1"] = second_board.members["e1"]._replace(incarnation="other")
+    restarted = await second.handle_query(_body(ticket), BEARER)
+    assert _outline(restarted) == (200, "unknown", "issuer_gone")
+    assert len(fakes.runs) == 1
+
+
+async def test_a_draining_instance_issues_no_tickets_but_answers() -> None:
+    """Guards against a planned stop that cuts off requests or hands out useless tickets."""
+    fakes = Fakes()
+    controller, board = fakes.instance("e1")
+    board.phase = Phase.DRAINING
+    assert isinstance(controller.handle_tickets(b'{"count": 1}', BEARER), Failure)
+    assert (await controller.handle_query(_body(), BEARER)).status == 200
+
+
+load_tests = function_suite(globals())
