--- /dev/null
+++ b/packages/standins/src/wisteriastandins/cli.py
@@ -0,0 +1,12 @@
+"""The command line: one line for each subcommand, imported when it runs."""
+
+from cyclopts import App
+
+
+def create_app() -> App:
+    """Return the command line with its subcommands."""
+    app = App(name="wisteriastandins", help="Stand-ins, load tool and demo; not shipped.")
+    app.command("wisteriastandins.endpoint.command:endpoints")
+    app.command("wisteriastandins.platform.command:platform")
+    app.command("wisteriastandins.relay.command:relay")
+    return app
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/endpoint/legs.py
@@ -0,0 +1,154 @@
+"""Slots, queue, deadlines and service times of an endpoint, without input or output."""
+
+import math
+
+from wisteriastandins.data import params_error
+
+from .models import (
+    DEFAULT_COLD_FACTOR,
+    MAX_DRAIN_DELAYS,
+    EndpointState,
+    ExecutedLeg,
+    Leg,
+    LegBody,
+    LegPhase,
+    Refusal,
+)
+
+
+def is_cold(state: EndpointState, now_ms: float) -> bool:
+    """Tell whether the endpoint has started too recently to be at full speed."""
+    return now_ms - state.started_at_ms < state.config["cold_ms"]
+
+
+def draw_service_ms(state: EndpointState, now_ms: float) -> float:
+    """Draw the service time of a leg that starts now, in milliseconds."""
+    median_ms = state.config["service_median_ms"] * state.slow_factor
+    if is_cold(state, now_ms):
+        median_ms *= state.config.get("cold_factor", DEFAULT_COLD_FACTOR)
+    # Always two draws, so that switching a fault on or off leaves the sequence in step.
+    straggles = state.rng.random() < state.straggler_share
+    spread = state.rng.gauss(0.0, state.config["service_sigma"])
+    return median_ms * math.exp(spread) * (state.straggler_factor if straggles else 1.0)
+
+
+def _refusal(state: EndpointState, body: LegBody, now_ms: float) -> Refusal | None:
+    counters = state.counters
+    if not 0 <= body["part"] < body["parts"] or params_error(body["params"]):
+        counters.bad_request += 1
+        return Refusal.BAD_REQUEST
+    if state.drained_at_ms is not None:
+        counters.draining += 1
+        counters.legs_after_drain += 1
+        if len(counters.drain_delays_ms) < MAX_DRAIN_DELAYS:
+            counters.drain_delays_ms.append(now_ms - state.drained_at_ms)
+        return Refusal.DRAINING
+    if body["deadline_ms"] <= 0:
+        counters.deadline_passed += 1
+        return Refusal.DEADLINE_PASSED
+    # A partition that a repartitioned shard no longer has is as gone as a dropped snapshot.
+    partition = (body["shard"], body["part"], body["parts"])
+    if partition not in state.held.get(body["snapshot"], ()):
+        counters.snapshot_gone += 1
+        return Refusal.SNAPSHOT_GONE
+    busy = len(state.running) >= state.config["slots"]
+    if busy and len(state.waiting) >= state.config["queue_limit"]:
+        counters.shed += 1
+        return Refusal.SHEDDING
+    return None
+
+
+def receive_leg(state: EndpointState, body: LegBody, now_ms: float) -> Leg | Refusal:
+    """Accept or refuse a leg.
+
+    Returns
+    -------
+    Leg or Refusal
+        A leg that runs if a slot was free and otherwise waits, or why it is refused.
+    """
+    state.counters.received += 1
+    refusal = _refusal(state, body, now_ms)
+    if refusal is not None:
+        return refusal
+    leg = Leg(body, now_ms + body["deadline_ms"])
+    if len(state.running) < state.config["slots"]:
+        _start(state, leg, now_ms)
+    else:
+        state.waiting[leg] = None
+        state.counters.most_waiting = max(state.counters.most_waiting, len(state.waiting))
+    return leg
+
+
+def _start(state: EndpointState, leg: Leg, now_ms: float) -> None:
+    leg.phase = LegPhase.RUNNING
+    ends_at_ms = now_ms + draw_service_ms(state, now_ms)
+    leg.completes = ends_at_ms <= leg.deadline_at_ms
+    leg.ends_at_ms = min(ends_at_ms, leg.deadline_at_ms)
+    state.running.add(leg)
+    state.counters.started += 1
+    state.counters.most_slots = max(state.counters.most_slots, len(state.running))
+    body = leg.body
+    if not body["idempotent"]:
+        entry = state.executed.setdefault(
+            body["leg_id"],
+            ExecutedLeg(
+                request_id=body["request_id"],
+                leg_id=body["leg_id"],
+                shard=body["shard"],
+                part=body["part"],
+                parts=body["parts"],
+                count=0,
+            ),
+        )
+        entry["count"] += 1
+
+
+def start_waiting(state: EndpointState, now_ms: float) -> tuple[list[Leg], list[Leg]]:
+    """Give free slots to waiting legs.
+
+    Returns
+    -------
+    tuple of list
+        Legs that now run, and legs whose deadline passed while they waited.
+    """
+    started: list[Leg] = []
+    expired: list[Leg] = []
+    while state.waiting and len(state.running) < state.config["slots"]:
+        leg = next(iter(state.waiting))
+        del state.waiting[leg]
+        if leg.deadline_at_ms <= now_ms:
+            leg.phase = LegPhase.ENDED
+            state.counters.deadline_waiting += 1
+            expired.append(leg)
+            continue
+        _start(state, leg, now_ms)
+        started.append(leg)
+    return started, expired
+
+
+def expire_waiting(state: EndpointState, leg: Leg) -> None:
+    """Take a leg out of the queue because its deadline has passed."""
+    del state.waiting[leg]
+    leg.phase = LegPhase.ENDED
+    state.counters.deadline_waiting += 1
+
+
+def end_running(state: EndpointState, leg: Leg) -> None:
+    """Free the slot of a leg whose time has come: it is finished, or over its deadline."""
+    state.running.remove(leg)
+    leg.phase = LegPhase.ENDED
+    if leg.completes:
+        state.counters.finished += 1
+    else:
+        state.counters.deadline_running += 1
+
+
+def cancel_leg(state: EndpointState, leg: Leg) -> None:
+    """Take back a waiting or running leg; a leg that has ended stays as it is."""
+    if leg.phase is LegPhase.WAITING:
+        del state.waiting[leg]
+        state.counters.cancelled_waiting += 1
+    elif leg.phase is LegPhase.RUNNING:
+        state.running.remove(leg)
+        state.counters.cancelled_running += 1
+    leg.phase = LegPhase.ENDED
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/endpoint/server.py
@@ -0,0 +1,196 @@
+"""Listener, connections and timers of one endpoint."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import lru_cache
+from typing import Any
+
+import msgspec
+from returns.result import Success
+from wisteriarock.codec.decode import decode
+
+from wisteriastandins.data import rows_of
+from wisteriastandins.http_server import (
+    Handlers,
+    HttpConnection,
+    Request,
+    Response,
+    error_response,
+    listen,
+    port_of,
+)
+
+from .changes import note_report, visible_report
+from .legs import cancel_leg, end_running, expire_waiting, receive_leg, start_waiting
+from .models import REFUSAL_STATUS, EndpointState, Leg, LegBody, LegPhase, Refusal
+
+MAX_LEG_BYTES = 1_000_000
+
+
+@dataclass
+class EndpointHost:
+    """An endpoint with its open listener, if any, and its connections."""
+
+    state: EndpointState
+    server: asyncio.Server | None = None
+    connections: set[HttpConnection] = field(default_factory=set)
+
+
+@lru_cache(maxsize=10_000)
+def _encoded_rows(
+    shard: str, part: int, parts: int, snapshot: int, lots: int, params: tuple[tuple[str, Any], ...]
+) -> msgspec.Raw:
+    rows = rows_of(shard, part, parts, snapshot, lots, dict(params))
+    return msgspec.Raw(msgspec.json.encode(rows))
+
+
+def _ok(state: EndpointState, body: LegBody) -> Response:
+    key = tuple((name, body["params"][name]) for name in ("lot", "limit") if name in body["params"])
+    shard, part, parts, snapshot = body["shard"], body["part"], body["parts"], body["snapshot"]
+    rows = _encoded_rows(shard, part, parts, snapshot, state.config["lots_per_shard"], key)
+    return Response(
+        200,
+        {
+            "leg_id": body["leg_id"],
+            "shard": shard,
+            "part": part,
+            "parts": parts,
+            "snapshot": snapshot,
+            "rows": rows,
+        },
+    )
+
+
+def _refused(leg_id: str, refusal: Refusal) -> Response:
+    body = {"leg_id": leg_id, "code": refusal.value, "executed": False}
+    return Response(REFUSAL_STATUS[refusal], body)
+
+
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * 1000
+
+
+def _set_timer(leg: Leg, at_ms: float, callback: Callable[..., None], *args: Any) -> None:
+    leg.cancel_timer = asyncio.get_running_loop().call_at(at_ms / 1000, callback, *args).cancel
+
+
+def _run(state: EndpointState, connection: HttpConnection, leg: Leg) -> None:
+    _set_timer(leg, leg.ends_at_ms, _end, state, connection, leg)
+
+
+def _end(state: EndpointState, connection: HttpConnection, leg: Leg) -> None:
+    end_running(state, leg)
+    if leg.completes:
+        connection.respond(_ok(state, leg.body))
+    elif not connection.silent:
+        # No answer is allowed to say that the leg did not run, and it has no result.
+        connection.on_abandoned = None
+        connection.close()
+    _fill_slots(state)
+
+
+def _fill_slots(state: EndpointState) -> None:
+    """Start waiting legs and keep the report after a change of the slots in use."""
+    if state.waiting:
+        started, expired = start_waiting(state, _now_ms())
+        for leg in expired:
+            if leg.cancel_timer is not None:
+                leg.cancel_timer()
+            if leg.on_refused is not None:
+                leg.on_refused(Refusal.DEADLINE_PASSED)
+        for leg in started:
+            if leg.cancel_timer is not None:
+                leg.cancel_timer()
+            if leg.on_start is not None:
+                leg.on_start()
+    if state.report_lag_ms > 0:
+        note_report(state, _now_ms())
+
+
+def _expire(state: EndpointState, leg: Leg) -> None:
+    expire_waiting(state, leg)
+    if leg.on_refused is not None:
+        leg.on_refused(Refusal.DEADLINE_PASSED)
+
+
+def _cancel(state: EndpointState, leg: Leg) -> None:
+    cancel_leg(state, leg)
+    if leg.cancel_timer is not None:
+        leg.cancel_timer()
+    _fill_slots(state)
+
+
+def _handle_leg(state: EndpointState, connection: HttpConnection, raw: bytes) -> None:
+    decoded = decode(raw, LegBody, MAX_LEG_BYTES)
+    if not isinstance(decoded, Success):
+        state.counters.bad_request += 1
+        connection.respond(_refused("", Refusal.BAD_REQUEST))
+        return
+    body = decoded.unwrap()
+    leg = receive_leg(state, body, _now_ms())
+    if not isinstance(leg, Leg):
+        connection.respond(_refused(body["leg_id"], leg))
+        return
+    connection.on_abandoned = lambda: _cancel(state, leg)
+    if leg.phase is LegPhase.RUNNING:
+        _run(state, connection, leg)
+        if state.report_lag_ms > 0:
+            note_report(state, _now_ms())
+        return
+    leg.on_start = lambda: _run(state, connection, leg)
+    leg.on_refused = lambda refusal: connection.respond(_refused(body["leg_id"], refusal))
+    _set_timer(leg, leg.deadline_at_ms, _expire, state, leg)
+
+
+def _handlers(host: EndpointHost) -> Handlers:
+    state = host.state
+
+    def on_request(connection: HttpConnection, request: Request) -> None:
+        if request.path == "/leg" and request.method == "POST":
+            _handle_leg(state, connection, request.body)
+        elif request.path == "/report" and request.method == "GET":
+            state.counters.reports += 1
+            connection.respond(Response(200, visible_report(state, _now_ms())))
+        else:
+            connection.respond(error_response(404, "not_found", "There is no such resource."))
+
+    def on_open(connection: HttpConnection) -> float | None:
+        if len(host.connections) >= state.config["connection_cap"]:
+            state.counters.connections_refused += 1
+            return None
+        host.connections.add(connection)
+        state.counters.connections += 1
+        most = max(state.counters.most_connections, len(host.connections))
+        state.counters.most_connections = most
+        return state.config["connect_cost_ms"]
+
+    return Handlers(on_request, on_open, host.connections.discard)
+
+
+async def open_listener(host: EndpointHost) -> None:
+    """Open the listener unless it is open; a port that the system chose stays the same."""
+    if host.server is not None:
+        return
+    config = host.state.config
+    host.server = await listen(_handlers(host), config["host"], config["port"])
+    config["port"] = port_of(host.server)
+
+
+def close_listener(host: EndpointHost) -> None:
+    """Close the listener; open connections stay."""
+    if host.server is not None:
+        host.server.close()
+        host.server = None
+
+
+def close_connections(host: EndpointHost) -> None:
+    """Reset all connections, which cancels their legs."""
+    for connection in list(host.connections):
+        connection.close()
+
+
+def silence_connections(host: EndpointHost) -> None:
+    """Make the open connections answer nothing more; they stay open and new ones work."""
+    for connection in host.connections:
+        connection.silent = True
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/http_server.py
@@ -0,0 +1,265 @@
+"""A small HTTP/1.1 server on asyncio protocols.
+
+The stand-ins need control over single connections: a cap, silence, a late first byte, a close
+without a reply. A protocol on `httptools` gives that and takes less processor time per request than
+an application server.
+"""
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any, NamedTuple, cast
+from urllib.parse import parse_qsl, unquote
+
+import httptools
+import msgspec
+from wisteriarock.codec.decode import decode
+from wisteriarock.observability.logs import log_event
+
+# A value of 1 MB grows when it is escaped as a JSON string.
+MAX_BODY_BYTES = 8_000_000
+MAX_PIPELINED = 64
+_LINGER_RESET = struct.pack("ii", 1, 0)
+
+_HEADS = {
+    status.value: (
+        f"HTTP/1.1 {status.value} {status.phrase}\r\ncontent-type: application/json\r\n"
+        "content-length: "
+    ).encode()
+    for status in HTTPStatus
+}
+
+
+class Request(NamedTuple):
+    """A request; `path` is not decoded, `query` is."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+
+
+class Response(NamedTuple):
+    """A status and a body that is encoded as JSON; no body is sent with 204."""
+
+    status: int
+    body: Any = None
+
+
+def error_response(status: int, code: str, message: str, path: str = "$") -> Response:
+    """Return a response with the common form of an error."""
+    return Response(status, {"error": {"code": code, "message": message, "path": path}})
+
+
+def reset(transport: asyncio.Transport | None) -> None:
+    """Close a connection so that the other end sees a reset."""
+    if transport is None or transport.is_closing():
+        return
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+    transport.abort()
+
+
+class HttpConnection(asyncio.Protocol):
+    """State of a connection. Its requests are handled one at a time, in order.
+
+    Attributes
+    ----------
+    silent : bool
+        If set, nothing more is read or answered, but the connection stays open.
+    on_abandoned : callable or None
+        Called once if the connection closes before the current request is answered.
+    """
+
+    def __init__(self, handlers: "Handlers") -> None:
+        self.handlers = handlers
+        self.transport: asyncio.Transport | None = None
+        self.silent = False
+        self.on_abandoned: Callable[[], None] | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._body = b""
+        self._waiting: deque[tuple[Request, bool]] = deque()
+        self._current_keep_alive: bool | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection unless `on_open` refuses it; its first byte is read after a delay."""
+        self.transport = cast(asyncio.Transport, transport)
+        delay_ms = self.handlers.on_open(self)
+        if delay_ms is None:
+            reset(self.transport)
+        elif delay_ms > 0:
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_later(delay_ms / 1000, self._resume)
+
+    def _resume(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give up the current request and forget the waiting ones."""
+        self.transport = None
+        self._waiting.clear()
+        abandoned, self.on_abandoned = self.on_abandoned, None
+        if abandoned is not None:
+            abandoned()
+        self.handlers.on_close(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; a malformed request is answered with 400 and a close."""
+        if self.silent:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._refuse(error_response(400, "invalid_http", "The request is not HTTP/1.1."))
+
+    def _refuse(self, response: Response) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._current_keep_alive = False
+        self.respond(response)
+
+    def on_url(self, url: bytes) -> None:
+        """Parser callback."""
+        self._target += url
+
+    def on_body(self, body: bytes) -> None:
+        """Parser callback."""
+        self._body = self._body + body if self._body else body
+        if len(self._body) > MAX_BODY_BYTES:
+            self._refuse(error_response(413, "too_long", f"The limit is {MAX_BODY_BYTES} bytes."))
+            self._body = b""
+
+    def on_message_complete(self) -> None:
+        """Parser callback: handle the request, or keep it while another is in progress."""
+        path, _, query = self._target.decode("latin-1").partition("?")
+        request = Request(
+            self._parser.get_method().decode(),
+            path,
+            dict(parse_qsl(query)) if query else {},
+            self._body,
+        )
+        self._target = self._body = b""
+        keep_alive = self._parser.should_keep_alive()
+        if self._current_keep_alive is not None:
+            self._waiting.append((request, keep_alive))
+            if len(self._waiting) > MAX_PIPELINED:
+                self.close()
+            return
+        self._handle(request, keep_alive)
+
+    def _handle(self, request: Request, keep_alive: bool) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._current_keep_alive = keep_alive
+        self.handlers.on_request(self, request)
+
+    def respond(self, response: Response) -> None:
+        """Answer the current request. Nothing is sent on a closed or silent connection."""
+        self.on_abandoned = None
+        keep_alive, self._current_keep_alive = self._current_keep_alive, None
+        if self.transport is None or self.silent or self.transport.is_closing():
+            return
+        if response.status == HTTPStatus.NO_CONTENT:
+            self.transport.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        else:
+            body = msgspec.json.encode(response.body)
+            close = b"" if keep_alive else b"\r\nconnection: close"
+            head = b"%b%d%b\r\n\r\n" % (_HEADS[response.status], len(body), close)
+            self.transport.write(head + body)
+        if not keep_alive:
+            self.transport.close()
+        elif self._waiting:
+            self._handle(*self._waiting.popleft())
+
+    def close(self) -> None:
+        """Reset the connection without a reply."""
+        reset(self.transport)
+
+
+class Handlers(NamedTuple):
+    """What a listener does with its connections.
+
+    `on_open` returns the delay in milliseconds before the first byte is read, or None to refuse.
+    `on_request` must lead to one `respond` or `close` of the connection, at once or later.
+    """
+
+    on_request: Callable[[HttpConnection, Request], None]
+    on_open: Callable[[HttpConnection], float | None]
+    on_close: Callable[[HttpConnection], None]
+
+
+async def listen(handlers: Handlers, host: str, port: int) -> asyncio.Server:
+    """Open a listener; port 0 lets the system choose."""
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: HttpConnection(handlers), host, port, backlog=1024)
+
+
+def port_of(server: asyncio.Server) -> int:
+    """Return the port of an open listener."""
+    return cast(int, server.sockets[0].getsockname()[1])
+
+
+def tracked_handlers(
+    on_request: Callable[[HttpConnection, Request], None],
+) -> tuple[Handlers, Callable[[], None]]:
+    """Return handlers that accept every connection, and a function that closes the open ones."""
+    connections: set[HttpConnection] = set()
+
+    def on_open(connection: HttpConnection) -> float:
+        connections.add(connection)
+        return 0.0
+
+    def close_all() -> None:
+        for connection in list(connections):
+            connection.close()
+
+    return Handlers(on_request, on_open, connections.discard), close_all
+
+
+Route = Callable[[Request], Awaitable[Response]]
+
+
+def route_requests(
+    routes: dict[tuple[str, str], Route],
+) -> Callable[[HttpConnection, Request], None]:
+    """Return an `on_request` that answers by method and path, for control listeners."""
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def answer(connection: HttpConnection, route: Route, request: Request) -> None:
+        response = await route(request)
+        log_event("control", path=request.path, status=response.status)
+        connection.respond(response)
+
+    def on_request(connection: HttpConnection, request: Request) -> None:
+        route = routes.get((request.method, unquote(request.path)))
+        if route is None:
+            connection.respond(error_response(404, "not_found", "There is no such resource."))
+            return
+        task = asyncio.get_running_loop().create_task(answer(connection, route, request))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    return on_request
+
+
+def json_route(
+    kind: Any, handle: Callable[[Any], Awaitable[Response]]
+) -> Callable[[Request], Awaitable[Response]]:
+    """Return a route that checks the body against a type before it calls `handle`."""
+
+    async def route(request: Request) -> Response:
+        decoded = decode(request.body or b"{}", kind, MAX_BODY_BYTES)
+        match decoded.value_or(None):
+            case None:
+                error = decoded.failure()
+                return error_response(400, error.code, error.message, error.path)
+            case body:
+                return await handle(body)
+
+    return route
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/lag.py
@@ -0,0 +1,30 @@
+"""A value that readers see with a delay."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+@dataclass
+class LaggedValue(Generic[T]):
+    """Past and present of a value, oldest first, as (time in milliseconds, value)."""
+
+    history: deque[tuple[float, T]] = field(default_factory=deque)
+
+
+def record_value(lagged: LaggedValue[T], value: T, now_ms: float, lag_ms: float) -> None:
+    """Add a value that holds from now on, and drop those that no reader can see any more."""
+    history = lagged.history
+    history.append((now_ms, value))
+    while len(history) > 1 and history[1][0] <= now_ms - lag_ms:
+        history.popleft()
+
+
+def value_as_of(lagged: LaggedValue[T], now_ms: float, lag_ms: float) -> T:
+    """Return the value of `lag_ms` ago, or the oldest one if none is that old."""
+    history = lagged.history
+    while len(history) > 1 and history[1][0] <= now_ms - lag_ms:
+        history.popleft()
+    return history[0][1]
