--- /dev/null
+++ b/packages/standins/src/wisteriastandins/demo.py
@@ -0,0 +1,86 @@
+"""Run the deployments one after the other under load and print what came of it."""
+
+import asyncio
+import json
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+from .launcher import NotReadyError, start_run, stop_run, wait_ready
+from .load.arrivals import capacity_per_s
+from .load.models import LoadOptions, LoadResult
+from .load.report import format_result, is_correct
+from .load.rows import load_rows_of
+from .load.run import run_load
+from .topology.const import DEFAULT_BASE_PORT, PORTS_PER_CUSTOMER
+from .topology.customers import CUSTOMERS
+from .topology.models import Customer
+from .topology.write import create_run
+
+
+class DemoOptions(NamedTuple):
+    """Options of a demo: `share` is that of the busiest service's capacity."""
+
+    customers: tuple[str, ...]
+    share: float
+    warm_up_s: float
+    duration_s: float
+    seed: int
+    base_port: int
+    run_folder: Path | None
+    as_json: bool
+
+
+async def run_customer(
+    customer: Customer, folder: Path, base_port: int, options: DemoOptions
+) -> LoadResult | NotReadyError:
+    """Start a deployment, load it, end it and return the result."""
+    run = create_run(customer, folder, base_port, options.seed)
+    running = start_run(run)
+    try:
+        if error := await wait_ready(running, run.plan["entries"]):
+            return error
+        rate_per_s = options.share * capacity_per_s(run.plan)
+        load = LoadOptions(rate_per_s, options.warm_up_s, options.duration_s, options.seed)
+        return await run_load(run.plan, load, load_rows_of(), f"{customer.name}-{options.seed}")
+    finally:
+        stop_run(running)
+
+
+def run_demo(options: DemoOptions) -> int:
+    """Run the deployments, print the tables and return the exit code.
+
+    Returns
+    -------
+    int
+        0, or 1 when an instance did not become ready or an answer failed its check.
+    """
+    code = 0
+    with tempfile.TemporaryDirectory(prefix="wisteriarock-") as temporary:
+        root = options.run_folder or Path(temporary)
+        for index, name in enumerate(options.customers):
+            base_port = options.base_port + index * PORTS_PER_CUSTOMER
+            folder = root / name
+            result = asyncio.run(run_customer(CUSTOMERS[name], folder, base_port, options))
+            if isinstance(result, NotReadyError):
+                print(f"{name}: not ready: {', '.join(result.waiting) or 'none'}")
+                print(f"{name}: ended: {', '.join(result.ended) or 'none'}")
+                print(result.log_tail)
+                code = 1
+                continue
+            print(json.dumps(result) if options.as_json else format_result(result) + "\n")
+            if not is_correct(result):
+                code = 1
+    return code
+
+
+DEFAULT_OPTIONS = DemoOptions(
+    customers=tuple(CUSTOMERS),
+    share=0.5,
+    warm_up_s=3.0,
+    duration_s=10.0,
+    seed=1,
+    base_port=DEFAULT_BASE_PORT,
+    run_folder=None,
+    as_json=False,
+)
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load, checks of every answer, and the table of results."""
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/load/arrivals.py
@@ -0,0 +1,83 @@
+"""Open-loop arrivals and the capacity that a rate is a share of."""
+
+import random
+from collections.abc import Iterator
+
+from wisteriastandins.topology.models import LoadPlan, PlanClass
+
+from .models import Arrival, LoadOptions
+
+
+def legs_per_request(plan: LoadPlan) -> dict[str, float]:
+    """Return for each shard the mean number of its legs in a request of the mix."""
+    total = sum(request_class["weight"] for request_class in plan["classes"])
+    legs: dict[str, float] = {}
+    for request_class in plan["classes"]:
+        shards = request_class["shards"]
+        share = (request_class["fan_out"] or len(shards)) / len(shards)
+        for shard in shards:
+            legs[shard] = legs.get(shard, 0.0) + share * request_class["weight"] / total
+    return legs
+
+
+def capacity_per_s(plan: LoadPlan) -> float:
+    """Return the requests a second at which the busiest service uses all of its slots.
+
+    A service serves `slots / mean service time` legs a second. The mix does not load all services
+    alike, so the service that is used up first bounds the rate.
+    """
+    legs = legs_per_request(plan)
+    return min(
+        service["slots"] * 1000 / service["mean_service_ms"] / legs[service["shard"]]
+        for service in plan["services"]
+        if legs.get(service["shard"])
+    )
+
+
+def _draw(
+    plan: LoadPlan, request_class: PlanClass, due_ms: float, request_id: str, rng: random.Random
+) -> Arrival:
+    shards = tuple(request_class["shards"])
+    if request_class["fan_out"]:
+        shards = tuple(rng.sample(shards, request_class["fan_out"]))
+    params = {}
+    if request_class["lookup"]:
+        params["lot"] = f"{shards[0]}-{rng.randrange(plan['lots_per_shard']):04d}"
+    return Arrival(
+        due_ms=due_ms,
+        request_id=request_id,
+        kind=request_class["kind"],
+        shards=shards,
+        deadline_ms=request_class["deadline_ms"],
+        repeatable=request_class["repeatable"],
+        params=params,
+    )
+
+
+def arrivals(plan: LoadPlan, options: LoadOptions, run_id: str) -> Iterator[Arrival]:
+    """Yield the requests of a run in the order of their due times.
+
+    Parameters
+    ----------
+    plan : LoadPlan
+        Classes with their weights.
+    options : LoadOptions
+        Rate, time and seed. The same seed gives the same requests.
+    run_id : str
+        Start of every request id; differs between runs against the same endpoints.
+
+    Yields
+    ------
+    Arrival
+        A request of the Poisson process.
+    """
+    rng = random.Random(options.seed)
+    weights = [request_class["weight"] for request_class in plan["classes"]]
+    due_ms, number = 0.0, 0
+    while True:
+        due_ms += rng.expovariate(options.rate_per_s) * 1000
+        if due_ms >= (options.warm_up_s + options.duration_s) * 1000:
+            return
+        number += 1
+        (request_class,) = rng.choices(plan["classes"], weights)
+        yield _draw(plan, request_class, due_ms, f"{run_id}-{number}", rng)
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/load/balancer.py
@@ -0,0 +1,81 @@
+"""Stand-in for the platform's load balancer: round-robin over the ready entry instances."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import aiosonic
+from aiosonic.exceptions import AiosonicError
+
+from wisteriastandins.topology.models import PlanEntry
+
+from .client import create_client
+
+CHECK_INTERVAL_S = 0.25
+CHECK_TIMEOUT_S = 1.0
+
+IsReady = Callable[[PlanEntry], Coroutine[Any, Any, bool]]
+
+
+@dataclass
+class Balancer:
+    """Entry instances, which of them are ready, and whose turn it is."""
+
+    entries: list[PlanEntry]
+    ready: set[str]
+    turn: int = 0
+
+
+def create_balancer(entries: list[PlanEntry]) -> Balancer:
+    """Return a balancer that takes every instance for ready until the first check."""
+    return Balancer(entries, {entry["name"] for entry in entries})
+
+
+def base_url(entry: PlanEntry) -> str:
+    """Return the URL of the public listener of an instance."""
+    return f"http://{entry['host']}:{entry['public_port']}"
+
+
+def candidates(balancer: Balancer) -> list[PlanEntry]:
+    """Return the ready instances in the order in which the next request tries them."""
+    count = len(balancer.entries)
+    start, balancer.turn = balancer.turn, (balancer.turn + 1) % count
+    order = [balancer.entries[(start + step) % count] for step in range(count)]
+    return [entry for entry in order if entry["name"] in balancer.ready]
+
+
+def mark(balancer: Balancer, name: str, ready: bool) -> None:
+    """Take an instance into or out of the rotation."""
+    if ready:
+        balancer.ready.add(name)
+    else:
+        balancer.ready.discard(name)
+
+
+async def check_ready(entry: PlanEntry) -> bool:
+    """Tell whether `GET /readyz` of an instance answers 200 in time."""
+    # A client for each check: one that timed out would hand its late reply to the next check.
+    client: aiosonic.HTTPClient = create_client()
+    try:
+        async with asyncio.timeout(CHECK_TIMEOUT_S):
+            response = await client.get(base_url(entry) + "/readyz")
+            await response.content()
+        return bool(response.status_code == 200)
+    except (AiosonicError, OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        return False
+    finally:
+        await client.aclose()
+
+
+async def watch(balancer: Balancer, is_ready: IsReady = check_ready) -> None:
+    """Check every instance at the check interval until cancelled."""
+
+    async def watch_one(entry: PlanEntry) -> None:
+        while True:
+            mark(balancer, entry["name"], await is_ready(entry))
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    async with asyncio.TaskGroup() as group:
+        for entry in balancer.entries:
+            group.create_task(watch_one(entry))
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/load/check.py
@@ -0,0 +1,147 @@
+"""Check answers against the data of the endpoint stand-ins, and the record of executions."""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from wisteriarock.query.models import Outcome, QueryAnswer
+
+from .models import Arrival, Failed, RowsOf
+
+# Answers without a leg; only these may lack the request id, when the body could not be read.
+_REFUSED = frozenset({400, 401, 403, 413, 429, 503})
+_MAX_DETAIL = 200
+
+
+class Observed(NamedTuple):
+    """What the caller saw of one request: `outcome` is None when no answer came."""
+
+    repeatable: bool
+    outcome: Outcome | None
+
+
+def _check_status(status: int, answer: QueryAnswer) -> Iterator[tuple[str, str]]:
+    refused = answer["outcome"] == Outcome.NOT_RUN
+    if refused != (status in _REFUSED) or (status != 200 and not refused):
+        yield "status", f"status {status} with outcome {answer['outcome']}"
+    if refused and status in (429, 503) and answer["retry_after_ms"] is None:
+        yield "retry_after", f"status {status} without retry_after_ms"
+
+
+def _check_identity(
+    arrival: Arrival, status: int, answer: QueryAnswer
+) -> Iterator[tuple[str, str]]:
+    request_id = answer["request_id"]
+    if request_id != arrival.request_id and not (status in _REFUSED and not request_id):
+        yield "request_id", f"got the answer to {request_id!r}"
+
+
+def _check_coverage(arrival: Arrival, answer: QueryAnswer) -> Iterator[tuple[str, str]]:
+    answered = answer["coverage"]["answered"]
+    missing = [item["shard"] for item in answer["coverage"]["missing"]]
+    named = Counter(answered) + Counter(missing)
+    refused_early = answer["outcome"] == Outcome.NOT_RUN and not named
+    if named != Counter(arrival.shards) and not refused_early:
+        wrong = (named - Counter(arrival.shards)) + (Counter(arrival.shards) - named)
+        yield "coverage", f"not exactly once: {sorted(wrong)}"
+    expected = {
+        Outcome.COMPLETE: bool(answered) and not missing,
+        Outcome.PARTIAL: bool(answered) and bool(missing),
+        Outcome.NOT_RUN: not answered,
+        Outcome.UNKNOWN: not answered,
+    }
+    if not expected[Outcome(answer["outcome"])]:
+        detail = f"{answer['outcome']} with {len(answered)} answered, {len(missing)} missing"
+        yield "outcome", detail
+
+
+def _check_rows(
+    arrival: Arrival, answer: QueryAnswer, rows_of: RowsOf, lots_per_shard: int
+) -> Iterator[tuple[str, str]]:
+    rows, snapshot = answer["rows"], answer["snapshot"]
+    if snapshot is None:
+        if rows or answer["coverage"]["answered"]:
+            yield "snapshot", "rows or answered shards without a snapshot"
+        return
+    if other := {row["snapshot"] for row in rows} - {snapshot}:
+        yield "snapshot", f"rows of snapshots {sorted(other)} in an answer of {snapshot}"
+    lots = Counter(str(row["lot"]) for row in rows)
+    if doubles := [lot for lot, count in lots.items() if count > 1]:
+        yield "doubles", f"{sorted(doubles)}"
+    expected = {
+        str(row["lot"]): row
+        for shard in answer["coverage"]["answered"]
+        # The partitions of a shard hold its lots between them, so one partition holds all.
+        for row in rows_of(shard, 0, 1, snapshot, lots_per_shard, arrival.params)
+    }
+    if absent := sorted(set(expected) - set(lots)):
+        yield "absent_rows", f"{absent}"
+    if surplus := sorted(set(lots) - set(expected)):
+        yield "surplus_rows", f"{surplus}"
+    if wrong := sorted({r["lot"] for r in rows if expected.get(r["lot"], r) != r}):
+        yield "wrong_rows", f"{wrong}"
+
+
+def check_answer(
+    arrival: Arrival, status: int, answer: QueryAnswer, rows_of: RowsOf, lots_per_shard: int
+) -> list[Failed]:
+    """Check one answer.
+
+    Parameters
+    ----------
+    arrival : Arrival
+        The request.
+    status : int
+        HTTP status of the answer.
+    answer : QueryAnswer
+        Its decoded body.
+    rows_of : RowsOf
+        `wisteriastandins.data.rows_of`: the rows of a partition in a snapshot.
+    lots_per_shard : int
+        Lots that the stand-ins hold for each shard.
+
+    Returns
+    -------
+    list of Failed
+        Every check that failed; empty for a correct answer.
+    """
+    found = [
+        *_check_status(status, answer),
+        *_check_identity(arrival, status, answer),
+        *_check_coverage(arrival, answer),
+        *_check_rows(arrival, answer, rows_of, lots_per_shard),
+    ]
+    return [Failed(arrival.request_id, check, detail[:_MAX_DETAIL]) for check, detail in found]
+
+
+def check_record(
+    executed: Mapping[str, int], observed: Mapping[str, Observed], complete: bool = True
+) -> list[Failed]:
+    """Check the stand-ins' record of executed requests against what the callers saw.
+
+    Parameters
+    ----------
+    executed : Mapping
+        Request id to the number of executions, summed over all endpoints.
+    observed : Mapping
+        Request id to what the caller saw.
+    complete : bool
+        False when some endpoint was restarted or its record could not be read. Then the absence
+        of an execution proves nothing.
+
+    Returns
+    -------
+    list of Failed
+        Every violation.
+    """
+    failures = []
+    for request_id, (repeatable, outcome) in observed.items():
+        count = executed.get(request_id, 0)
+        if not repeatable and count > 1:
+            failures.append(Failed(request_id, "run_twice", f"executed {count} times"))
+        if outcome == Outcome.NOT_RUN and count:
+            detail = f"executed {count} times, reported not_run"
+            failures.append(Failed(request_id, "not_run_ran", detail))
+        if complete and not repeatable and outcome == Outcome.COMPLETE and not count:
+            failures.append(Failed(request_id, "never_ran", "reported complete, never executed"))
+    return failures
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/load/client.py
@@ -0,0 +1,85 @@
+"""HTTP connections of the load tool: one aiosonic client for each connection."""
+
+import asyncio
+from collections import defaultdict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import aiosonic
+from aiosonic.exceptions import AiosonicError, ConnectTimeout
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+
+from .models import SendError
+
+CONNECT_TIMEOUT_S = 1.0
+# Shorter than uvicorn's keep-alive of 5 s, so that no request meets a connection being closed.
+_MAX_IDLE_MS = 2_000
+
+
+def create_client() -> aiosonic.HTTPClient:
+    """Return a client with a single connection; the caller bounds the time of its requests."""
+    timeouts = Timeouts(sock_connect=CONNECT_TIMEOUT_S, sock_read=None, request_timeout=None)
+    pool = PoolConfig(size=1, max_conn_requests=None, max_conn_idle_ms=_MAX_IDLE_MS)
+    return aiosonic.HTTPClient(aiosonic.TCPConnector({":default": pool}, timeouts=timeouts))
+
+
+@dataclass
+class Connections:
+    """Idle clients by base URL, most recently used last; `opened` counts created clients."""
+
+    create: Callable[[], aiosonic.HTTPClient] = create_client
+    idle: dict[str, deque[aiosonic.HTTPClient]] = field(default_factory=lambda: defaultdict(deque))
+    opened: int = 0
+
+
+async def post(
+    connections: Connections,
+    base_url: str,
+    path: str,
+    credential: str,
+    body: bytes,
+    timeout_s: float,
+) -> tuple[int, bytes] | SendError:
+    """Post a JSON body and read the whole reply.
+
+    A client whose reply was not read whole is closed: aiosonic would give the late reply to the
+    next request of that connection.
+
+    Returns
+    -------
+    tuple or SendError
+        Status and body, or why there is none. After `NO_CONNECTION` nothing was sent.
+    """
+    idle = connections.idle[base_url]
+    if idle:
+        client = idle.pop()
+    else:
+        client = connections.create()
+        connections.opened += 1
+    headers = {"authorization": f"Bearer {credential}", "content-type": "application/json"}
+    whole = False
+    try:
+        async with asyncio.timeout(timeout_s):
+            response = await client.post(base_url + path, data=body, headers=headers)
+            content = await response.content()
+        whole = True
+        return response.status_code, content
+    except (ConnectionRefusedError, ConnectTimeout):
+        return SendError.NO_CONNECTION
+    except TimeoutError:
+        return SendError.TIMEOUT
+    except (AiosonicError, OSError, asyncio.IncompleteReadError, ValueError):
+        return SendError.CONNECTION_LOST
+    finally:
+        if whole:
+            idle.append(client)
+        else:
+            await client.aclose()
+
+
+async def close_all(connections: Connections) -> None:
+    """Close the idle connections."""
+    for idle in connections.idle.values():
+        while idle:
+            await idle.pop().aclose()
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/load/models.py
@@ -0,0 +1,95 @@
+"""Data of load runs."""
+
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any, NamedTuple, TypedDict
+
+from wisteriarock.query.models import QueryAnswer
+
+RowsOf = Callable[[str, int, int, int, int, dict[str, Any]], list[dict[str, Any]]]
+
+
+class LoadOptions(NamedTuple):
+    """How to load. `rate_per_s` counts requests of all classes together."""
+
+    rate_per_s: float
+    warm_up_s: float
+    duration_s: float
+    seed: int
+
+
+class Arrival(NamedTuple):
+    """A request that is due `due_ms` after the start of the run."""
+
+    due_ms: float
+    request_id: str
+    kind: str
+    shards: tuple[str, ...]
+    deadline_ms: int
+    repeatable: bool
+    params: dict[str, Any]
+
+
+class SendError(StrEnum):
+    """Why a request has no answer."""
+
+    NO_INSTANCE = "no_instance"
+    NO_TICKET = "no_ticket"
+    NO_CONNECTION = "no_connection"
+    TIMEOUT = "timeout"
+    CONNECTION_LOST = "connection_lost"
+    BAD_ANSWER = "bad_answer"
+    TOO_MANY = "too_many_in_flight"
+
+
+class Received(NamedTuple):
+    """An answer as it came in."""
+
+    status: int
+    answer: QueryAnswer
+
+
+class Failed(NamedTuple):
+    """A check that an answer did not pass."""
+
+    request_id: str
+    check: str
+    detail: str
+
+
+class ClassResult(TypedDict):
+    """Figures of one class. Times are in milliseconds, `extra_load_pct` in per cent.
+
+    `cross_zone_legs` is the mean of an answer. `mean_coverage` is the share of the wanted shards
+    that were answered, over all requests that got an answer.
+    """
+
+    kind: str
+    requests: int
+    rate_per_s: float
+    outcomes: dict[str, int]
+    p50_ms: float
+    p99_ms: float
+    mean_coverage: float
+    extra_load_pct: float
+    cross_zone_legs: float
+    errors: dict[str, int]
+    check_failures: int
+
+
+class LoadResult(TypedDict):
+    """Figures of a run.
+
+    `late_starts` counts requests that the load tool started over 5 ms late. `failed_checks` counts
+    all failed checks by name; `failures` shows the first of them.
+    """
+
+    customer: str
+    rate_per_s: float
+    duration_s: float
+    seed: int
+    classes: list[ClassResult]
+    late_starts: int
+    record_checked: bool
+    failed_checks: dict[str, int]
+    failures: list[dict[str, str]]
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/load/run.py
@@ -0,0 +1,224 @@
+"""Send the requests of a run when they are due and check every answer."""
+
+import asyncio
+import time
+from collections import Counter
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+import msgspec
+from wisteriarock.query.models import QueryAnswer, QueryBody
+
+from wisteriastandins.topology.models import LoadPlan
+
+from .arrivals import arrivals
+from .balancer import Balancer, base_url, candidates, create_balancer, mark, watch
+from .check import Observed, check_answer, check_record
+from .client import Connections, close_all, post
+from .models import (
+    Arrival,
+    Failed,
+    LoadOptions,
+    LoadResult,
+    Received,
+    RowsOf,
+    SendError,
+)
+from .record import read_executed
+from .stats import ClassStats, add_answer, add_error, result_of
+from .tickets import TicketPool, fill, take
+
+# Time beyond its deadline that a request may take before the load tool gives it up.
+_GRACE_S = 2.0
+_MAX_IN_FLIGHT = 4_000
+_LATE_START_MS = 5.0
+_MAX_REPORTED_FAILURES = 50
+_TICKET_WAIT_S = 5.0
+
+_ANSWERS = msgspec.json.Decoder(QueryAnswer)
+
+
+@dataclass
+class LoadState:
+    """Everything of one run that changes."""
+
+    plan: LoadPlan
+    options: LoadOptions
+    rows_of: RowsOf
+    balancer: Balancer
+    tickets: dict[str, TicketPool]
+    stats: dict[str, ClassStats]
+    connections: Connections = field(default_factory=Connections)
+    observed: dict[str, Observed] = field(default_factory=dict)
+    failures: list[Failed] = field(default_factory=list)
+    in_flight: int = 0
+    late_starts: int = 0
+
+
+def create_state(plan: LoadPlan, options: LoadOptions, rows_of: RowsOf) -> LoadState:
+    """Return the state of a run that has not begun."""
+    return LoadState(
+        plan=plan,
+        options=options,
+        rows_of=rows_of,
+        balancer=create_balancer(plan["entries"]),
+        tickets={
+            c["kind"]: TicketPool(c["credential"]) for c in plan["classes"] if not c["repeatable"]
+        },
+        stats={c["kind"]: ClassStats(c["kind"]) for c in plan["classes"]},
+    )
+
+
+def _body(arrival: Arrival, ticket: str | None) -> bytes:
+    body = QueryBody(
+        request_id=arrival.request_id,
+        kind=arrival.kind,
+        shards=list(arrival.shards),
+        deadline_ms=arrival.deadline_ms,
+        repeatable=arrival.repeatable,
+        params=arrival.params,
+    )
+    if ticket is not None:
+        body["ticket"] = ticket
+    return msgspec.json.encode(body)
+
+
+async def _send(state: LoadState, arrival: Arrival, credential: str) -> Received | SendError:
+    """Send a request to the first instance that accepts the connection."""
+    ticket = None
+    if not arrival.repeatable:
+        ticket = take(state.tickets[arrival.kind], time.monotonic())
+        if ticket is None:
+            return SendError.NO_TICKET
+    body = _body(arrival, ticket)
+    timeout_s = arrival.deadline_ms / 1000 + _GRACE_S
+    error = SendError.NO_INSTANCE
+    for entry in candidates(state.balancer):
+        got = await post(
+            state.connections, base_url(entry), "/v1/query", credential, body, timeout_s
+        )
+        if got is SendError.NO_CONNECTION:
+            mark(state.balancer, entry["name"], ready=False)
+            error = SendError.NO_CONNECTION
+            continue
+        if isinstance(got, SendError):
+            return got
+        try:
+            return Received(got[0], _ANSWERS.decode(got[1]))
+        except msgspec.DecodeError:
+            return SendError.BAD_ANSWER
+    return error
+
+
+def _take_result(
+    state: LoadState, arrival: Arrival, received: Received | SendError, latency_ms: float
+) -> None:
+    """Check and count what came of a request; the warm-up is checked but not counted."""
+    counted = arrival.due_ms >= state.options.warm_up_s * 1000
+    stats = state.stats[arrival.kind]
+    if isinstance(received, SendError):
+        state.observed[arrival.request_id] = Observed(arrival.repeatable, None)
+        if counted:
+            add_error(stats, received)
+        return
+    answer = received.answer
+    state.observed[arrival.request_id] = Observed(arrival.repeatable, answer["outcome"])
+    lots = state.plan["lots_per_shard"]
+    failed = check_answer(arrival, received.status, answer, state.rows_of, lots)
+    stats.check_failures += len(failed)
+    state.failures += failed
+    if counted:
+        add_answer(stats, answer, len(arrival.shards), latency_ms)
+
+
+async def _request(state: LoadState, arrival: Arrival, credential: str, due_s: float) -> None:
+    delay_s = state.plan["client_delay_ms"] / 1000
+    state.in_flight += 1
+    try:
+        await asyncio.sleep(delay_s)
+        received = await _send(state, arrival, credential)
+        await asyncio.sleep(delay_s)
+        latency_ms = (time.monotonic() - due_s) * 1000
+        _take_result(state, arrival, received, latency_ms)
+    finally:
+        state.in_flight -= 1
+
+
+async def _dispatch(state: LoadState, run_id: str) -> None:
+    """Start every request when it is due, whatever became of the earlier ones."""
+    credentials = {c["kind"]: c["credential"] for c in state.plan["classes"]}
+    start_s = time.monotonic()
+    async with asyncio.TaskGroup() as group:
+        for arrival in arrivals(state.plan, state.options, run_id):
+            due_s = start_s + arrival.due_ms / 1000
+            if (wait_s := due_s - time.monotonic()) > 0:
+                await asyncio.sleep(wait_s)
+            elif -wait_s * 1000 > _LATE_START_MS:
+                state.late_starts += 1
+            if state.in_flight >= _MAX_IN_FLIGHT:
+                add_error(state.stats[arrival.kind], SendError.TOO_MANY)
+                continue
+            group.create_task(_request(state, arrival, credentials[arrival.kind], due_s))
+
+
+async def _with_helpers(state: LoadState, run_id: str) -> None:
+    """Run the balancer's checks and the ticket pools while requests are sent."""
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(close_all, state.connections)
+        filled = [asyncio.Event() for _ in state.tickets]
+        tasks = [asyncio.create_task(watch(state.balancer))]
+        for event, pool in zip(filled, state.tickets.values(), strict=True):
+            filling = fill(pool, state.balancer, state.connections, event.set)
+            tasks.append(asyncio.create_task(filling))
+        try:
+            async with asyncio.timeout(_TICKET_WAIT_S):
+                await asyncio.gather(*(event.wait() for event in filled))
+        except TimeoutError:
+            # Requests without a ticket are counted as errors, so the result shows it.
+            pass
+        try:
+            await _dispatch(state, run_id)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def run_load(
+    plan: LoadPlan, options: LoadOptions, rows_of: RowsOf, run_id: str
+) -> LoadResult:
+    """Load a deployment and check every answer and the record of executions.
+
+    Parameters
+    ----------
+    plan : LoadPlan
+        The run folder's `load.json`.
+    options : LoadOptions
+        Rate in requests a second, times in seconds, and seed.
+    rows_of : RowsOf
+        `wisteriastandins.data.rows_of`.
+    run_id : str
+        Start of every request id.
+
+    Returns
+    -------
+    LoadResult
+        Figures by class, and the failed checks.
+    """
+    state = create_state(plan, options, rows_of)
+    await _with_helpers(state, run_id)
+    executed, complete = await read_executed(plan["endpoint_controls"])
+    state.failures += check_record(executed, state.observed, complete)
+    checks = Counter(failed.check for failed in state.failures)
+    shown = [failed._asdict() for failed in state.failures[:_MAX_REPORTED_FAILURES]]
+    return LoadResult(
+        customer=plan["customer"],
+        rate_per_s=options.rate_per_s,
+        duration_s=options.duration_s,
+        seed=options.seed,
+        classes=[result_of(stats, options.duration_s) for stats in state.stats.values()],
+        late_starts=state.late_starts,
+        record_checked=complete,
+        failed_checks=dict(checks),
+        failures=shown,
+    )
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/load/stats.py
@@ -0,0 +1,77 @@
+"""Figures of a class, collected answer by answer."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+from wisteriarock.query.models import QueryAnswer, QueryStats
+
+from .models import ClassResult, SendError
+
+_LOWEST_US = 1
+_HIGHEST_US = 600_000_000
+_SIGNIFICANT_DIGITS = 3
+
+
+def create_histogram() -> HdrHistogram:
+    """Return a histogram of times in microseconds, up to ten minutes."""
+    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS)
+
+
+@dataclass
+class ClassStats:
+    """Running figures of one class; the histogram holds only requests that got an answer."""
+
+    kind: str
+    latency_us: HdrHistogram = field(default_factory=create_histogram)
+    requests: int = 0
+    answers: int = 0
+    outcomes: Counter[str] = field(default_factory=Counter)
+    errors: Counter[str] = field(default_factory=Counter)
+    coverage_sum: float = 0.0
+    primary_legs: int = 0
+    extra_legs: int = 0
+    cross_zone_legs: int = 0
+    check_failures: int = 0
+
+
+def primary_legs(stats: QueryStats) -> int:
+    """Return the legs that were neither hedges nor retries; `legs` counts all that were sent."""
+    return stats["legs"] - stats["hedges"] - stats["retries"]
+
+
+def add_error(stats: ClassStats, error: SendError) -> None:
+    """Count a request without an answer."""
+    stats.requests += 1
+    stats.errors[error.value] += 1
+
+
+def add_answer(stats: ClassStats, answer: QueryAnswer, wanted: int, latency_ms: float) -> None:
+    """Count an answer to a request for `wanted` shards."""
+    stats.requests += 1
+    stats.answers += 1
+    stats.outcomes[str(answer["outcome"])] += 1
+    stats.latency_us.record_value(max(_LOWEST_US, min(_HIGHEST_US, round(latency_ms * 1000))))
+    stats.coverage_sum += len(answer["coverage"]["answered"]) / wanted
+    cost = answer["stats"]
+    stats.primary_legs += primary_legs(cost)
+    stats.extra_legs += cost["hedges"] + cost["retries"]
+    stats.cross_zone_legs += cost["cross_zone_legs"]
+
+
+def result_of(stats: ClassStats, duration_s: float) -> ClassResult:
+    """Return the figures; means over nothing are 0."""
+    answers = max(1, stats.answers)
+    return ClassResult(
+        kind=stats.kind,
+        requests=stats.requests,
+        rate_per_s=stats.requests / duration_s,
+        outcomes=dict(stats.outcomes),
+        p50_ms=stats.latency_us.get_value_at_percentile(50) / 1000 if stats.answers else 0.0,
+        p99_ms=stats.latency_us.get_value_at_percentile(99) / 1000 if stats.answers else 0.0,
+        mean_coverage=stats.coverage_sum / answers,
+        extra_load_pct=100 * stats.extra_legs / max(1, stats.primary_legs),
+        cross_zone_legs=stats.cross_zone_legs / answers,
+        errors=dict(stats.errors),
+        check_failures=stats.check_failures,
+    )
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/load/tickets.py
@@ -0,0 +1,82 @@
+"""Tickets for requests that are not repeatable, fetched before they are needed."""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TypedDict
+
+import msgspec
+
+from .balancer import Balancer, base_url, candidates
+from .client import Connections, post
+from .models import SendError
+
+_BATCH = 20
+_LOW_WATER = 60
+_FETCH_TIMEOUT_S = 2.0
+_FETCH_INTERVAL_S = 0.1
+# A ticket is not used when it expires sooner than this; requests with tickets end earlier.
+_MARGIN_S = 10.0
+
+
+class _Tickets(TypedDict):
+    tickets: list[str]
+    expires_in_ms: float
+
+
+@dataclass
+class TicketPool:
+    """Tickets of one caller with the monotonic time in seconds at which they expire."""
+
+    credential: str
+    tickets: deque[tuple[str, float]] = field(default_factory=deque)
+
+
+def take(pool: TicketPool, now_s: float) -> str | None:
+    """Return a ticket that does not expire soon, or None."""
+    while pool.tickets:
+        ticket, expires_at_s = pool.tickets.popleft()
+        if expires_at_s - now_s > _MARGIN_S:
+            return ticket
+    return None
+
+
+async def fetch(pool: TicketPool, balancer: Balancer, connections: Connections) -> bool:
+    """Fetch one batch from the next ready instance and tell whether that worked."""
+    for entry in candidates(balancer):
+        body = msgspec.json.encode({"count": _BATCH})
+        got = await post(
+            connections, base_url(entry), "/v1/tickets", pool.credential, body, _FETCH_TIMEOUT_S
+        )
+        if isinstance(got, SendError) or got[0] != 200:
+            continue
+        try:
+            answer = msgspec.json.decode(got[1], type=_Tickets)
+        except msgspec.DecodeError:
+            continue
+        expires_at_s = time.monotonic() + answer["expires_in_ms"] / 1000
+        pool.tickets.extend((ticket, expires_at_s) for ticket in answer["tickets"])
+        return True
+    return False
+
+
+async def fill(
+    pool: TicketPool,
+    balancer: Balancer,
+    connections: Connections,
+    first_filled: Callable[[], None],
+) -> None:
+    """Keep the pool above its low-water mark until cancelled.
+
+    `first_filled` is called when the mark was reached, or a fetch failed, for the first time.
+    """
+    called = False
+    while True:
+        fetched = len(pool.tickets) < _LOW_WATER and await fetch(pool, balancer, connections)
+        if not fetched:
+            if not called:
+                first_filled()
+                called = True
+            await asyncio.sleep(_FETCH_INTERVAL_S)
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/topology/__init__.py
@@ -0,0 +1,1 @@
+"""Descriptions of deployments and the files that a run of one needs."""
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/topology/const.py
@@ -0,0 +1,20 @@
+"""Names, defaults and file names of a run folder."""
+
+LOOPBACK = "127.0.0.1"
+
+# Both are below the usual range of ephemeral ports, so that outgoing connections do not take them.
+DEFAULT_BASE_PORT = 21_000
+PORTS_PER_CUSTOMER = 400
+
+DEFAULT_SERVICE_MEDIAN_MS = 20.0
+DEFAULT_SERVICE_SIGMA = 0.35
+DEFAULT_QUEUE_LIMIT = 8
+DEFAULT_SNAPSHOT = 1
+
+FILE_BUNDLE = "bundle.json"
+FILE_PLATFORM = "platform.json"
+FILE_PLAN = "load.json"
+FOLDER_KEYS = "keys"
+FOLDER_LOGS = "logs"
+
+OPERATORS = ("operator-1", "operator-2")
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/topology/models.py
@@ -0,0 +1,186 @@
+"""Data of deployments, of the stand-ins' configurations and of the load plan."""
+
+from typing import NamedTuple, TypedDict
+
+from wisteriarock.bundle.models import BundleContent, KindSpec
+from wisteriarock.platform.models import ListedInstance
+from wisteriarock.settings.models import SettingsFile
+
+from .const import DEFAULT_SERVICE_MEDIAN_MS, DEFAULT_SERVICE_SIGMA
+
+
+class ServiceGroup(NamedTuple):
+    """Services of the same shape; each holds one shard on all of its endpoints."""
+
+    name: str
+    shard_prefix: str
+    services: int
+    endpoints: int
+    slots: int
+    connection_cap: int
+    connect_cost_ms: float
+    service_median_ms: float = DEFAULT_SERVICE_MEDIAN_MS
+    service_sigma: float = DEFAULT_SERVICE_SIGMA
+
+
+class RequestClass(NamedTuple):
+    """A kind of request as one caller sends it.
+
+    `groups` names the service groups whose shards it reads: all of them when `fan_out` is 0,
+    else `fan_out` shards drawn at random. A lookup asks for one lot of its shard. `weight` is its
+    share of all requests, relative to the other classes.
+    """
+
+    kind: str
+    caller: str
+    organisation: str
+    spec: KindSpec
+    weight: float
+    deadline_ms: int
+    groups: tuple[str, ...]
+    fan_out: int
+    lookup: bool
+
+
+class Customer(NamedTuple):
+    """A deployment. Delays are one way; `jitter_ms` is added to the delay between zones."""
+
+    name: str
+    organisations: tuple[str, ...]
+    zones: tuple[str, ...]
+    entries_per_zone: int
+    zone_delay_ms: float
+    zone_jitter_ms: float
+    client_delay_ms: float
+    lots_per_shard: int
+    groups: tuple[ServiceGroup, ...]
+    classes: tuple[RequestClass, ...]
+
+
+class EndpointConfig(TypedDict):
+    """An endpoint of the `endpoints` stand-in; `holdings` maps a snapshot to partitions."""
+
+    name: str
+    host: str
+    port: int
+    slots: int
+    connection_cap: int
+    connect_cost_ms: float
+    service_median_ms: float
+    service_sigma: float
+    queue_limit: int
+    lots_per_shard: int
+    cold_ms: float
+    holdings: dict[str, list[tuple[str, int, int]]]
+
+
+class EndpointsConfig(TypedDict):
+    """Configuration of the `endpoints` stand-in of one zone."""
+
+    zone: str
+    control_host: str
+    control_port: int
+    seed: int
+    endpoints: list[EndpointConfig]
+
+
+class PlatformConfig(TypedDict):
+    """Configuration of the `platform` stand-in."""
+
+    host: str
+    port: int
+    latency_ms: float
+    writes_per_s: float
+    reads_per_s: float
+    list_lag_ms: float
+    instances: list[ListedInstance]
+
+
+class LinkConfig(TypedDict):
+    """A link of the `relay` stand-in; the delay is one way and applies to both directions."""
+
+    name: str
+    listen_host: str
+    listen_port: int
+    target_host: str
+    target_port: int
+    delay_ms: float
+    jitter_ms: float
+
+
+class RelayConfig(TypedDict):
+    """Configuration of the `relay` stand-in that carries the links which start in one zone."""
+
+    control_host: str
+    control_port: int
+    seed: int
+    links: list[LinkConfig]
+
+
+class PlanEntry(TypedDict):
+    """Addresses of an entry instance."""
+
+    name: str
+    zone: str
+    host: str
+    public_port: int
+    internal_port: int
+
+
+class PlanClass(TypedDict):
+    """What the load tool needs to send requests of one class."""
+
+    kind: str
+    credential: str
+    weight: float
+    deadline_ms: int
+    repeatable: bool
+    shards: list[str]
+    fan_out: int
+    lookup: bool
+
+
+class PlanService(TypedDict):
+    """Slots and mean service time of the endpoints of one service, for the capacity."""
+
+    shard: str
+    slots: int
+    mean_service_ms: float
+
+
+class PlanEndpoint(TypedDict):
+    """Address of an endpoint, for load that is sent without the tier."""
+
+    name: str
+    zone: str
+    host: str
+    port: int
+    slots: int
+    shards: list[str]
+
+
+class LoadPlan(TypedDict):
+    """Input of the load tool, written as `load.json`. It holds credentials of this run only."""
+
+    customer: str
+    client_delay_ms: float
+    lots_per_shard: int
+    entries: list[PlanEntry]
+    classes: list[PlanClass]
+    services: list[PlanService]
+    endpoints: list[PlanEndpoint]
+    endpoint_controls: list[str]
+    relay_controls: list[str]
+    operator_token: str
+
+
+class Topology(NamedTuple):
+    """Everything that a run needs, before it is written to files. Dictionaries are by name."""
+
+    customer: Customer
+    content: BundleContent
+    settings: dict[str, SettingsFile]
+    endpoints: dict[str, EndpointsConfig]
+    relays: dict[str, RelayConfig]
+    platform: PlatformConfig
+    plan: LoadPlan
--- /dev/null
+++ b/tests/wisteriastandins/load/test_run.py
@@ -0,0 +1,60 @@
+"""Tests of a load run against a fake tier."""
+
+import random
+from collections import Counter
+from typing import Any
+
+from wisteriastandins.load.models import LoadOptions, LoadResult
+from wisteriastandins.load.report import format_result, is_correct
+from wisteriastandins.load.run import run_load
+from wisteriastandins.topology.build import build_topology
+from wisteriastandins.topology.customers import CASCADE
+
+from tests.common import function_suite
+from tests.wisteriastandins.fakes import Change, fake_entry, rows_of, serve, use_port
+
+OPTIONS = LoadOptions(rate_per_s=200, warm_up_s=0.0, duration_s=0.5, seed=3)
+
+
+async def _run(change: Change, refused_port: bool = False) -> tuple[LoadResult, Counter[str]]:
+    plan = build_topology(CASCADE, 21_000, 1, {}, random.Random(1)).plan
+    executed: Counter[str] = Counter()
+    tickets: Counter[str] = Counter()
+    async with serve(fake_entry(CASCADE.lots_per_shard, executed, tickets, change)) as port:
+        # Port 1 refuses connections on a machine that offers nothing there.
+        ports = [port, 1] if refused_port else [port]
+        return await run_load(use_port(plan, ports), OPTIONS, rows_of, "r"), tickets
+
+
+async def test_correct_answers_pass() -> None:
+    """Guards against a checker that refuses correct answers, and against a ticket used twice."""
+    result, tickets = await _run(lambda answer: answer)
+    assert is_correct(result), format_result(result)
+    assert sum(item["requests"] for item in result["classes"]) > 50
+    assert all(item["requests"] == item["outcomes"]["complete"] for item in result["classes"])
+    assert max(tickets.values()) == 1
+    blend = result["classes"][0]
+    assert (blend["extra_load_pct"], blend["cross_zone_legs"]) == (2.0, 2.0)
+
+
+async def test_a_refusing_instance_is_skipped() -> None:
+    """Guards against errors for requests that another instance can take."""
+    result, _ = await _run(lambda answer: answer, refused_port=True)
+    assert is_correct(result), format_result(result)
+    assert not any(item["errors"] for item in result["classes"])
+
+
+async def test_spoiled_answers_fail() -> None:
+    """Guards against a run that passes although its answers are wrong."""
+
+    def drop_row(answer: dict[str, Any]) -> dict[str, Any]:
+        return {**answer, "rows": answer["rows"][1:]}
+
+    result, _ = await _run(drop_row)
+    assert not is_correct(result)
+    answers = sum(item["requests"] for item in result["classes"])
+    assert result["failed_checks"] == {"absent_rows": answers}
+    assert "absent_rows" in format_result(result)
+
+
+load_tests = function_suite(globals())
