--- a/packages/standins/src/wisteriastandins/cli.py
+++ b/packages/standins/src/wisteriastandins/cli.py
@@ -1,7 +1,9 @@
-"""The command line: one line for each subcommand, imported when it runs."""
+"""The command line: stand-ins are imported when they run, which keeps their start short."""
 
 from cyclopts import App
 
+from .commands import register
+
 
 def create_app() -> App:
     """Return the command line with its subcommands."""
@@ -9,4 +11,5 @@
     app.command("wisteriastandins.endpoint.command:endpoints")
     app.command("wisteriastandins.platform.command:platform")
     app.command("wisteriastandins.relay.command:relay")
+    register(app)
     return app
