--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/const.py
@@ -0,0 +1,31 @@
+"""Names and numbers of the endpoints concern."""
+
+ATTR_CONNECTIONS = "connections"
+ATTR_QUEUE = "queue"
+
+PATH_LEG = "/leg"
+PATH_REPORT = "/report"
+
+# No endpoint answers in less than this, so a leg with less time left is not sent.
+MIN_LEG_MS = 1.0
+# Changes of load alone are told to the other instances at most this often.
+LOAD_VIEW_INTERVAL_MS = 250.0
+# Reports in a row that fail on a new connection before an endpoint counts as gone.
+GONE_AFTER_REPORTS = 6
+# Time for replies in flight to arrive after a probe, added to the probe's round trip.
+PROBE_GRACE_MS = 20.0
+# Pause between two probes while the endpoint says that it works on every leg.
+PROBE_REPEAT_MS = 150.0
+# Failed probes in a row after which the silent legs are given up.
+PROBE_ATTEMPTS = 2
+# Share of the report interval by which polls of different endpoints are spread.
+POLL_JITTER = 0.2
+# Weight of a new sample in the usual time of a leg, and the deviations added to the mean.
+USUAL_TIME_WEIGHT = 0.1
+USUAL_TIME_DEVIATIONS = 4.0
+# Reports lag, so one that says ready does not revoke a `draining` reply that is newer than this.
+DRAINING_REPLY_HOLDS_MS = 5_000.0
+# A leg is sent again after a silent connection at most this often.
+MAX_RESENDS = 2
+# Resolution of report polls and of time-driven changes of state.
+TICK_MS = 50.0
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
@@ -0,0 +1,337 @@
+"""Holds endpoints: takes legs, keeps views, polls reports, and hands endpoints over."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import NamedTuple
+
+from wisteriarock.blackboard.models import Blackboard
+from wisteriarock.bundle.models import EndpointSpec
+from wisteriarock.observability.metrics import Metrics
+from wisteriarock.query.models import (
+    Cancel,
+    ExecuteLeg,
+    LegOutcome,
+    LegReply,
+    LegRequest,
+    OnLegReply,
+)
+
+from . import lifecycle, queue
+from .connection import close_connection
+from .const import LOAD_VIEW_INTERVAL_MS, POLL_JITTER, TICK_MS
+from .diagnostics import dump_endpoints
+from .held import (
+    ActiveLeg,
+    Env,
+    HeldEndpoint,
+    effective_slots,
+    reply_without_rows,
+    view_of,
+)
+from .legs import LegEvents, create_leg_runner
+from .reports import ReportEvents, create_reporter
+
+
+class EndpointsController(NamedTuple):
+    """Closures over the endpoints that this instance holds.
+
+    Attributes
+    ----------
+    execute_leg : ExecuteLeg
+        Queues a leg and runs it; `on_reply` is called once, never before this returns.
+    set_held : callable
+        Takes the names of the endpoints to hold and, for new ones, the monotonic time before
+        which no leg may be sent. Endpoints that are missing finish their running legs and go.
+    pause : callable
+        Stops sending legs; with True until the next `set_held`, with False not at all.
+    run : callable
+        Coroutine that polls reports until it is cancelled.
+    close : callable
+        Coroutine that finishes the legs taken so far and closes every connection.
+    """
+
+    execute_leg: ExecuteLeg
+    set_held: Callable[[frozenset[str], dict[str, float]], None]
+    pause: Callable[[bool], None]
+    run: Callable[[], Awaitable[None]]
+    close: Callable[[], Awaitable[None]]
+
+
+def endpoint_specs(board: Blackboard) -> dict[str, EndpointSpec]:
+    """Return the endpoints of the bundle in force, by name."""
+    if board.bundle is None:
+        return {}
+    services = board.bundle.content["services"].values()
+    return {name: spec for service in services for name, spec in service["endpoints"].items()}
+
+
+def leaving_endpoints(board: Blackboard) -> frozenset[str]:
+    """Return the endpoints that the platform's list says are leaving."""
+    if board.listed is None:
+        return frozenset()
+    return frozenset(
+        instance["name"]
+        for instance in board.listed["instances"]
+        if instance["role"] == "endpoint" and instance["state"] == "leaving"
+    )
+
+
+def create_endpoints(
+    board: Blackboard,
+    metrics: Metrics,
+    now_ms: Callable[[], float],
+    rng: Random,
+    on_views_changed: Callable[[], None],
+) -> EndpointsController:
+    """Return the closures that hold endpoints.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Read; `held_views` and `held_sequence` are written, and the diagnostics registered.
+    metrics : Metrics
+        Counted into.
+    now_ms : callable
+        Monotonic clock.
+    rng : Random
+        Spreads the polls.
+    on_views_changed : callable
+        Called after `held_views` changed.
+    """
+    env = Env(board, metrics, now_ms, rng)
+    tunables = board.settings.tunables
+    me = board.settings.instance
+    held_by_name: dict[str, HeldEndpoint] = {}
+    released: set[HeldEndpoint] = set()
+    paused = False
+    closing = False
+    quiet = asyncio.Event()
+    listed_at: object = None
+    leaving: frozenset[str] = frozenset()
+    load_timer: asyncio.TimerHandle | None = None
+    last_flush_ms = float("-inf")
+
+    def publish(held: HeldEndpoint) -> None:
+        board.held_sequence += 1
+        board.held_views[held.name] = view_of(held, me, board.held_sequence)
+        held.load_changed = False
+
+    def state_changed(held: HeldEndpoint) -> None:
+        if held_by_name.get(held.name) is not held:
+            return
+        if lifecycle.is_draining(held.life):
+            answer_dropped(held, queue.drop_all(held.queue, LegOutcome.DRAINING))
+        publish(held)
+        on_views_changed()
+
+    def load_changed(held: HeldEndpoint) -> None:
+        nonlocal load_timer
+        held.load_changed = True
+        if load_timer is None:
+            delay_ms = max(0.0, last_flush_ms + LOAD_VIEW_INTERVAL_MS - now_ms())
+            load_timer = asyncio.get_running_loop().call_later(delay_ms / 1000, flush_load)
+
+    def flush_load() -> None:
+        nonlocal load_timer, last_flush_ms
+        load_timer = None
+        last_flush_ms = now_ms()
+        changed = False
+        for held in held_by_name.values():
+            view = board.held_views.get(held.name)
+            load = (len(held.queue.running), queue.queued(held.queue))
+            if held.load_changed and view and (view["busy"], view["queued"]) != load:
+                publish(held)
+                changed = True
+            held.load_changed = False
+        if changed:
+            on_views_changed()
+
+    def answer(active: ActiveLeg, outcome: LegOutcome, queued_ms: float) -> None:
+        if not active.done:
+            active.done = True
+            reply = reply_without_rows(active.entry.leg, outcome, False, queued_ms, 0.0)
+            active.on_reply(reply)
+
+    def answer_dropped(held: HeldEndpoint, dropped: list[queue.Dropped]) -> None:
+        """Answer legs that left the queue, outside the caller's own call."""
+        for entry, outcome in dropped:
+            active = held.legs.pop(entry.number)
+            metrics.queued_legs.dec()
+            queued_ms = now_ms() - entry.arrived_ms
+            asyncio.get_running_loop().call_soon(answer, active, outcome, queued_ms)
+
+    def on_expiry(held: HeldEndpoint) -> None:
+        held.expiry_timer = None
+        answer_dropped(held, queue.drop_expired(held.queue, now_ms()))
+        arm_expiry(held)
+
+    def arm_expiry(held: HeldEndpoint) -> None:
+        if held.expiry_timer is not None:
+            held.expiry_timer.cancel()
+            held.expiry_timer = None
+        expiry_ms = queue.next_expiry_ms(held.queue)
+        if expiry_ms is not None:
+            delay_ms = max(1.0, expiry_ms - now_ms())
+            held.expiry_timer = asyncio.get_running_loop().call_later(
+                delay_ms / 1000, on_expiry, held
+            )
+
+    def pump(held: HeldEndpoint) -> None:
+        """Start waiting legs while slots are free, and end a release when nothing runs."""
+        if not paused and now_ms() >= held.ready_at_ms:
+            started, dropped = queue.take(held.queue, now_ms(), effective_slots(held))
+            for entry in started:
+                metrics.queued_legs.dec()
+                runner.start(held, held.legs[entry.number])
+            answer_dropped(held, dropped)
+        load_changed(held)
+        if not held.legs:
+            quiet.set()
+        if held in released and not held.legs:
+            end_release(held)
+
+    def probe(held: HeldEndpoint) -> None:
+        reporter.probe(held)
+
+    runner = create_leg_runner(env, LegEvents(pump, state_changed, probe))
+    reporter = create_reporter(env, ReportEvents(state_changed, pump))
+
+    def execute_leg(leg: LegRequest, on_reply: OnLegReply) -> Cancel:
+        held = held_by_name.get(leg["endpoint"])
+        if held is None or closing or lifecycle.is_draining(held.life):
+            draining = held is not None and not closing
+            outcome = LegOutcome.DRAINING if draining else LegOutcome.NOT_SENT
+            return answer_soon(reply_without_rows(leg, outcome, False, 0.0, 0.0), on_reply)
+        max_queued = int(tunables.max_queued_per_endpoint)
+        entry, dropped = queue.enqueue(held.queue, leg, now_ms(), max_queued)
+        active = ActiveLeg(entry, on_reply)
+        held.legs[entry.number] = active
+        metrics.queued_legs.inc()
+        answer_dropped(held, dropped)
+        pump(held)
+        if not active.task and not active.done:
+            arm_expiry(held)
+        return lambda: cancel(held, active)
+
+    def answer_soon(reply: LegReply, on_reply: OnLegReply) -> Cancel:
+        return asyncio.get_running_loop().call_soon(on_reply, reply).cancel
+
+    def cancel(held: HeldEndpoint, active: ActiveLeg) -> None:
+        if active.done:
+            return
+        active.done = True
+        place = queue.cancel(held.queue, active.entry)
+        if place is queue.Place.QUEUED:
+            metrics.queued_legs.dec()
+            held.legs.pop(active.entry.number, None)
+        elif place is queue.Place.RUNNING:
+            runner.stop(held, active)
+        if place is not None:
+            pump(held)
+
+    def begin_holding(name: str, spec: EndpointSpec, ready_at_ms: float) -> None:
+        known = board.endpoint_views.get(name)
+        life = lifecycle.create_life(known["incarnation"] if known else "")
+        held = HeldEndpoint(name, spec, life, ready_at_ms)
+        held_by_name[name] = held
+        wait_ms = max(0.0, ready_at_ms - now_ms())
+        held.next_poll_ms = now_ms() + wait_ms
+        if wait_ms:
+            held.wake_timer = asyncio.get_running_loop().call_later(wait_ms / 1000, pump, held)
+        publish(held)
+
+    def begin_release(held: HeldEndpoint) -> None:
+        del held_by_name[held.name]
+        released.add(held)
+        held.releasing = True
+        answer_dropped(held, queue.drop_all(held.queue, LegOutcome.NOT_SENT))
+        for connection in held.idle:
+            close_connection(connection)
+        held.idle.clear()
+        if not held.legs:
+            end_release(held)
+
+    def end_release(held: HeldEndpoint) -> None:
+        released.discard(held)
+        for task in (held.poll, held.probe):
+            if task is not None and task is not asyncio.current_task():
+                task.cancel()
+        for timer in (held.expiry_timer, held.wake_timer):
+            if timer is not None:
+                timer.cancel()
+        for connection in list(held.connections):
+            close_connection(connection)
+        lifecycle.forget_life(held.life)
+        if held.name not in held_by_name:
+            board.held_views.pop(held.name, None)
+            board.held_sequence += 1
+            on_views_changed()
+
+    def set_held(names: frozenset[str], ready_at_ms: dict[str, float]) -> None:
+        nonlocal paused
+        paused = False
+        specs = endpoint_specs(board)
+        changed = False
+        for name, held in list(held_by_name.items()):
+            spec = specs.get(name)
+            moved = spec is not None and address_of(spec) != address_of(held.spec)
+            if name not in names or spec is None or moved:
+                begin_release(held)
+                changed = True
+            else:
+                held.spec = spec
+        for name in names - held_by_name.keys():
+            if name in specs and not closing:
+                begin_holding(name, specs[name], ready_at_ms.get(name, now_ms()))
+                changed = True
+        for held in list(held_by_name.values()):
+            pump(held)
+        if changed:
+            on_views_changed()
+
+    def pause(until_confirmed: bool) -> None:
+        nonlocal paused
+        paused = until_confirmed
+        for held in list(held_by_name.values()):
+            pump(held)
+
+    def tick() -> None:
+        """Bring states in line with the time and the platform's list, and start due polls."""
+        nonlocal listed_at, leaving
+        if board.listed is not listed_at:
+            listed_at, leaving = board.listed, leaving_endpoints(board)
+        time_ms = now_ms()
+        for held in list(held_by_name.values()):
+            if lifecycle.on_listed(held.life, held.name in leaving, time_ms):
+                state_changed(held)
+            if time_ms >= held.next_poll_ms and not paused:
+                jitter = 1 + POLL_JITTER * (rng.random() - 0.5)
+                held.next_poll_ms = time_ms + tunables.report_interval_ms * jitter
+                reporter.poll(held)
+
+    async def run() -> None:
+        while True:
+            tick()
+            await asyncio.sleep(TICK_MS / 1000)
+
+    async def close() -> None:
+        nonlocal closing
+        closing = True
+        while any(held.legs for held in [*held_by_name.values(), *released]):
+            quiet.clear()
+            await quiet.wait()
+        for held in list(held_by_name.values()):
+            begin_release(held)
+        if load_timer is not None:
+            load_timer.cancel()
+
+    board.diagnostics["endpoints"] = lambda: dump_endpoints(
+        [*held_by_name.values(), *released], now_ms()
+    )
+    return EndpointsController(execute_leg, set_held, pause, run, close)
+
+
+def address_of(spec: EndpointSpec) -> tuple[str, int]:
+    """Return where an endpoint listens."""
+    return spec["host"], spec["port"]
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/peers/const.py
@@ -0,0 +1,30 @@
+"""Names and numbers of the traffic between instances."""
+
+HEADER_INSTANCE = "X-Peer-Instance"
+HEADER_TIME = "X-Peer-Time-Ms"
+HEADER_NONCE = "X-Peer-Nonce"
+HEADER_KEY_ID = "X-Peer-Key-Id"
+HEADER_DIGEST = "X-Peer-Digest"
+
+PATH_HEARTBEAT = "/peer/v1/heartbeat"
+PATH_LEGS = "/peer/v1/legs"
+PATH_CANCEL = "/peer/v1/cancel"
+PATH_QUERY = "/peer/v1/query"
+PATH_BUNDLE = "/peer/v1/bundle/{digest}"
+
+MAX_BODY_BYTES = 1_000_000
+CLOCK_DIFFERENCE_MS = 30_000
+# Nonces are forgotten in groups of this age, so that forgetting costs little.
+NONCE_GROUP_MS = 5_000
+# About 60 bytes each. Requests beyond are refused, since a replay could not be told from them.
+MAX_NONCES = 200_000
+MAX_NONCE_LENGTH = 64
+
+# Connections to one peer: those kept idle, and the most that are open.
+MAX_IDLE_CONNECTIONS = 8
+MAX_CONNECTIONS = 64
+# While legs run, the holder writes an empty line at this interval, so that a silent connection
+# can be told from a slow leg.
+KEEPALIVE_MS = 150.0
+# Over four keepalives: one retransmission on a lossy link takes 200 ms or more.
+STREAM_SILENCE_MS = 700.0
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/wire/__init__.py
@@ -0,0 +1,1 @@
+"""One HTTP connection by aiosonic, with what its users must know about it."""
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/wire/connection.py
@@ -0,0 +1,120 @@
+"""An HTTP connection: one aiosonic client with a pool of one."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from aiosonic import HTTPClient, TCPConnector
+from aiosonic.connection import Connection
+from aiosonic.pools import PoolConfig
+from aiosonic.resolver import AbstractResolver
+from aiosonic.timeout import Timeouts
+
+
+class NumericResolver(AbstractResolver):
+    """Takes hosts as IP numbers, which need no lookup in a thread."""
+
+    async def resolve(self, host: str, port: int = 0, family: int = 0) -> list[dict[str, Any]]:
+        """Return the one address."""
+        address = {"hostname": host, "host": host, "port": port}
+        return [{**address, "family": 0, "proto": 0, "flags": 0}]
+
+    async def close(self) -> None:
+        """Do nothing, there is no state."""
+
+
+class WireConnection(Connection):
+    """aiosonic's connection, which the pool requires to be a class, with what we must know of it.
+
+    Attributes
+    ----------
+    has_body : bool
+        The head is then held back and written together with the body, in one segment.
+    written : bool
+        Something of the present request was written.
+    answered : bool
+        The status line of the present reply has been read.
+    before_write : callable
+        Raises to stop the request; called just before the first byte is written.
+    """
+
+    def __init__(self, pool: Any) -> None:
+        super().__init__(pool)
+        self.has_body = False
+        self.written = False
+        self.answered = False
+        self.before_write: Callable[[], None] = lambda: None
+        self._head = b""
+
+    def begin(self, has_body: bool, before_write: Callable[[], None] = lambda: None) -> None:
+        """Prepare for one request."""
+        self.has_body, self.before_write = has_body, before_write
+        self.written = self.answered = False
+        self._head = b""
+
+    def write(self, data: bytes) -> None:
+        """Write, after the last check when this is the first byte."""
+        if self.has_body and not self._head:
+            self._head = data
+            return
+        if not self.written:
+            self.before_write()
+            self.written = True
+        super().write(self._head + data if self.has_body else data)
+
+    async def readuntil(self, separator: bytes = b"\n") -> bytes:
+        """Read the status line."""
+        line: bytes = await super().readuntil(separator)
+        self.answered = True
+        return line
+
+    def is_stale(self) -> bool:
+        """Tell whether the other side closed it, or sent bytes that belong to no request."""
+        if self.reader is None or self.writer is None:
+            return True
+        return bool(self.reader.at_eof() or self.reader._buffer or self.writer.is_closing())
+
+    def received_bytes(self) -> int:
+        """Return the number of bytes that have arrived and were not read yet."""
+        return len(self.reader._buffer) if self.reader is not None else 0
+
+
+class Wire(NamedTuple):
+    """A client, its only connection, and the address it talks to."""
+
+    client: HTTPClient
+    connection: WireConnection
+    base_url: str
+
+
+def create_wire(host: str, port: int, connect_timeout_ms: float) -> Wire:
+    """Return a client with one connection, which its first request opens.
+
+    Parameters
+    ----------
+    host, port : str, int
+        IP number and port.
+    connect_timeout_ms : float
+        Longest time to connect. Other limits of time are up to the caller.
+    """
+    made: list[WireConnection] = []
+
+    def make(pool: Any) -> WireConnection:
+        made.append(WireConnection(pool))
+        return made[-1]
+
+    # Without limits of its own the pool never replaces the connection unnoticed.
+    pool = PoolConfig(size=1, max_conn_requests=None, max_conn_idle_ms=None)
+    connector = TCPConnector(
+        pool_configs={":default": pool},
+        timeouts=Timeouts(connect_timeout_ms / 1000, None, None, None),
+        connection_cls=make,
+        resolver=NumericResolver(),
+    )
+    bracketed = f"[{host}]" if ":" in host else host
+    return Wire(HTTPClient(connector), made[0], f"http://{bracketed}:{port}")
+
+
+def close_wire(wire: Wire) -> None:
+    """Close the connection at once. A wire that did not read a whole reply must be closed."""
+    wire.connection.keep = False
+    wire.connection.close()
