--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/query/const.py
@@ -0,0 +1,43 @@
+"""Names and limits of the query concern."""
+
+# Why a shard is missing, beside the reasons of `snapshot.const` and the outcomes of legs.
+REASON_DEADLINE = "deadline"
+REASON_EARLY = "answered_early"
+
+# Codes of `error` in an answer.
+ERROR_NO_SNAPSHOT = "no_usable_snapshot"
+ERROR_OVERLOADED = "overloaded"
+ERROR_UNAVAILABLE = "endpoints_unavailable"
+ERROR_UNKNOWN = "outcome_unknown"
+RETRY_AFTER_MS = 500
+
+# Why a reply was dropped.
+DROP_LATE = "late"
+DROP_DUPLICATE = "duplicate"
+DROP_MISMATCHED = "mismatched"
+
+ROLE_PRIMARY = "primary"
+ROLE_HEDGE = "hedge"
+ROLE_RETRY = "retry"
+
+# First and longest pause before the next attempt on a partition without a usable replica.
+RETRY_PAUSE_MS = 20.0
+RETRY_PAUSE_MAX_MS = 1_000.0
+# A second hedge covers a hedge that straggles itself: with 5 stragglers in 100 legs, that
+# happens to one query in eight of 50 legs.
+MAX_HEDGES = 2
+MAX_RESTARTS = 2
+RESTART_MIN_TIME_LEFT = 0.5
+
+HEDGE_MIN_SAMPLES = 20
+# Buckets grow by 5 %, from 0.1 ms to about 10 minutes.
+BUCKET_GROWTH = 1.05
+BUCKET_COUNT = 320
+BUCKET_LOW_MS = 0.1
+# The histogram is halved at this weight, so that it follows a change within about as many legs.
+HISTOGRAM_MAX_WEIGHT = 1_000.0
+QUANTILE_EVERY = 32
+# Share of recent legs past the hedge delay above which a service is slow as a whole. The
+# quantile alone explains 5 in 100; hedges in an overload would add to it.
+SLOW_SERVICE_SHARE = 0.25
+SLOW_SERVICE_WEIGHT = 1 / 32
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/query/controller.py
@@ -0,0 +1,315 @@
+"""Execute the actions of queries: send legs, cancel them, run timers, answer."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, NamedTuple
+
+from wisteriarock.blackboard.models import Blackboard
+from wisteriarock.bundle.models import ActiveBundle
+from wisteriarock.membership.decide import is_live
+from wisteriarock.observability.logs import log_event
+from wisteriarock.observability.metrics import Metrics
+from wisteriarock.routing.decide import build_routes, forget_endpoints, note_view
+from wisteriarock.routing.models import Routes, RoutingState
+from wisteriarock.snapshot.decide import refresh_index, use_routes
+from wisteriarock.snapshot.models import HoldingIndex
+
+from .decide import abandon, on_reply, on_timer, start
+from .diagnostics import describe
+from .hedging import create_hedge_state
+from .models import (
+    Cancel,
+    ExecuteLeg,
+    LegOutcome,
+    LegReply,
+    LegRequest,
+    QueryAnswer,
+    QueryRequest,
+    SendLegs,
+)
+from .state import Action, CancelLeg, QueryState, SendLeg, SetTimer, Tier
+
+# The views are compared with the index at most this often: at the target size a comparison takes
+# milliseconds.
+REFRESH_INTERVAL_MS = 10.0
+
+CancelLegs = Callable[[str, list[str]], None]
+HolderOfEndpoint = Callable[[str], str | None]
+CallLater = Callable[[float, Callable[[], None]], Cancel]
+
+
+class QueryController(NamedTuple):
+    """What the query concern offers to the composition root."""
+
+    run_query: Callable[[QueryRequest, ActiveBundle], Awaitable[QueryAnswer]]
+    in_flight: Callable[[], int]
+    diagnostics: Callable[[], dict[str, Any]]
+
+
+@dataclass(slots=True)
+class _Batch:
+    """Legs that were sent to a holder in one call."""
+
+    holder: str
+    open_ids: set[str]
+    cancel: Cancel | None = None
+
+
+@dataclass(slots=True)
+class _Run:
+    """A query and the calls that are under way for it.
+
+    `inbox` holds replies that arrive while actions are executed, such as that of a leg that could
+    not be sent.
+    """
+
+    state: QueryState
+    answer: asyncio.Future[QueryAnswer]
+    batches: dict[str, _Batch] = field(default_factory=dict)
+    inbox: deque[LegReply] = field(default_factory=deque)
+    busy: bool = False
+    stop_timer: Cancel | None = None
+
+
+def create_tier(board: Blackboard, rng: Random) -> Tier:
+    """Return the shared decision state for the settings of this process."""
+    tunables = board.settings.tunables
+    routing = RoutingState(
+        own_zone=board.settings.zone,
+        eject_after_failures=int(tunables.eject_after_failures),
+        eject_ms=tunables.eject_ms,
+        eject_max_share=tunables.eject_max_share,
+        slow_start_ms=tunables.slow_start_ms,
+    )
+    hedging = create_hedge_state(
+        tunables.hedge_quantile, tunables.hedge_min_ms, tunables.hedge_initial_ms
+    )
+    return Tier(HoldingIndex(), routing, hedging, rng)
+
+
+def _not_sent(leg: LegRequest) -> LegReply:
+    return LegReply(
+        leg_id=leg["leg_id"],
+        endpoint=leg["endpoint"],
+        outcome=LegOutcome.NOT_SENT,
+        executed=False,
+        shard=leg["shard"],
+        part=leg["part"],
+        parts=leg["parts"],
+        snapshot=leg["snapshot"],
+        rows=[],
+        queued_ms=0.0,
+        service_ms=0.0,
+    )
+
+
+def create_query_controller(
+    board: Blackboard,
+    metrics: Metrics,
+    send_legs: SendLegs,
+    cancel_legs: CancelLegs,
+    execute_leg: ExecuteLeg,
+    holder_of_endpoint: HolderOfEndpoint,
+    now_ms: Callable[[], float],
+    rng: Random,
+    call_later: CallLater,
+) -> QueryController:
+    """Return the controller that runs queries.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Read only: settings, members and endpoint views.
+    metrics : Metrics
+        Metrics of the process.
+    send_legs : SendLegs
+        Sends legs to another instance in one call.
+    cancel_legs : CancelLegs
+        Cancels single legs of such a call: name of the holder, leg ids.
+    execute_leg : ExecuteLeg
+        Runs a leg on an endpoint held here.
+    holder_of_endpoint : HolderOfEndpoint
+        Instance that legs for an endpoint go to, or None.
+    now_ms : callable
+        Monotonic time in milliseconds.
+    rng : Random
+        Source of random numbers.
+    call_later : CallLater
+        Calls a function after a delay in milliseconds, and returns its cancellation.
+
+    Returns
+    -------
+    QueryController
+        `run_query` cancels all legs of its query when the awaiting task is cancelled.
+    """
+    own = board.settings.instance
+    suspect_after_ms = board.settings.tunables.suspect_after_ms
+    tier = create_tier(board, rng)
+    runs: dict[int, _Run] = {}
+    routes_by_digest: dict[str, Routes] = {}
+    flushed: dict[str, int] = {}
+
+    def routes_for(bundle: ActiveBundle) -> Routes:
+        routes = routes_by_digest.get(bundle.digest)
+        if routes is None:
+            # Queries in flight keep their own reference, so only the newest two are kept here.
+            while len(routes_by_digest) > 1:
+                del routes_by_digest[next(iter(routes_by_digest))]
+            routes = routes_by_digest[bundle.digest] = build_routes(bundle.content)
+        return routes
+
+    def refresh(now: float, routes: Routes, at_once: bool = False) -> None:
+        index = tier.index
+        if at_once or now - index.scanned_at_ms >= REFRESH_INTERVAL_MS:
+            for view in refresh_index(index, board.endpoint_views, now):
+                note_view(tier.routing, view, now)
+            if len(tier.routing.endpoints) > len(index.seen):
+                forget_endpoints(tier.routing, index.seen)
+            live = [n for n, m in board.members.items() if is_live(m, now, suspect_after_ms)]
+            use_routes(index, routes, frozenset([own, *live]))
+        elif index.routes is not routes:
+            use_routes(index, routes, index.live_holders)
+
+    def flush_dropped() -> None:
+        for reason, count in tier.dropped.items():
+            if new := count - flushed.get(reason, 0):
+                metrics.dropped_replies.labels(reason).inc(new)
+                flushed[reason] = count
+
+    def receive(run: _Run, reply: LegReply) -> None:
+        batch = run.batches.pop(reply["leg_id"], None)
+        if batch is not None:
+            batch.open_ids.discard(reply["leg_id"])
+        run.inbox.append(reply)
+        if not run.busy:
+            perform(run, [])
+
+    def send(run: _Run, sends: list[LegRequest]) -> None:
+        by_holder: dict[str | None, list[LegRequest]] = {}
+        for leg in sends:
+            by_holder.setdefault(holder_of_endpoint(leg["endpoint"]), []).append(leg)
+        for holder, legs in by_holder.items():
+            if holder is None:
+                run.inbox.extend(_not_sent(leg) for leg in legs)
+            elif holder == own:
+                for leg in legs:
+                    batch = _Batch(holder, {leg["leg_id"]})
+                    run.batches[leg["leg_id"]] = batch
+                    batch.cancel = execute_leg(leg, lambda reply: receive(run, reply))
+            else:
+                batch = _Batch(holder, {leg["leg_id"] for leg in legs})
+                for leg in legs:
+                    run.batches[leg["leg_id"]] = batch
+                batch.cancel = send_legs(holder, legs, lambda reply: receive(run, reply))
+
+    def cancel(run: _Run, leg_ids: list[str]) -> None:
+        by_batch: dict[int, tuple[_Batch, list[str]]] = {}
+        for leg_id in leg_ids:
+            batch = run.batches.pop(leg_id, None)
+            if batch is not None:
+                by_batch.setdefault(id(batch), (batch, []))[1].append(leg_id)
+        for batch, ids in by_batch.values():
+            if len(ids) == len(batch.open_ids) and batch.cancel is not None:
+                batch.cancel()
+            else:
+                cancel_legs(batch.holder, ids)
+            batch.open_ids.difference_update(ids)
+
+    def execute(run: _Run, actions: list[Action]) -> None:
+        sends: list[LegRequest] = []
+        cancels: list[str] = []
+        wake_at_ms: float | None = None
+        for action in actions:
+            if isinstance(action, SendLeg):
+                sends.append(action.leg)
+            elif isinstance(action, CancelLeg):
+                cancels.append(action.leg_id)
+            elif isinstance(action, SetTimer):
+                wake_at_ms = action.at_ms
+            elif not run.answer.done():
+                run.answer.set_result(action.answer)
+        if cancels:
+            cancel(run, cancels)
+        if sends:
+            send(run, sends)
+        if wake_at_ms is not None and not run.state.finished:
+            if run.stop_timer is not None:
+                run.stop_timer()
+            run.stop_timer = call_later(max(0.0, wake_at_ms - now_ms()), lambda: wake(run))
+
+    def perform(run: _Run, actions: list[Action]) -> None:
+        """Execute actions, and take the replies that arrive meanwhile."""
+        run.busy = True
+        try:
+            if actions:
+                execute(run, actions)
+            while run.inbox:
+                reply = run.inbox.popleft()
+                now = now_ms()
+                if reply["outcome"] == LegOutcome.SNAPSHOT_GONE:
+                    refresh(now, run.state.routes, at_once=True)
+                if more := on_reply(tier, run.state, reply, now):
+                    execute(run, more)
+                elif run.state.finished:
+                    flush_dropped()
+        finally:
+            run.busy = False
+
+    def wake(run: _Run) -> None:
+        run.stop_timer = None
+        now = now_ms()
+        refresh(now, run.state.routes)
+        perform(run, on_timer(tier, run.state, now))
+
+    def report(run: _Run, answer: QueryAnswer) -> None:
+        request = run.state.request
+        stats = answer["stats"]
+        coverage = answer["coverage"]
+        metrics.requests.labels(request.kind, answer["outcome"].value).inc()
+        metrics.request_seconds.labels(request.kind).observe(stats["elapsed_ms"] / 1000)
+        metrics.coverage.labels(request.kind).observe(
+            len(coverage["answered"]) / max(1, len(request.shards))
+        )
+        for (role, crossed), count in run.state.leg_counts.items():
+            metrics.legs.labels(role, "yes" if crossed else "no").inc(count)
+        flush_dropped()
+        log_event(
+            "request",
+            request_id=request.request_id,
+            caller=request.caller,
+            kind=request.kind,
+            outcome=answer["outcome"].value,
+            snapshot=answer["snapshot"],
+            answered=len(coverage["answered"]),
+            missing=len(coverage["missing"]),
+            bundle_revision=answer["bundle_revision"],
+            **stats,
+        )
+
+    async def run_query(request: QueryRequest, bundle: ActiveBundle) -> QueryAnswer:
+        now = now_ms()
+        routes = routes_for(bundle)
+        refresh(now, routes)
+        state, actions = start(tier, request, bundle, routes, now)
+        run = _Run(state, asyncio.get_running_loop().create_future())
+        runs[id(run)] = run
+        try:
+            perform(run, actions)
+            answer = await run.answer
+        finally:
+            del runs[id(run)]
+            if run.stop_timer is not None:
+                run.stop_timer()
+            if not state.finished:
+                cancel(run, [a.leg_id for a in abandon(tier, state) if isinstance(a, CancelLeg)])
+        report(run, answer)
+        return answer
+
+    return QueryController(
+        run_query=run_query,
+        in_flight=lambda: len(runs),
+        diagnostics=lambda: describe(tier, len(runs), now_ms()),
+    )
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/query/diagnostics.py
@@ -0,0 +1,38 @@
+"""The part of the state dump that concerns queries."""
+
+from typing import Any
+
+from .hedging import hedge_delay_ms
+from .state import Tier
+
+
+def describe(tier: Tier, in_flight: int, now_ms: float) -> dict[str, Any]:
+    """Return the state of the query tier, without contents of requests."""
+    hedging = tier.hedging
+    return {
+        "in_flight": in_flight,
+        "dropped_replies": dict(tier.dropped),
+        "restarts": tier.restarts,
+        "snapshots": tier.index.snapshots,
+        "live_holders": sorted(tier.index.live_holders),
+        "budget_tokens": round(hedging.budget.tokens, 2),
+        "services": {
+            name: {
+                "samples": latency.samples,
+                "hedge_delay_ms": round(hedge_delay_ms(hedging, name), 2),
+                "overdue_share": round(latency.overdue_share, 3),
+            }
+            for name, latency in hedging.services.items()
+        },
+        "endpoints": {
+            name: {
+                "state": stats.state.value,
+                "outstanding": stats.outstanding,
+                "others": stats.others,
+                "failures": stats.failures,
+                "latency_ms": round(stats.latency_ms, 2),
+                "ejected_for_ms": round(max(0.0, stats.ejected_until_ms - now_ms), 1),
+            }
+            for name, stats in tier.routing.endpoints.items()
+        },
+    }
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/query/hedging.py
@@ -0,0 +1,127 @@
+"""Delay and budget of hedges and retries."""
+
+import math
+from dataclasses import dataclass, field
+
+from wisteriarock.bundle.models import BudgetSpec
+from wisteriarock.limits.token_bucket import TokenBucket, add, create_bucket, take
+
+from .const import (
+    BUCKET_COUNT,
+    BUCKET_GROWTH,
+    BUCKET_LOW_MS,
+    HEDGE_MIN_SAMPLES,
+    HISTOGRAM_MAX_WEIGHT,
+    QUANTILE_EVERY,
+    SLOW_SERVICE_SHARE,
+    SLOW_SERVICE_WEIGHT,
+)
+
+_LOG_GROWTH = math.log(BUCKET_GROWTH)
+_LOG_LOW = math.log(BUCKET_LOW_MS)
+
+
+@dataclass(slots=True)
+class ServiceLatency:
+    """Latency of the primary legs of one service.
+
+    Attributes
+    ----------
+    counts : list of float
+        Decaying histogram with logarithmic buckets.
+    samples : int
+        Samples seen since the start.
+    quantile_ms : float
+        The quantile at the last calculation.
+    overdue_share : float
+        Moving share of primary legs that were not answered within the hedge delay.
+    """
+
+    counts: list[float] = field(default_factory=lambda: [0.0] * BUCKET_COUNT)
+    weight: float = 0.0
+    samples: int = 0
+    quantile_ms: float = 0.0
+    overdue_share: float = 0.0
+
+
+@dataclass
+class HedgeState:
+    """Latency by service, and the budget that hedges and retries share."""
+
+    quantile: float
+    min_ms: float
+    initial_ms: float
+    budget: TokenBucket
+    services: dict[str, ServiceLatency] = field(default_factory=dict)
+
+
+def create_hedge_state(quantile: float, min_ms: float, initial_ms: float) -> HedgeState:
+    """Return a state without samples; its budget is empty until primary legs are sent."""
+    return HedgeState(quantile, min_ms, initial_ms, create_bucket(0.0, 0.0, 0.0))
+
+
+def latency_of(state: HedgeState, service: str) -> ServiceLatency:
+    """Return the latency of a service, created at first use."""
+    found = state.services.get(service)
+    if found is None:
+        found = state.services[service] = ServiceLatency()
+    return found
+
+
+def _quantile_ms(latency: ServiceLatency, quantile: float) -> float:
+    """Return the upper end of the bucket in which the quantile lies."""
+    remaining = latency.weight * (1.0 - quantile)
+    for position in range(BUCKET_COUNT - 1, -1, -1):
+        remaining -= latency.counts[position]
+        if remaining < 0:
+            return BUCKET_LOW_MS * BUCKET_GROWTH ** (position + 1)
+    return 0.0
+
+
+def record_latency(state: HedgeState, service: str, elapsed_ms: float) -> None:
+    """Add the time that a primary leg took, or had taken when it was cancelled as the loser.
+
+    A loser counts with its time so far: leaving it out would hide exactly the stragglers.
+    """
+    latency = latency_of(state, service)
+    position = 0
+    if elapsed_ms > BUCKET_LOW_MS:
+        position = min(BUCKET_COUNT - 1, int((math.log(elapsed_ms) - _LOG_LOW) / _LOG_GROWTH))
+    latency.counts[position] += 1.0
+    latency.weight += 1.0
+    latency.samples += 1
+    if latency.weight >= HISTOGRAM_MAX_WEIGHT:
+        latency.counts = [count / 2 for count in latency.counts]
+        latency.weight /= 2
+    if latency.samples % QUANTILE_EVERY == 0 or latency.samples == HEDGE_MIN_SAMPLES:
+        latency.quantile_ms = _quantile_ms(latency, state.quantile)
+
+
+def hedge_delay_ms(state: HedgeState, service: str) -> float:
+    """Return how long a leg may take before it is hedged."""
+    latency = latency_of(state, service)
+    if latency.samples < HEDGE_MIN_SAMPLES:
+        return max(state.min_ms, state.initial_ms)
+    return max(state.min_ms, latency.quantile_ms)
+
+
+def note_overdue(state: HedgeState, service: str, overdue: bool) -> None:
+    """Record whether a primary leg was answered within the hedge delay."""
+    latency = latency_of(state, service)
+    latency.overdue_share += SLOW_SERVICE_WEIGHT * (overdue - latency.overdue_share)
+
+
+def is_slow_service(state: HedgeState, service: str) -> bool:
+    """Tell whether so many legs are late that the service is overloaded, not straggling."""
+    return latency_of(state, service).overdue_share > SLOW_SERVICE_SHARE
+
+
+def earn_budget(state: HedgeState, spec: BudgetSpec, primary_legs: int) -> None:
+    """Add the extra legs that primary legs allow, within the bundle's rates."""
+    state.budget.burst = spec["extra_legs_burst"]
+    add(state.budget, primary_legs * spec["extra_legs_per_100"] / 100)
+
+
+def take_extra(state: HedgeState, now_ms: float) -> bool:
+    """Take the budget of one extra leg and tell whether there was enough."""
+    return take(state.budget, 1.0, now_ms)
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios of the query tier."""
