--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/bundle/fetch.py
@@ -0,0 +1,73 @@
+"""Get the body of a bundle from the platform, a peer or the bundle file."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+from wisteriarock.codec.decode import decode
+from wisteriarock.platform.client import PlatformClient
+
+from .const import KEY_CONTENT, KEY_ENVELOPE, MAX_BODY_BYTES
+from .models import ActiveBundle, BundleFault, BundleRefusal, Envelope
+from .verify import join_body, verify_body
+
+FetchFromPeer = Callable[[str, str], Awaitable[Result[bytes, str]]]
+
+
+async def body_from_platform(platform: PlatformClient, digest: str) -> Result[bytes, str]:
+    """Read the envelope of a digest and the content that it names.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        Client of the platform.
+    digest : str
+        Digest of the envelope.
+
+    Returns
+    -------
+    Result
+        The body, not verified, or a text that says what failed.
+    """
+    envelope = await platform.get(KEY_ENVELOPE + digest)
+    if not isinstance(envelope, Success):
+        return Failure(f"platform, envelope: {envelope.failure().value}")
+    text = envelope.unwrap().value
+    named = _content_digest_of(text)
+    if named is None:
+        return Failure("platform, envelope: malformed")
+    content = await platform.get(KEY_CONTENT + named)
+    if not isinstance(content, Success):
+        return Failure(f"platform, content: {content.failure().value}")
+    return Success(join_body(text, content.unwrap().value))
+
+
+def _content_digest_of(envelope_text: str) -> str | None:
+    decoded = decode(envelope_text.encode(), Envelope, MAX_BODY_BYTES)
+    return decoded.unwrap()["content_digest"] if isinstance(decoded, Success) else None
+
+
+def read_bundle_file(
+    path: str, operator_keys: Mapping[str, str]
+) -> Result[ActiveBundle, BundleRefusal]:
+    """Read and verify the signed bundle file.
+
+    Parameters
+    ----------
+    path : str
+        JSON of `{"envelope", "content"}`.
+    operator_keys : Mapping
+        Operator to public key in base64.
+
+    Returns
+    -------
+    Result
+        The bundle, or why it was refused.
+    """
+    try:
+        with Path(path).open("rb") as file:
+            body = file.read(MAX_BODY_BYTES + 1)
+    except OSError as error:
+        return Failure(BundleRefusal(BundleFault.WRONG_BODY, f"not readable: {error.strerror}"))
+    return verify_body(body, operator_keys, None)
--- a/packages/wisteriarock/src/wisteriarock/bundle/models.py
+++ b/packages/wisteriarock/src/wisteriarock/bundle/models.py
@@ -1,7 +1,7 @@
 """Data of a bundle."""
 
 from enum import StrEnum
-from typing import NamedTuple, NotRequired, TypedDict
+from typing import Any, NamedTuple, NotRequired, TypedDict
 
 
 class CoverageRule(StrEnum):
@@ -109,3 +109,86 @@
     digest: str
     content: BundleContent
     envelope: Envelope
+
+
+class SignedBundle(TypedDict):
+    """Content with its envelope, as peers, the bundle file and tools carry it."""
+
+    envelope: Envelope
+    content: BundleContent
+
+
+class RawBundle(TypedDict):
+    """A body whose content is not checked yet."""
+
+    envelope: Envelope
+    content: Any
+
+
+class ContentError(NamedTuple):
+    """One error of a content: the path of the field, what was found and what is allowed."""
+
+    path: str
+    found: str
+    allowed: str
+
+
+class SignatureError(StrEnum):
+    """Why an envelope was refused."""
+
+    MALFORMED = "malformed"
+    UNSIGNED = "unsigned"
+    HALF_SIGNED = "half_signed"
+    SELF_APPROVED = "self_approved"
+    UNKNOWN_OPERATOR = "unknown_operator"
+    INVALID_KEY = "invalid_key"
+    INVALID_SIGNATURE = "invalid_signature"
+
+
+class BundleFault(StrEnum):
+    """Why the body of a bundle was refused.
+
+    `WRONG_BODY` blames the source: the body is not the one that was asked for. The others hold for
+    the bundle from whatever source it comes.
+    """
+
+    WRONG_BODY = "wrong_body"
+    SIGNATURE = "signature"
+    CONTENT = "content"
+
+
+class BundleRefusal(NamedTuple):
+    """A body that was refused; `detail` is for a person and holds no secret."""
+
+    fault: BundleFault
+    detail: str
+
+
+class AdoptionError(StrEnum):
+    """Why a verified bundle does not replace the one in force."""
+
+    NOT_NEWER = "not_newer"
+    CHAIN_BROKEN = "chain_broken"
+
+
+class BundleSource(StrEnum):
+    """Where a bundle came from."""
+
+    NONE = "none"
+    PLATFORM = "platform"
+    PEER = "peer"
+    FILE = "file"
+
+
+class HeadClaim(NamedTuple):
+    """A head that a source named; it is not verified."""
+
+    revision: int
+    digest: str
+
+
+class PeerHead(NamedTuple):
+    """The head that a peer's last heartbeat named, and when, on the local monotonic clock."""
+
+    claim: HeadClaim
+    heard_at_ms: float
