--- a/packages/standins/src/wisteriastandins/topology/write.py
+++ b/packages/standins/src/wisteriastandins/topology/write.py
@@ -1,14 +1,14 @@
 """Write a run folder: keys, the signed bundle, settings and configurations."""
 
 import base64
-import hashlib
 import random
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import msgspec
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
-from wisteriarock.bundle.models import BundleContent, Envelope
+from wisteriarock.bundle.models import BundleContent
+from wisteriarock.bundle.signing import signed_bundle
 
 from .build import build_topology
 from .const import FILE_BUNDLE, FILE_PLAN, FILE_PLATFORM, FOLDER_KEYS, FOLDER_LOGS, OPERATORS
@@ -48,29 +48,16 @@
 
 
 def write_signed_bundle(content: BundleContent, folder: Path) -> Path:
-    """Sign `content` as revision 1 with the folder's operator keys and write `bundle.json`.
-
-    The signed text is a stand-in for `wisteriarock.bundle.signing`, which replaces this body.
-    """
-    digest = hashlib.sha256(msgspec.json.encode(content, order="deterministic")).hexdigest()
+    """Sign `content` as revision 1 with the folder's operator keys and write `bundle.json`."""
     proposer, approver = OPERATORS
-    signed = f"1:{digest}::{proposer}:{approver}".encode()
 
-    def sign(operator: str) -> str:
+    def key_of(operator: str) -> Ed25519PrivateKey:
         raw = base64.b64decode((folder / FOLDER_KEYS / f"{operator}.key").read_bytes())
-        return base64.b64encode(Ed25519PrivateKey.from_private_bytes(raw).sign(signed)).decode()
-
-    envelope = Envelope(
-        revision=1,
-        content_digest=digest,
-        previous_digest="",
-        proposer=proposer,
-        approver=approver,
-        proposer_signature=sign(proposer),
-        approver_signature=sign(approver),
-    )
+        return Ed25519PrivateKey.from_private_bytes(raw)
+
+    bundle = signed_bundle(content, 1, "", proposer, key_of(proposer), approver, key_of(approver))
     path = folder / FILE_BUNDLE
-    _write_json(path, {"envelope": envelope, "content": content})
+    _write_json(path, bundle)
     return path
 
 
--- a/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
@@ -241,6 +241,16 @@
             held.wake_timer = asyncio.get_running_loop().call_later(wait_ms / 1000, pump, held)
         publish(held)
 
+    def move_ready_time(held: HeldEndpoint, ready_at_ms: float) -> None:
+        """Start earlier when the former holder has confirmed the release, or later."""
+        if ready_at_ms == held.ready_at_ms:
+            return
+        held.ready_at_ms = ready_at_ms
+        if held.wake_timer is not None:
+            held.wake_timer.cancel()
+        wait_ms = max(0.0, ready_at_ms - now_ms())
+        held.wake_timer = asyncio.get_running_loop().call_later(wait_ms / 1000, pump, held)
+
     def begin_release(held: HeldEndpoint) -> None:
         del held_by_name[held.name]
         released.add(held)
@@ -281,6 +291,7 @@
                 changed = True
             else:
                 held.spec = spec
+                move_ready_time(held, ready_at_ms.get(name, held.ready_at_ms))
         for name in names - held_by_name.keys():
             if name in specs and not closing:
                 begin_holding(name, specs[name], ready_at_ms.get(name, now_ms()))
--- a/packages/wisteriarock/src/wisteriarock/membership/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/controller.py
@@ -196,8 +196,9 @@
             for name in state.assigned_at_ms
         }
         if not settled():
-            # Before the first round of heartbeats nobody knows who holds what.
-            ready = {name: max(at, now + tunables.peer_timeout_ms) for name, at in ready.items()}
+            # Before a round of heartbeats, at the start and after a pause of the process, this
+            # instance does not know who holds what.
+            return
         links.set_held(frozenset(ready), ready)
 
     def update_views() -> None:
--- a/packages/wisteriarock/src/wisteriarock/peers/models.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/models.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
-from typing import Any, NamedTuple, TypedDict
+from typing import NamedTuple, TypedDict
 
 from wisteriarock.membership.models import Heartbeat
-from wisteriarock.query.models import LegRequest
+from wisteriarock.query.models import LegRequest, QueryAnswer
+from wisteriarock.requests.models import ForwardedQuery
 
 
 class PeerAuthError(StrEnum):
@@ -59,5 +60,5 @@
     """
 
     on_heartbeat: Callable[[Heartbeat], Awaitable[Heartbeat]]
-    on_query: Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
+    on_query: Callable[[ForwardedQuery], Awaitable[QueryAnswer]]
     bundle_body: Callable[[str], Awaitable[bytes | None]]
--- a/packages/wisteriarock/src/wisteriarock/peers/server.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/server.py
@@ -17,6 +17,7 @@
 from wisteriarock.membership.models import Heartbeat
 from wisteriarock.observability.metrics import Metrics
 from wisteriarock.query.models import Cancel, ExecuteLeg, LegReply, LegRequest
+from wisteriarock.requests.models import ForwardedQuery
 
 from .auth import NonceStore, verify
 from .const import (
@@ -114,7 +115,7 @@
         return answer(await handlers.on_heartbeat(body))
 
     async def query(request: Request) -> Response:
-        accepted = await accept(request, dict[str, Any])
+        accepted = await accept(request, ForwardedQuery)
         if not isinstance(accepted, Success):
             return accepted.failure()
         return answer(await handlers.on_query(accepted.unwrap()[1]))
