--- a/packages/standins/src/wisteriastandins/http_server.py
+++ b/packages/standins/src/wisteriastandins/http_server.py
@@ -181,6 +181,11 @@
         """Reset the connection without a reply."""
         reset(self.transport)
 
+    def hang_up(self) -> None:
+        """End the connection in the regular way, without a reply."""
+        if self.transport is not None:
+            self.transport.close()
+
 
 class Handlers(NamedTuple):
     """What a listener does with its connections.
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in platform: the key-value service and the list of instances."""
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/platform/command.py
@@ -0,0 +1,19 @@
+"""Subcommand `platform`."""
+
+from pathlib import Path
+
+from wisteriastandins.process import run_process
+
+from .models import PlatformConfig
+from .server import start_platform
+
+
+def platform(*, config: Path) -> int:
+    """Run the stand-in platform until SIGTERM.
+
+    Parameters
+    ----------
+    config : Path
+        JSON file with the address, rates, latency and the list of instances.
+    """
+    return run_process("platform", config, PlatformConfig, start_platform)
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/platform/decide.py
@@ -0,0 +1,238 @@
+"""Rates, the list of instances and single operations of the platform, without input or output."""
+
+import random
+from typing import Any
+from urllib.parse import unquote
+
+from returns.result import Result, Success
+from wisteriarock.codec.decode import decode
+from wisteriarock.codec.models import DecodeError
+from wisteriarock.platform.models import InstanceList, ListedInstance
+
+from wisteriastandins.http_server import MAX_BODY_BYTES, Request, Response, error_response
+from wisteriastandins.lag import LaggedValue, record_value, value_as_of
+
+from . import kv
+from .models import (
+    MAX_KEY_LENGTH,
+    MAX_VALUE_BYTES,
+    WRITES,
+    DeleteBody,
+    LeaseBody,
+    Operation,
+    PlatformConfig,
+    PlatformControl,
+    PlatformState,
+    PutBody,
+    RateLimit,
+    Store,
+    WriteError,
+)
+
+_KV = "/v1/kv/"
+_LEASES = "/v1/leases"
+_FIELDS = ("outage", "slow_ms", "lost_replies", "lost_reply_share", "latency_ms", "list_lag_ms")
+
+
+def create_state(config: PlatformConfig, now_ms: float) -> PlatformState:
+    """Return the state at the start."""
+    listed: LaggedValue[list[ListedInstance]] = LaggedValue()
+    record_value(listed, list(config["instances"]), now_ms, config["list_lag_ms"])
+    return PlatformState(
+        writes=RateLimit(config["writes_per_s"]),
+        reads=RateLimit(config["reads_per_s"]),
+        latency_ms=config["latency_ms"],
+        list_lag_ms=config["list_lag_ms"],
+        listed=listed,
+    )
+
+
+def admit(limit: RateLimit, now_ms: float) -> bool:
+    """Tell whether a call is within the limit, which holds for any period of one second."""
+    admitted = limit.admitted_at_ms
+    while admitted and admitted[0] <= now_ms - 1000:
+        admitted.popleft()
+    if len(admitted) >= limit.per_s:
+        return False
+    admitted.append(now_ms)
+    return True
+
+
+def admit_operation(state: PlatformState, operation: Operation, now_ms: float) -> bool:
+    """Tell whether a call is within the limit of its kind."""
+    return admit(state.writes if operation in WRITES else state.reads, now_ms)
+
+
+def loses_reply(
+    state: PlatformState, operation: Operation, status: int, rng: random.Random
+) -> bool:
+    """Tell whether the reply to a call is lost; only a write that took effect can lose it."""
+    if operation not in WRITES or status != 200:
+        return False
+    if state.lost_replies > 0:
+        state.lost_replies -= 1
+        return True
+    return rng.random() < state.lost_reply_share
+
+
+def change_instances(state: PlatformState, change: PlatformControl, now_ms: float) -> str | None:
+    """Change the list of instances; return the name that is not listed, if any."""
+    entries = {entry["name"]: entry for entry in state.listed.history[-1][1]}
+    for entry in change.get("add_instances", []):
+        entries[entry["name"]] = entry
+    for name, new_state in change.get("instances", {}).items():
+        known = entries.pop(name, None) or state.gone.get(name)
+        if known is None:
+            return name
+        if new_state == "gone":
+            state.gone[name] = known
+        else:
+            entries[name] = {**known, "state": new_state}
+    record_value(state.listed, list(entries.values()), now_ms, state.list_lag_ms)
+    return None
+
+
+def apply_control(state: PlatformState, change: PlatformControl, now_ms: float) -> str | None:
+    """Apply a change of faults, rates and instances; return an unknown instance name, if any."""
+    for name in _FIELDS:
+        if name in change:
+            setattr(state, name, change[name])  # type: ignore[literal-required]
+    state.writes.per_s = change.get("writes_per_s", state.writes.per_s)
+    state.reads.per_s = change.get("reads_per_s", state.reads.per_s)
+    if "instances" in change or "add_instances" in change:
+        return change_instances(state, change, now_ms)
+    return None
+
+
+def classify(request: Request) -> tuple[Operation, str] | None:
+    """Return the operation of a request with its key or lease id, or None if there is none."""
+    method, path = request.method, request.path
+    if path.startswith(_KV) and len(path) > len(_KV):
+        key = unquote(path[len(_KV) :])
+        if method == "GET":
+            watched = "after_revision" in request.query
+            return (Operation.WATCH if watched else Operation.GET), key
+        operation = {"PUT": Operation.PUT, "DELETE": Operation.DELETE}.get(method)
+        return (operation, key) if operation else None
+    if path == _LEASES and method == "POST":
+        return Operation.LEASE_CREATE, ""
+    if path.startswith(f"{_LEASES}/"):
+        lease_id = unquote(path[len(_LEASES) + 1 :])
+        if method == "POST" and lease_id.endswith("/renew"):
+            return Operation.LEASE_RENEW, lease_id.removesuffix("/renew")
+        return (Operation.LEASE_DELETE, lease_id) if method == "DELETE" else None
+    if path == "/v1/instances" and method == "GET":
+        return Operation.INSTANCES, ""
+    return None
+
+
+def _bad(error: DecodeError) -> Response:
+    return error_response(400, error.code, error.message, error.path)
+
+
+def _write_response(store: Store, key: str, result: Result[int, WriteError]) -> Response:
+    if isinstance(result, Success):
+        return Response(200, {"revision": result.unwrap()})
+    match result.failure():
+        case WriteError.CONFLICT:
+            return Response(409, {"revision": kv.revision_of(store, key)})
+        case WriteError.NO_LEASE:
+            return error_response(404, "no_lease", "The lease has ended.", "$.lease_id")
+        case _:
+            return error_response(404, "not_found", "The key is absent.")
+
+
+def _put(store: Store, key: str, raw: bytes) -> Response:
+    decoded = decode(raw, PutBody, MAX_BODY_BYTES)
+    if not isinstance(decoded, Success):
+        return _bad(decoded.failure())
+    body = decoded.unwrap()
+    if len(body["value"].encode()) > MAX_VALUE_BYTES:
+        message = f"The limit is {MAX_VALUE_BYTES} bytes."
+        return error_response(413, "too_long", message, "$.value")
+    if len(key) > MAX_KEY_LENGTH:
+        return error_response(400, "invalid_key", f"The limit is {MAX_KEY_LENGTH} characters.")
+    expected, lease_id = body["expected_revision"], body.get("lease_id")
+    return _write_response(store, key, kv.put(store, key, body["value"], expected, lease_id))
+
+
+def _delete(store: Store, key: str, raw: bytes) -> Response:
+    decoded = decode(raw, DeleteBody, MAX_BODY_BYTES)
+    if not isinstance(decoded, Success):
+        return _bad(decoded.failure())
+    expected = decoded.unwrap()["expected_revision"]
+    return _write_response(store, key, kv.delete(store, key, expected))
+
+
+def _lease(store: Store, raw: bytes, now_ms: float) -> Response:
+    decoded = decode(raw, LeaseBody, MAX_BODY_BYTES)
+    if not isinstance(decoded, Success):
+        return _bad(decoded.failure())
+    return Response(200, {"lease_id": kv.create_lease(store, decoded.unwrap()["ttl_ms"], now_ms)})
+
+
+def get_response(store: Store, key: str) -> Response:
+    """Return the answer to a read of a key."""
+    stored = store.values.get(key)
+    if stored is None:
+        return error_response(404, "not_found", "The key is absent.")
+    return Response(200, {"value": stored.value, "revision": stored.revision})
+
+
+def watch_response(store: Store, key: str, after_revision: int) -> Response | None:
+    """Return the answer to a watch, or None while it has to wait.
+
+    A watch after revision 0 waits for the key to be created; one after a later revision is also
+    told of a deletion, by 404.
+    """
+    if key in store.values:
+        changed = store.values[key].revision > after_revision
+    else:
+        changed = 0 < after_revision < store.revisions.get(key, 0)
+    return get_response(store, key) if changed else None
+
+
+def _instances(state: PlatformState, now_ms: float, wall_ms: float) -> Response:
+    listed = value_as_of(state.listed, now_ms, state.list_lag_ms)
+    return Response(200, InstanceList(instances=listed, as_of_ms=wall_ms - state.list_lag_ms))
+
+
+def run_operation(
+    state: PlatformState,
+    operation: Operation,
+    name: str,
+    body: bytes,
+    now_ms: float,
+    wall_ms: float,
+) -> Response:
+    """Execute any operation but a watch, and return its answer.
+
+    Parameters
+    ----------
+    state : PlatformState
+        Changed in place; `state.store.changed` gets the keys that watches have to see.
+    operation : Operation
+        What to do.
+    name : str
+        Key or lease id.
+    body : bytes
+        Body of the request.
+    now_ms, wall_ms : float
+        Monotonic and wall-clock time in milliseconds.
+    """
+    store = state.store
+    kv.expire_leases(store, now_ms)
+    ended = error_response(404, "no_lease", "The lease has ended.")
+    handlers: dict[Operation, Any] = {
+        Operation.GET: lambda: get_response(store, name),
+        Operation.PUT: lambda: _put(store, name, body),
+        Operation.DELETE: lambda: _delete(store, name, body),
+        Operation.LEASE_CREATE: lambda: _lease(store, body, now_ms),
+        Operation.LEASE_RENEW: lambda: (
+            Response(200, {}) if kv.renew_lease(store, name, now_ms) else ended
+        ),
+        Operation.LEASE_DELETE: lambda: Response(200, {}) if kv.end_lease(store, name) else ended,
+        Operation.INSTANCES: lambda: _instances(state, now_ms, wall_ms),
+    }
+    response: Response = handlers[operation]()
+    return response
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/platform/kv.py
@@ -0,0 +1,109 @@
+"""Compare-and-swap, leases and revisions of the key-value service, without input or output."""
+
+from returns.result import Failure, Result, Success
+
+from .models import Lease, Store, Stored, WriteError
+
+
+def revision_of(store: Store, key: str) -> int:
+    """Return the revision of a key, 0 if it is absent."""
+    stored = store.values.get(key)
+    return stored.revision if stored else 0
+
+
+def _next_revision(store: Store, key: str) -> int:
+    revision = store.revisions.get(key, 0) + 1
+    store.revisions[key] = revision
+    store.changed.append(key)
+    return revision
+
+
+def _detach(store: Store, key: str) -> None:
+    stored = store.values.get(key)
+    if stored and stored.lease_id in store.leases:
+        store.leases[stored.lease_id].keys.discard(key)
+
+
+def put(
+    store: Store, key: str, value: str, expected_revision: int, lease_id: str | None
+) -> Result[int, WriteError]:
+    """Write a key if its revision is the expected one; 0 stands for an absent key.
+
+    Parameters
+    ----------
+    store : Store
+        Changed in place.
+    key, value : str
+        What to write.
+    expected_revision : int
+        Revision that the key must have.
+    lease_id : str or None
+        Lease that the key ends with; None takes it out of an earlier one.
+
+    Returns
+    -------
+    Result
+        The new revision, or why nothing was written.
+    """
+    if lease_id is not None and lease_id not in store.leases:
+        return Failure(WriteError.NO_LEASE)
+    if revision_of(store, key) != expected_revision:
+        return Failure(WriteError.CONFLICT)
+    _detach(store, key)
+    if lease_id is not None:
+        store.leases[lease_id].keys.add(key)
+    revision = _next_revision(store, key)
+    store.values[key] = Stored(value, revision, lease_id)
+    return Success(revision)
+
+
+def delete(store: Store, key: str, expected_revision: int) -> Result[int, WriteError]:
+    """Delete a key if its revision is the expected one, and return the revision of the deletion."""
+    present = revision_of(store, key)
+    if present != expected_revision:
+        return Failure(WriteError.CONFLICT)
+    if present == 0:
+        return Failure(WriteError.NOT_FOUND)
+    _detach(store, key)
+    del store.values[key]
+    return Success(_next_revision(store, key))
+
+
+def create_lease(store: Store, ttl_ms: float, now_ms: float) -> str:
+    """Grant a lease and return its id."""
+    store.leases_created += 1
+    lease_id = f"lease-{store.leases_created}"
+    store.leases[lease_id] = Lease(ttl_ms, now_ms + ttl_ms)
+    return lease_id
+
+
+def renew_lease(store: Store, lease_id: str, now_ms: float) -> bool:
+    """Extend a lease by its own duration from now; false if it has ended."""
+    lease = store.leases.get(lease_id)
+    if lease is None:
+        return False
+    lease.expires_at_ms = now_ms + lease.ttl_ms
+    return True
+
+
+def end_lease(store: Store, lease_id: str) -> bool:
+    """End a lease and delete its keys; false if it has ended before."""
+    lease = store.leases.pop(lease_id, None)
+    if lease is None:
+        return False
+    for key in sorted(lease.keys):
+        del store.values[key]
+        _next_revision(store, key)
+    return True
+
+
+def expire_leases(store: Store, now_ms: float) -> None:
+    """End the leases whose time is up."""
+    due = [name for name, lease in store.leases.items() if lease.expires_at_ms <= now_ms]
+    for lease_id in due:
+        end_lease(store, lease_id)
+
+
+def next_expiry_ms(store: Store) -> float | None:
+    """Return when the first lease ends, or None without a lease."""
+    return min((lease.expires_at_ms for lease in store.leases.values()), default=None)
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/platform/models.py
@@ -0,0 +1,162 @@
+"""Configuration, faults and state of the stand-in platform."""
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Literal, NamedTuple, NotRequired, TypedDict
+
+from wisteriarock.platform.models import ListedInstance
+
+from wisteriastandins.lag import LaggedValue
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_KEY_LENGTH = 512
+MAX_WAIT_MS = 600_000
+
+
+class PlatformConfig(TypedDict):
+    """The configuration file. `seed` drives the share of lost replies."""
+
+    host: str
+    port: int
+    latency_ms: float
+    writes_per_s: int
+    reads_per_s: int
+    list_lag_ms: float
+    instances: list[ListedInstance]
+    seed: NotRequired[int]
+
+
+class PutBody(TypedDict):
+    """Body of `PUT /v1/kv/{key}`; `expected_revision` 0 creates the key."""
+
+    value: str
+    expected_revision: int
+    lease_id: NotRequired[str | None]
+
+
+class DeleteBody(TypedDict):
+    """Body of `DELETE /v1/kv/{key}`."""
+
+    expected_revision: int
+
+
+class LeaseBody(TypedDict):
+    """Body of `POST /v1/leases`."""
+
+    ttl_ms: float
+
+
+class Outage(StrEnum):
+    """Kinds of outage: every call is answered 503, or none is answered."""
+
+    NONE = "none"
+    ERROR = "error"
+    NO_ANSWER = "no_answer"
+
+
+class PlatformControl(TypedDict, total=False):
+    """Body of `POST /control`.
+
+    `slow_ms` is added to the latency. `lost_replies` is the number of next writes that take effect
+    without a reply, `lost_reply_share` the share of later ones. `add_instances` adds entries to the
+    list or replaces those of the same name.
+    """
+
+    outage: Outage
+    slow_ms: float
+    lost_replies: int
+    lost_reply_share: float
+    latency_ms: float
+    writes_per_s: int
+    reads_per_s: int
+    list_lag_ms: float
+    instances: dict[str, Literal["live", "leaving", "gone"]]
+    add_instances: list[ListedInstance]
+
+
+class Operation(StrEnum):
+    """Operations of the services, as they are counted."""
+
+    GET = "get"
+    WATCH = "watch"
+    PUT = "put"
+    DELETE = "delete"
+    LEASE_CREATE = "lease_create"
+    LEASE_RENEW = "lease_renew"
+    LEASE_DELETE = "lease_delete"
+    INSTANCES = "instances"
+
+
+WRITES = frozenset(Operation) - {Operation.GET, Operation.WATCH, Operation.INSTANCES}
+
+
+class WriteError(StrEnum):
+    """Why a write had no effect."""
+
+    CONFLICT = "conflict"
+    NO_LEASE = "no_lease"
+    NOT_FOUND = "not_found"
+
+
+class Stored(NamedTuple):
+    """A value, its revision and the lease that it ends with."""
+
+    value: str
+    revision: int
+    lease_id: str | None
+
+
+@dataclass
+class Lease:
+    """A lease and the keys that are deleted when it ends."""
+
+    ttl_ms: float
+    expires_at_ms: float
+    keys: set[str] = field(default_factory=set)
+
+
+@dataclass
+class Store:
+    """State of the key-value service.
+
+    `revisions` keeps the last revision of deleted keys too, so that a key that is created again
+    never repeats a revision. `changed` has the keys changed since the watches were last served.
+    """
+
+    values: dict[str, Stored] = field(default_factory=dict)
+    revisions: dict[str, int] = field(default_factory=dict)
+    leases: dict[str, Lease] = field(default_factory=dict)
+    leases_created: int = 0
+    changed: list[str] = field(default_factory=list)
+
+
+@dataclass
+class RateLimit:
+    """Calls admitted within the last second, as times in milliseconds."""
+
+    per_s: int
+    admitted_at_ms: deque[float] = field(default_factory=deque)
+
+
+@dataclass
+class PlatformState:
+    """State of the platform.
+
+    `calls` counts by operation, `results` by operation and status. `gone` keeps instances that were
+    taken off the list, so that they can return.
+    """
+
+    writes: RateLimit
+    reads: RateLimit
+    latency_ms: float
+    list_lag_ms: float
+    listed: LaggedValue[list[ListedInstance]]
+    gone: dict[str, ListedInstance] = field(default_factory=dict)
+    store: Store = field(default_factory=Store)
+    outage: Outage = Outage.NONE
+    slow_ms: float = 0.0
+    lost_replies: int = 0
+    lost_reply_share: float = 0.0
+    calls: Counter[str] = field(default_factory=Counter)
+    results: Counter[str] = field(default_factory=Counter)
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/relay/command.py
@@ -0,0 +1,19 @@
+"""Subcommand `relay`."""
+
+from pathlib import Path
+
+from wisteriastandins.process import run_process
+
+from .control import start_relay
+from .models import RelayConfig
+
+
+def relay(*, config: Path) -> int:
+    """Run the link relay until SIGTERM.
+
+    Parameters
+    ----------
+    config : Path
+        JSON file with the links, their addresses, delays and jitters.
+    """
+    return run_process("relay", config, RelayConfig, start_relay)
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/relay/control.py
@@ -0,0 +1,117 @@
+"""Control listener of a relay."""
+
+import asyncio
+import random
+from fnmatch import fnmatchcase
+
+from wisteriastandins.http_server import (
+    Request,
+    Response,
+    error_response,
+    json_route,
+    listen,
+    route_requests,
+    tracked_handlers,
+)
+from wisteriastandins.process import Stop
+
+from .decide import control_error
+from .link import Link, close_link, open_link, reset_connections, silence_connections
+from .models import (
+    Action,
+    LinkConfig,
+    LinkControl,
+    LinkState,
+    NewWhenCut,
+    OpenWhenCut,
+    RelayConfig,
+)
+
+
+def create_link(config: LinkConfig, seed: int) -> Link:
+    """Return a link with random numbers of its own; its listener is not open yet."""
+    rng = random.Random(f"{seed}/{config['name']}")
+    own = LinkConfig(**config)
+    return Link(own, LinkState(config["delay_ms"], config["jitter_ms"], rng))
+
+
+async def change_link(link: Link, body: LinkControl) -> None:
+    """Apply a control request to a link; raise OSError if its port cannot be opened again."""
+    state = link.state
+    match body["action"]:
+        case Action.CUT:
+            state.new_when_cut = body.get("new", NewWhenCut.REFUSE)
+            if state.new_when_cut is NewWhenCut.REFUSE:
+                close_link(link)
+            else:
+                await open_link(link)
+            if body.get("open") is OpenWhenCut.SILENCE:
+                silence_connections(link)
+            else:
+                reset_connections(link)
+        case Action.HEAL:
+            state.new_when_cut = None
+            await open_link(link)
+        case Action.SILENCE:
+            silence_connections(link)
+        case Action.DELAY:
+            state.delay_ms, state.jitter_ms = body["delay_ms"], body["jitter_ms"]
+        case Action.CUT_AFTER_BYTES:
+            state.cut_after_bytes = body["bytes"]
+
+
+async def start_relay(config: RelayConfig) -> Stop:
+    """Open the listeners of all links and then the control listener.
+
+    Parameters
+    ----------
+    config : RelayConfig
+        The checked configuration.
+
+    Returns
+    -------
+    callable
+        Closes everything.
+
+    Raises
+    ------
+    OSError
+        A port cannot be opened.
+    """
+    links = {entry["name"]: create_link(entry, config["seed"]) for entry in config["links"]}
+    for link in links.values():
+        await open_link(link)
+
+    async def control(body: LinkControl) -> Response:
+        if lacking := control_error(body):
+            return error_response(400, "invalid_field", "Needed, 0 or more.", f"$.{lacking}")
+        matched = [name for name in links if fnmatchcase(name, body["match"])]
+        for name in matched:
+            try:
+                await change_link(links[name], body)
+            except OSError as error:
+                return error_response(503, "port_not_open", f"{name}: {error}")
+        return Response(200, {"matched": matched})
+
+    async def record(_: Request) -> Response:
+        for link in links.values():
+            link.state.record["open_connections"] = len(link.relayed)
+        return Response(200, {"links": {name: link.state.record for name, link in links.items()}})
+
+    routes = {
+        ("POST", "/control"): json_route(LinkControl, control),
+        ("GET", "/record"): record,
+    }
+    handlers, close_control = tracked_handlers(route_requests(routes))
+    server = await listen(handlers, config["control_host"], config["control_port"])
+
+    async def stop() -> None:
+        server.close()
+        close_control()
+        for link in links.values():
+            close_link(link)
+            reset_connections(link)
+        # Lets the loop run the callbacks of the closed connections.
+        await asyncio.sleep(0)
+
+    return stop
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/relay/decide.py
@@ -0,0 +1,59 @@
+"""Release times and byte limits of a link, without input or output."""
+
+from .models import Action, LinkControl, LinkState, Pipe
+
+# The loop rounds its waits up to whole milliseconds, 0.5 ms on average. Releasing this much early
+# centres the error.
+RELEASE_SLACK_MS = 0.5
+
+
+def enqueue(pipe: Pipe, link: LinkState, data: bytes, now_ms: float) -> None:
+    """Queue a chunk with a time of release not before an earlier one; b"" ends the stream."""
+    delay_ms = link.delay_ms
+    if link.jitter_ms > 0:
+        delay_ms += link.rng.random() * link.jitter_ms
+    pipe.last_release_ms = max(pipe.last_release_ms, now_ms + delay_ms)
+    pipe.queue.append((pipe.last_release_ms, data))
+    pipe.queued_bytes += len(data)
+
+
+def take_due(pipe: Pipe, now_ms: float) -> tuple[bytes, bool]:
+    """Take the data whose time has come.
+
+    Returns
+    -------
+    tuple
+        The data, cut at the byte limit, and whether the stream ends after it.
+    """
+    due: list[bytes] = []
+    ended = False
+    while pipe.queue and pipe.queue[0][0] <= now_ms + RELEASE_SLACK_MS and not ended:
+        _, data = pipe.queue.popleft()
+        due.append(data)
+        ended = not data
+    data = due[0] if len(due) == 1 else b"".join(due)
+    pipe.queued_bytes -= len(data)
+    if pipe.bytes_left is not None:
+        data = data[: pipe.bytes_left]
+        pipe.bytes_left -= len(data)
+    return data, ended
+
+
+def clear(pipe: Pipe) -> None:
+    """Drop what is in flight."""
+    pipe.queue.clear()
+    pipe.queued_bytes = 0
+
+
+def set_up_ms(link: LinkState) -> float:
+    """Return the time from a connect to the moment when its last handshake packet has arrived."""
+    return 3 * link.delay_ms
+
+
+def control_error(body: LinkControl) -> str | None:
+    """Return the field that an action lacks or that is negative, or None."""
+    needed = {Action.DELAY: ("delay_ms", "jitter_ms"), Action.CUT_AFTER_BYTES: ("bytes",)}
+    for name in needed.get(body["action"], ()):
+        if body.get(name, -1) < 0:  # type: ignore[operator]
+            return name
+    return None
