--- a/packages/wisteriarock/src/wisteriarock/endpoints/lifecycle.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/lifecycle.py
@@ -71,7 +71,7 @@
         auto_transitions=False,
     )
     return {
-        (ConnectionState[t.source], name): ConnectionState[t.dest]
+        (ConnectionState[str(t.source)], name): ConnectionState[str(t.dest)]
         for name, event in machine.events.items()
         for transitions in event.transitions.values()
         for t in transitions
--- /dev/null
+++ b/tests/wisteriarock/peers/test_traffic.py
@@ -0,0 +1,257 @@
+"""Tests of client and server against each other over 127.0.0.1."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+import msgspec
+from returns.result import Failure, Success
+from wisteriarock.membership.models import Heartbeat, Member, Phase
+from wisteriarock.observability.metrics import create_metrics
+from wisteriarock.peers.client import PeerClient, create_peer_client
+from wisteriarock.peers.const import PATH_CANCEL, PATH_HEARTBEAT, PATH_QUERY
+from wisteriarock.peers.models import PeerError, PeerHandlers
+from wisteriarock.peers.server import peer_routes
+from wisteriarock.query.models import Cancel, LegOutcome, LegReply, LegRequest, OnLegReply
+
+from tests.boards import make_board, make_leg
+from tests.common import function_suite
+from tests.servers import app_server, until
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
+
+
+class Pair(NamedTuple):
+    """A client at `e1`, and what its peer `e2` was asked to do."""
+
+    client: PeerClient
+    board: Any
+    started: list[tuple[LegRequest, OnLegReply]]
+    cancelled: list[str]
+
+
+def _ok(leg: LegRequest) -> LegReply:
+    return {
+        "leg_id": leg["leg_id"],
+        "endpoint": leg["endpoint"],
+        "outcome": LegOutcome.OK,
+        "executed": True,
+        "shard": leg["shard"],
+        "part": leg["part"],
+        "parts": leg["parts"],
+        "snapshot": leg["snapshot"],
+        "rows": [{"lot": 1}],
+        "queued_ms": 0.0,
+        "service_ms": 1.0,
+    }
+
+
+@asynccontextmanager
+async def pair() -> AsyncIterator[Pair]:
+    """Run a peer `e2` whose legs the test answers."""
+    started: list[tuple[LegRequest, OnLegReply]] = []
+    cancelled: list[str] = []
+
+    def execute_leg(leg: LegRequest, on_reply: OnLegReply) -> Cancel:
+        started.append((leg, on_reply))
+        return lambda: cancelled.append(leg["leg_id"])
+
+    async def on_heartbeat(body: Heartbeat) -> Heartbeat:
+        return {**body, "instance": "e2"}
+
+    async def on_query(body: dict[str, Any]) -> dict[str, Any]:
+        return {"echo": body}
+
+    async def bundle_body(digest: str) -> bytes | None:
+        return b"{}" if digest == "d1" else None
+
+    handlers = PeerHandlers(on_heartbeat, on_query, bundle_body)
+    routes = peer_routes(make_board(), create_metrics(), _now_ms, execute_leg, handlers)
+    async with app_server(routes) as port:
+        peer = {"instance": "e2", "zone": "north", "host": "127.0.0.1", "port": port}
+        board = make_board(peers=[peer])
+        board.members["e2"] = Member(
+            "e2", "1", "north", "127.0.0.1", port, Phase.READY, _now_ms(), 0, ""
+        )
+        client = create_peer_client(board, create_metrics(), _now_ms)
+        try:
+            yield Pair(client, board, started, cancelled)
+        finally:
+            await client.close()
+
+
+def _heartbeat(instance: str) -> bytes:
+    body: Heartbeat = {
+        "instance": instance,
+        "incarnation": "1",
+        "zone": "north",
+        "host": "127.0.0.1",
+        "port": 1,
+        "phase": Phase.READY,
+        "sequence": 0,
+        "acknowledged": 0,
+        "bundle_revision": 0,
+        "bundle_digest": "",
+        "endpoints": [],
+        "callers": {},
+    }
+    return msgspec.json.encode(body)
+
+
+async def test_replies_are_streamed_as_they_come() -> None:
+    """Guards against fast legs that wait for the slowest one of the same request."""
+    async with pair() as p:
+        replies: list[LegReply] = []
+        p.client.send_legs("e2", [make_leg("r.1"), make_leg("r.2")], replies.append)
+        await until(lambda: len(p.started) == 2)
+        for index in (1, 0):
+            leg, on_reply = p.started[index]
+            on_reply(_ok(leg))
+            await until(lambda: replies and replies[-1]["leg_id"] == leg["leg_id"])  # noqa: B023
+        assert [reply["leg_id"] for reply in replies] == ["r.2", "r.1"]
+        assert p.cancelled == []
+
+
+async def test_a_cancel_reaches_the_holder_and_nothing_is_reported_after_it() -> None:
+    """Guards against legs that go on at the holder after the caller has gone."""
+    async with pair() as p:
+        replies: list[LegReply] = []
+        cancel = p.client.send_legs("e2", [make_leg("r.1"), make_leg("r.2")], replies.append)
+        await until(lambda: len(p.started) == 2)
+        cancel()
+        cancel()
+        await until(lambda: sorted(p.cancelled) == ["r.1", "r.2"])
+        assert replies == []
+
+
+async def test_a_slow_leg_keeps_its_stream() -> None:
+    """Guards against a silence bound that ends streams whose legs take long."""
+    async with pair() as p:
+        replies: list[LegReply] = []
+        p.client.send_legs("e2", [make_leg("r.1")], replies.append)
+        await until(lambda: p.started)
+        await asyncio.sleep(1.0)
+        assert replies == []
+        p.started[0][1](_ok(p.started[0][0]))
+        await until(lambda: replies)
+        assert replies[0]["outcome"] is LegOutcome.OK
+
+
+async def test_single_legs_can_be_cancelled() -> None:
+    """Guards against a cancel that ends the other legs of the stream."""
+    async with pair() as p:
+        replies: list[LegReply] = []
+        p.client.send_legs("e2", [make_leg("r.1"), make_leg("r.2")], replies.append)
+        await until(lambda: len(p.started) == 2)
+        body = msgspec.json.encode({"leg_ids": ["r.1", "unknown"]})
+        assert isinstance(await p.client.post("e2", PATH_CANCEL, body, 1_000), Success)
+        assert p.cancelled == ["r.1"]
+        p.started[1][1](_ok(p.started[1][0]))
+        await until(lambda: len(replies) == 2)
+        assert {r["leg_id"]: r["outcome"] for r in replies} == {
+            "r.1": LegOutcome.PEER_LOST,
+            "r.2": LegOutcome.OK,
+        }
+
+
+async def test_a_suspected_or_unknown_peer_fails_at_once_as_not_run() -> None:
+    """Guards against waiting for a peer that is known to be silent."""
+    async with pair() as p:
+        p.board.members["e2"] = p.board.members["e2"]._replace(heard_at_ms=_now_ms() - 10_000)
+        for name in ("e2", "e3"):
+            replies: list[LegReply] = []
+            p.client.send_legs(name, [make_leg("r.1")], replies.append)
+            assert replies == []
+            await until(lambda: replies)  # noqa: B023
+            assert (replies[0]["outcome"], replies[0]["executed"]) == ("peer_lost", False)
+        assert p.started == []
+        query = await p.client.post("e2", PATH_QUERY, b"{}", 1_000)
+        assert query == Failure(PeerError.SUSPECTED)
+        beat = await p.client.post("e2", PATH_HEARTBEAT, _heartbeat("e1"), 1_000)
+        assert isinstance(beat, Success)
+
+
+async def test_control_requests_are_answered_and_checked() -> None:
+    """Guards against routes that accept another sender's name, or a body of the wrong form."""
+    async with pair() as p:
+        beat = await p.client.post("e2", PATH_HEARTBEAT, _heartbeat("e1"), 1_000)
+        assert msgspec.json.decode(beat.unwrap())["instance"] == "e2"
+        for body in (_heartbeat("e3"), b"{}", b"["):
+            refused = await p.client.post("e2", PATH_HEARTBEAT, body, 1_000)
+            assert refused == Failure(PeerError.REFUSED)
+        answer = await p.client.post("e2", PATH_QUERY, b'{"a": 1}', 1_000)
+        assert msgspec.json.decode(answer.unwrap()) == {"echo": {"a": 1}}
+        assert await p.client.get("e2", "/peer/v1/bundle/d1", 1_000) == Success(b"{}")
+        missing = await p.client.get("e2", "/peer/v1/bundle/d2", 1_000)
+        assert missing == Failure(PeerError.REFUSED)
+
+
+@asynccontextmanager
+async def raw_peer(serve: Callable[..., Any]) -> AsyncIterator[tuple[PeerClient, Any]]:
+    """Run a client whose peer `e2` is a scripted TCP server."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    board = make_board()
+    member = Member("e2", "1", "north", "127.0.0.1", port, Phase.READY, _now_ms(), 0, "")
+    board.members["e2"] = member
+    client = create_peer_client(board, create_metrics(), _now_ms)
+    try:
+        yield client, server
+    finally:
+        await client.close()
+        server.close()
+
+
+async def test_open_legs_of_a_broken_stream_are_reported_once_as_possibly_run() -> None:
+    """Guards against a leg that is called not run although the holder had received it."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        line = msgspec.json.encode(_ok(make_leg("r.1"))) + b"\n"
+        writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+        writer.write(f"{2 * len(line):x}\r\n".encode() + 2 * line + b"\r\n")
+        await writer.drain()
+        writer.close()
+
+    async with raw_peer(serve) as (client, _):
+        replies: list[LegReply] = []
+        client.send_legs("e2", [make_leg("r.1"), make_leg("r.2")], replies.append)
+        await until(lambda: len(replies) == 2)
+        assert [reply["outcome"] for reply in replies] == ["ok", "peer_lost"]
+        assert replies[1]["executed"]
+
+
+async def test_legs_to_a_peer_that_refuses_connections_were_not_run() -> None:
+    """Guards against an unknown outcome where nothing was written."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.close()
+
+    async with raw_peer(serve) as (client, server):
+        server.close()
+        await server.wait_closed()
+        replies: list[LegReply] = []
+        client.send_legs("e2", [make_leg("r.1")], replies.append)
+        await until(lambda: replies)
+        assert (replies[0]["outcome"], replies[0]["executed"]) == ("peer_lost", False)
+
+
+async def test_a_silent_peer_is_noticed_before_the_deadline() -> None:
+    """Guards against legs that wait for their deadline on a connection that went silent."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read()
+        writer.close()
+
+    async with raw_peer(serve) as (client, _):
+        replies: list[LegReply] = []
+        client.send_legs("e2", [make_leg("r.1", deadline_ms=600_000.0)], replies.append)
+        await until(lambda: replies)
+        assert (replies[0]["outcome"], replies[0]["executed"]) == ("peer_lost", True)
+
+
+load_tests = function_suite(globals())
