--- a/packages/wisteriarock/src/wisteriarock/endpoints/lifecycle.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/lifecycle.py
@@ -18,7 +18,7 @@
     ["warm", [_S.UNKNOWN, _S.COLD, _S.EJECTED, _S.DRAINING, _S.GONE], _S.READY],
     ["cool", [_S.UNKNOWN, _S.READY, _S.EJECTED, _S.DRAINING, _S.GONE], _S.COLD],
     ["drain", [_S.UNKNOWN, _S.COLD, _S.READY, _S.EJECTED, _S.GONE], _S.DRAINING],
-    ["eject", [_S.UNKNOWN, _S.COLD, _S.READY], _S.EJECTED],
+    ["eject", [_S.UNKNOWN, _S.COLD, _S.READY, _S.DRAINING, _S.GONE], _S.EJECTED],
     ["lose", [_S.UNKNOWN, _S.COLD, _S.READY, _S.EJECTED, _S.DRAINING], _S.GONE],
     ["lose_sight", [_S.COLD, _S.READY, _S.EJECTED, _S.DRAINING, _S.GONE], _S.UNKNOWN],
 ]
