--- a/packages/wisteriarock/src/wisteriarock/endpoints/lifecycle.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/lifecycle.py
@@ -18,7 +18,7 @@
     ["warm", [_S.UNKNOWN, _S.COLD, _S.EJECTED, _S.DRAINING, _S.GONE], _S.READY],
     ["cool", [_S.UNKNOWN, _S.READY, _S.EJECTED, _S.DRAINING, _S.GONE], _S.COLD],
     ["drain", [_S.UNKNOWN, _S.COLD, _S.READY, _S.EJECTED, _S.GONE], _S.DRAINING],
-    ["eject", [_S.UNKNOWN, _S.COLD, _S.READY], _S.EJECTED],
+    ["eject", [_S.UNKNOWN, _S.COLD, _S.READY, _S.DRAINING, _S.GONE], _S.EJECTED],
     ["lose", [_S.UNKNOWN, _S.COLD, _S.READY, _S.EJECTED, _S.DRAINING], _S.GONE],
     ["lose_sight", [_S.COLD, _S.READY, _S.EJECTED, _S.DRAINING, _S.GONE], _S.UNKNOWN],
 ]
@@ -71,7 +71,7 @@
         auto_transitions=False,
     )
     return {
-        (ConnectionState[t.source], name): ConnectionState[str(t.dest)]
+        (ConnectionState[str(t.source)], name): ConnectionState[str(t.dest)]
         for name, event in machine.events.items()
         for transitions in event.transitions.values()
         for t in transitions
@@ -100,7 +100,8 @@
 _MACHINE = _endpoint_machine()
 
 
-@dataclass
+# Compared by identity: `transitions` registers no model that equals one it has.
+@dataclass(eq=False)
 class EndpointLife:
     """Facts from which the state of an endpoint follows, and the state itself.
 
