--- a/packages/standins/src/wisteriastandins/__main__.py
+++ b/packages/standins/src/wisteriastandins/__main__.py
@@ -1,6 +1,6 @@
 """Entry point of `python -m wisteriastandins`."""
 
-from .cli import app
+from .cli import create_app
 
 if __name__ == "__main__":
-    app()
+    create_app()()
--- a/packages/standins/src/wisteriastandins/cli.py
+++ b/packages/standins/src/wisteriastandins/cli.py
@@ -1,8 +1,12 @@
-"""Command line of the stand-ins."""
+"""The command line of the stand-ins."""
 
-import cyclopts
+from cyclopts import App
 
 from .commands import register
 
-app = cyclopts.App(name="wisteriastandins", help="Stand-ins, load tool and measurements.")
-register(app)
+
+def create_app() -> App:
+    """Return the command line with its subcommands."""
+    app = App(name="wisteriastandins", help="Stand-ins, load tool and demo; not shipped.")
+    register(app)
+    return app
--- a/packages/standins/src/wisteriastandins/commands.py
+++ b/packages/standins/src/wisteriastandins/commands.py
@@ -6,6 +6,7 @@
 import cyclopts
 
 from .demo import DEFAULT_OPTIONS, DemoOptions, run_demo
+from .measure.commands import app as measure_app
 
 
 def demo(
@@ -50,3 +51,4 @@
 def register(app: cyclopts.App) -> None:
     """Add the commands to the application."""
     app.command(demo)
+    app.command(measure_app)
--- a/packages/standins/src/wisteriastandins/load/check.py
+++ b/packages/standins/src/wisteriastandins/load/check.py
@@ -122,7 +122,7 @@
     Parameters
     ----------
     executed : Mapping
-        Request id to the number of executions, summed over all endpoints.
+        Request id to the number of executions at all endpoints, as `times_executed` counts them.
     observed : Mapping
         Request id to what the caller saw.
     complete : bool
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/measure/bare.py
@@ -0,0 +1,122 @@
+"""A bare fan-out by aiosonic: the same legs to the same endpoints, without the tier."""
+
+import asyncio
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any, NamedTuple, TypedDict
+
+import msgspec
+
+from wisteriastandins.load.arrivals import arrivals
+from wisteriastandins.load.client import Connections, close_all, post
+from wisteriastandins.load.models import Arrival, LoadOptions, SendError
+from wisteriastandins.topology.const import DEFAULT_SNAPSHOT
+from wisteriastandins.topology.models import LoadPlan, PlanEndpoint
+
+_GRACE_S = 1.0
+
+
+class LegAnswer(TypedDict):
+    """Body of a 200 answer to a leg."""
+
+    leg_id: str
+    rows: list[dict[str, Any]]
+
+
+class BareResult(NamedTuple):
+    """Legs that were sent, those without an answer of 200, rows read, and processor time."""
+
+    legs: int
+    errors: int
+    rows: int
+    cpu_s: float
+
+
+@dataclass
+class _State:
+    replicas: dict[str, list[PlanEndpoint]]
+    slots: dict[str, asyncio.Semaphore]
+    connections: Connections = field(default_factory=Connections)
+    turns: Any = field(default_factory=lambda: defaultdict(count))
+    legs: int = 0
+    errors: int = 0
+    rows: int = 0
+
+
+_LEG_ANSWERS = msgspec.json.Decoder(LegAnswer)
+
+
+def _create_state(plan: LoadPlan) -> _State:
+    replicas: dict[str, list[PlanEndpoint]] = defaultdict(list)
+    for endpoint in plan["endpoints"]:
+        for shard in endpoint["shards"]:
+            replicas[shard].append(endpoint)
+    slots = {e["name"]: asyncio.Semaphore(e["slots"]) for e in plan["endpoints"]}
+    return _State(dict(replicas), slots)
+
+
+async def _leg(state: _State, arrival: Arrival, number: int, shard: str) -> None:
+    """Send one leg to the replica whose turn it is, within its slots."""
+    replicas = state.replicas[shard]
+    endpoint = replicas[next(state.turns[shard]) % len(replicas)]
+    body = {
+        "leg_id": f"{arrival.request_id}.{number}",
+        "request_id": arrival.request_id,
+        "kind": arrival.kind,
+        "shard": shard,
+        "part": 0,
+        "parts": 1,
+        "snapshot": DEFAULT_SNAPSHOT,
+        "deadline_ms": arrival.deadline_ms,
+        "idempotent": arrival.repeatable,
+        "params": arrival.params,
+    }
+    url = f"http://{endpoint['host']}:{endpoint['port']}"
+    timeout_s = arrival.deadline_ms / 1000 + _GRACE_S
+    async with state.slots[endpoint["name"]]:
+        state.legs += 1
+        encoded = msgspec.json.encode(body)
+        got = await post(state.connections, url, "/leg", "", encoded, timeout_s)
+    if isinstance(got, SendError) or got[0] != 200:
+        state.errors += 1
+        return
+    state.rows += len(_LEG_ANSWERS.decode(got[1])["rows"])
+
+
+async def _query(state: _State, arrival: Arrival) -> None:
+    legs = [_leg(state, arrival, n, shard) for n, shard in enumerate(arrival.shards)]
+    await asyncio.gather(*legs)
+
+
+async def run_bare(plan: LoadPlan, options: LoadOptions, run_id: str) -> BareResult:
+    """Send the legs of a load run straight to the endpoints.
+
+    Parameters
+    ----------
+    plan : LoadPlan
+        Endpoints and classes.
+    options : LoadOptions
+        The same as those of the load through the tier: the same seed draws the same requests.
+    run_id : str
+        Start of every request id; differs from that of other runs.
+
+    Returns
+    -------
+    BareResult
+        Counts over the whole run, and the processor time of this process in seconds.
+    """
+    state = _create_state(plan)
+    start_s, cpu_start_s = time.monotonic(), time.process_time()
+    try:
+        async with asyncio.TaskGroup() as group:
+            for arrival in arrivals(plan, options, run_id):
+                wait_s = start_s + arrival.due_ms / 1000 - time.monotonic()
+                if wait_s > 0:
+                    await asyncio.sleep(wait_s)
+                group.create_task(_query(state, arrival))
+        cpu_s = time.process_time() - cpu_start_s
+    finally:
+        await close_all(state.connections)
+    return BareResult(state.legs, state.errors, state.rows, cpu_s)
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/measure/deployments.py
@@ -0,0 +1,106 @@
+"""Measure both deployments at several shares of their capacity."""
+
+from collections.abc import Callable
+from statistics import median
+
+from wisteriastandins.launcher import NotReady
+from wisteriastandins.load.models import ClassResult, LoadResult
+from wisteriastandins.load.report import format_result, is_correct
+from wisteriastandins.load.rows import load_rows_of
+from wisteriastandins.load.run import run_load
+
+from .models import MeasureOptions
+from .page import format_table, write_page
+from .session import Session, repeat
+
+_HEAD = (
+    "deployment",
+    "share",
+    "class",
+    "runs",
+    "requests/s",
+    "p50 ms",
+    "p99 ms",
+    "p99 ms, lowest to highest",
+    "coverage",
+    "complete %",
+    "extra load %",
+    "cross-zone legs",
+    "errors",
+    "check failures",
+)
+_TEXT = (
+    "Share is that of the slots of the busiest service: the request rate at which its mean use of "
+    "slots has this value. Each figure is the median of the runs; each run starts all processes "
+    "anew. Latency counts from the time at which a request was due and includes the delay between "
+    "client and entry instance. Coverage is the mean share of wanted shards that were answered. "
+    "Extra load is hedges and retries in per cent of primary legs. Cross-zone legs are those of a "
+    "mean answer. Errors and check failures are sums over all runs."
+)
+
+
+async def _measure(ready: Session) -> LoadResult:
+    result = await run_load(ready.plan, ready.load, load_rows_of(), ready.run_id)
+    if not is_correct(result):
+        print(format_result(result))
+    return result
+
+
+def _median(results: list[ClassResult], figure: Callable[[ClassResult], float]) -> float:
+    return median(figure(result) for result in results)
+
+
+def _complete_pct(result: ClassResult) -> float:
+    return 100 * result["outcomes"].get("complete", 0) / max(1, result["requests"])
+
+
+def class_row(name: str, share: float, results: list[ClassResult]) -> tuple[str, ...]:
+    """Return the table row of one class over all runs of a deployment at one share."""
+    p99s = [result["p99_ms"] for result in results]
+    return (
+        name,
+        f"{share:g}",
+        results[0]["kind"],
+        str(len(results)),
+        f"{_median(results, lambda r: r['rate_per_s']):.1f}",
+        f"{_median(results, lambda r: r['p50_ms']):.1f}",
+        f"{median(p99s):.1f}",
+        f"{min(p99s):.1f} to {max(p99s):.1f}",
+        f"{_median(results, lambda r: r['mean_coverage']):.4f}",
+        f"{_median(results, _complete_pct):.2f}",
+        f"{_median(results, lambda r: r['extra_load_pct']):.2f}",
+        f"{_median(results, lambda r: r['cross_zone_legs']):.1f}",
+        str(sum(sum(result["errors"].values()) for result in results)),
+        str(sum(result["check_failures"] for result in results)),
+    )
+
+
+def rows_of_runs(name: str, share: float, runs: list[LoadResult]) -> list[tuple[str, ...]]:
+    """Return a row for each class of a deployment."""
+    kinds = range(len(runs[0]["classes"]))
+    return [class_row(name, share, [run["classes"][kind] for run in runs]) for kind in kinds]
+
+
+def write_deployments(
+    options: MeasureOptions, groups: list[tuple[str, float, list[LoadResult]]]
+) -> int:
+    """Write the page and return the number of failed checks over all runs."""
+    runs = [run for _, _, group in groups for run in group]
+    failed = sum(sum(run["failed_checks"].values()) for run in runs)
+    unread = sum(not run["record_checked"] for run in runs)
+    rows = [row for name, share, group in groups for row in rows_of_runs(name, share, group)]
+    late = sum(run["late_starts"] for run in runs)
+    closing = (
+        f"Failed checks over all runs, those of the record of executions included: {failed}. "
+        f"Runs whose record could not be read: {unread}. Requests that the load tool started over "
+        f"5 ms late: {late}."
+    )
+    title = "Deployments under load"
+    write_page(options.output, title, [_TEXT, format_table(_HEAD, rows), closing])
+    return failed + unread
+
+
+async def measure_deployments(options: MeasureOptions) -> int | NotReady:
+    """Run every deployment at every share, write the page and return the failed checks."""
+    groups = await repeat(options, _measure)
+    return groups if isinstance(groups, NotReady) else write_deployments(options, groups)
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/measure/leg_cost.py
@@ -0,0 +1,97 @@
+"""Measure the processor time of a leg through the tier against a bare fan-out."""
+
+from statistics import median
+
+from wisteriastandins.launcher import NotReady
+from wisteriastandins.load.record import legs_received, read_records
+from wisteriastandins.load.report import format_result, is_correct
+from wisteriastandins.load.rows import load_rows_of
+from wisteriastandins.load.run import run_load
+from wisteriastandins.process_stats import cpu_seconds
+
+from .bare import run_bare
+from .models import LegCost, MeasureOptions
+from .page import format_table, write_page
+from .session import Session, entry_pids, repeat
+
+_HEAD = (
+    "deployment",
+    "share",
+    "runs",
+    "legs through the tier",
+    "tier ms/leg",
+    "lowest to highest",
+    "bare legs",
+    "bare ms/leg",
+    "lowest to highest",
+    "tier / bare",
+    "bare errors",
+)
+_TEXT = (
+    "Processor time, user and system, divided by the legs that reached an endpoint. The tier's is "
+    "the sum over all entry instances, from /proc, over the whole load with its warm-up; it "
+    "includes callers' requests, peers' traffic, heartbeats and reports. The bare fan-out sends "
+    "the same requests' legs from one process by aiosonic to the same endpoints, right after the "
+    "load, within the endpoints' slots; it decodes the replies and merges nothing. Figures are "
+    "medians of the runs."
+)
+
+
+async def _legs_so_far(ready: Session) -> int:
+    records = await read_records(ready.plan["endpoint_controls"])
+    return legs_received(record for record in records if record is not None)
+
+
+async def _measure(ready: Session) -> LegCost:
+    """Load a deployment through the tier and then bare."""
+    pids = entry_pids(ready)
+    before = {entry: cpu_seconds(pid) for entry, pid in pids.items()}
+    legs_before = await _legs_so_far(ready)
+    result = await run_load(ready.plan, ready.load, load_rows_of(), ready.run_id)
+    used = [cpu_seconds(pid) - before[entry] for entry, pid in pids.items()]
+    legs = await _legs_so_far(ready) - legs_before
+    bare = await run_bare(ready.plan, ready.load, f"{ready.run_id}-bare")
+    if not is_correct(result):
+        print(format_result(result))
+    return LegCost(
+        tier_legs=legs,
+        tier_ms=1000 * sum(used) / max(1, legs),
+        tier_busiest_ms=1000 * max(used) / max(1, legs),
+        bare_legs=bare.legs,
+        bare_ms=1000 * bare.cpu_s / max(1, bare.legs),
+        bare_errors=bare.errors,
+        correct=is_correct(result),
+    )
+
+
+def cost_row(name: str, share: float, costs: list[LegCost]) -> tuple[str, ...]:
+    """Return the table row of one deployment at one share."""
+    tier = [cost["tier_ms"] for cost in costs]
+    bare = [cost["bare_ms"] for cost in costs]
+    ratio = median(t / b for t, b in zip(tier, bare, strict=True) if b > 0)
+    return (
+        name,
+        f"{share:g}",
+        str(len(costs)),
+        f"{median(cost['tier_legs'] for cost in costs):.0f}",
+        f"{median(tier):.3f}",
+        f"{min(tier):.3f} to {max(tier):.3f}",
+        f"{median(cost['bare_legs'] for cost in costs):.0f}",
+        f"{median(bare):.3f}",
+        f"{min(bare):.3f} to {max(bare):.3f}",
+        f"{ratio:.2f}",
+        str(sum(cost["bare_errors"] for cost in costs)),
+    )
+
+
+async def measure_leg_cost(options: MeasureOptions) -> int | NotReady:
+    """Measure every deployment at every share, write the page, return the runs that failed."""
+    groups = await repeat(options, _measure)
+    if isinstance(groups, NotReady):
+        return groups
+    rows = [cost_row(*group) for group in groups]
+    failed = sum(not cost["correct"] for _, _, costs in groups for cost in costs)
+    closing = f"Runs in which an answer failed its check: {failed}."
+    title = "Processor time of a leg"
+    write_page(options.output, title, [_TEXT, format_table(_HEAD, rows), closing])
+    return failed
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/measure/session.py
@@ -0,0 +1,82 @@
+"""Start deployments for measurements and repeat what is measured."""
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import NamedTuple, TypeVar
+
+from wisteriastandins.launcher import NotReady, Running, commands_of, started, wait_ready
+from wisteriastandins.load.arrivals import capacity_per_s
+from wisteriastandins.load.models import LoadOptions
+from wisteriastandins.topology.customers import CUSTOMERS
+from wisteriastandins.topology.models import LoadPlan
+from wisteriastandins.topology.write import create_run
+
+from .models import MeasureOptions
+
+T = TypeVar("T")
+
+
+class Session(NamedTuple):
+    """A deployment that is ready, and the load that this run puts on it."""
+
+    plan: LoadPlan
+    running: Running
+    load: LoadOptions
+    run_id: str
+
+
+def entry_pids(ready: Session) -> dict[str, int]:
+    """Return the process ids of the entry instances by name."""
+    return {
+        entry["name"]: ready.running.processes[entry["name"]].pid for entry in ready.plan["entries"]
+    }
+
+
+async def run_once(
+    name: str,
+    share: float,
+    seed: int,
+    options: MeasureOptions,
+    measure: Callable[[Session], Awaitable[T]],
+) -> T | NotReady:
+    """Start a deployment in a temporary folder, measure it and end it."""
+    with TemporaryDirectory(prefix="wisteriarock-") as folder:
+        run = create_run(CUSTOMERS[name], Path(folder), options.base_port, seed)
+        async with started(commands_of(run), run.logs) as running:
+            if error := await wait_ready(running, run.plan["entries"]):
+                return error
+            rate_per_s = share * capacity_per_s(run.plan)
+            load = LoadOptions(rate_per_s, options.warm_up_s, options.duration_s, seed)
+            return await measure(Session(run.plan, running, load, f"{name}-{seed}"))
+
+
+async def repeat(
+    options: MeasureOptions, measure: Callable[[Session], Awaitable[T]]
+) -> list[tuple[str, float, list[T]]] | NotReady:
+    """Measure every deployment at every share, each run with processes of its own.
+
+    Parameters
+    ----------
+    options : MeasureOptions
+        Deployments, shares and runs.
+    measure : callable
+        Measures one deployment that is ready.
+
+    Returns
+    -------
+    list of tuple, or NotReady
+        Deployment, share and the results of the runs; or why a deployment did not start.
+    """
+    groups = []
+    for name in options.customers:
+        for share in options.shares:
+            results: list[T] = []
+            for number in range(options.runs):
+                result = await run_once(name, share, options.seed + number, options, measure)
+                if isinstance(result, NotReady):
+                    return result
+                results.append(result)
+                print(f"{name} at {share:g}: run {number + 1} of {options.runs} done", flush=True)
+            groups.append((name, share, results))
+    return groups
