--- a/packages/standins/src/wisteriastandins/demo.py
+++ b/packages/standins/src/wisteriastandins/demo.py
@@ -2,11 +2,19 @@
 
 import asyncio
 import json
+import sys
 import tempfile
 from pathlib import Path
 from typing import NamedTuple
 
-from .launcher import NotReady, commands_of, end_on_sigterm, format_not_ready, started, wait_ready
+from .launcher import (
+    commands_of,
+    end_on_sigterm,
+    find_ended,
+    format_error,
+    started,
+    wait_ready,
+)
 from .load.arrivals import capacity_per_s
 from .load.models import LoadOptions, LoadResult
 from .load.report import format_result, is_correct
@@ -31,18 +39,29 @@
     as_json: bool
 
 
+class CustomerRun(NamedTuple):
+    """What came of the run of one deployment; `problem` is empty when its processes behaved."""
+
+    result: LoadResult | None
+    problem: str
+
+
 async def run_customer(
     customer: Customer, folder: Path, base_port: int, options: DemoOptions
-) -> LoadResult | NotReady:
-    """Start a deployment, load it, end it and return the result."""
+) -> CustomerRun:
+    """Start a deployment, load it and end it."""
     run = create_run(customer, folder, base_port, options.seed)
     async with started(commands_of(run), run.logs) as running:
         if error := await wait_ready(running, run.plan["entries"]):
-            return error
+            return CustomerRun(None, format_error(error))
         rate_per_s = options.share * capacity_per_s(run.plan)
         load = LoadOptions(rate_per_s, options.warm_up_s, options.duration_s, options.seed)
         run_id = f"{customer.name}-{options.seed}"
-        return await run_load(run.plan, load, load_rows_of(), run_id)
+        result = await run_load(run.plan, load, load_rows_of(), run_id)
+        if error := find_ended(running):
+            return CustomerRun(result, format_error(error))
+    failed = [f"{name} with {code}" for name, code in running.exit_codes.items() if code]
+    return CustomerRun(result, f"ended by SIGTERM: {', '.join(failed)}" if failed else "")
 
 
 def run_demo(options: DemoOptions) -> int:
@@ -51,7 +70,8 @@
     Returns
     -------
     int
-        0, or 1 when an instance did not become ready or an answer failed its check.
+        0, or 1 when an answer failed its check, or a process did not become ready, ended during
+        the load or did not end with 0 on SIGTERM.
     """
     code = 0
     end_on_sigterm()
@@ -60,13 +80,13 @@
         for index, name in enumerate(options.customers):
             base_port = options.base_port + index * PORTS_PER_CUSTOMER
             folder = root / name
-            result = asyncio.run(run_customer(CUSTOMERS[name], folder, base_port, options))
-            if isinstance(result, NotReady):
-                print(f"{name}: {format_not_ready(result)}")
-                code = 1
-                continue
-            print(json.dumps(result) if options.as_json else format_result(result) + "\n")
-            if not is_correct(result):
+            ended = asyncio.run(run_customer(CUSTOMERS[name], folder, base_port, options))
+            if ended.result is not None:
+                table = json.dumps(ended.result) if options.as_json else format_result(ended.result)
+                print(table, flush=True)
+            if ended.problem:
+                print(f"{name}: {ended.problem}", file=sys.stderr)
+            if ended.result is None or ended.problem or not is_correct(ended.result):
                 code = 1
     return code
 
--- a/packages/standins/src/wisteriastandins/launcher.py
+++ b/packages/standins/src/wisteriastandins/launcher.py
@@ -21,6 +21,7 @@
 STOP_TIMEOUT_S = 15.0
 _POLL_S = 0.1
 _TAIL_LINES = 8
+_MAX_TAILS = 3
 
 
 class Command(NamedTuple):
@@ -33,15 +34,23 @@
 
 @dataclass
 class Running:
-    """The processes of a run by name, in the order of their start."""
+    """The processes of a run by name, in the order of their start.
+
+    `exit_codes` is filled when the run is stopped; a graceful stop gives 0.
+    """
 
     logs: Path
     commands: dict[str, Command] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    exit_codes: dict[str, int] = field(default_factory=dict)
 
 
-class NotReady(NamedTuple):
-    """Entry instances that did not become ready, processes that ended, and their last log lines."""
+class RunError(NamedTuple):
+    """Why a run has no result.
+
+    `waiting` names entry instances that did not become ready in time, `ended` processes that
+    ended by themselves. `log_tail` has the last lines of their logs.
+    """
 
     waiting: tuple[str, ...]
     ended: tuple[str, ...]
@@ -127,12 +136,12 @@
     return code
 
 
-async def stop_run(running: Running, timeout_s: float = STOP_TIMEOUT_S) -> dict[str, int]:
+async def stop_run(running: Running, timeout_s: float = STOP_TIMEOUT_S) -> None:
     """End all processes: entry instances first, so that their stand-ins outlive the drain."""
     entries = [name for name, command in running.commands.items() if command.is_entry]
     stand_ins = [name for name in running.commands if name not in entries]
-    codes = await stop(running, entries, timeout_s)
-    return codes | await stop(running, stand_ins, timeout_s)
+    running.exit_codes |= await stop(running, entries, timeout_s)
+    running.exit_codes |= await stop(running, stand_ins, timeout_s)
 
 
 @asynccontextmanager
@@ -162,7 +171,7 @@
     return "\n".join(parts)
 
 
-def format_not_ready(error: NotReady) -> str:
+def format_error(error: RunError) -> str:
     """Return the error as lines for a terminal."""
     waiting, ended = ", ".join(error.waiting) or "none", ", ".join(error.ended) or "none"
     return f"not ready: {waiting}\nended: {ended}\n{error.log_tail}"
@@ -173,29 +182,34 @@
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
 
 
+def find_ended(running: Running) -> RunError | None:
+    """Return the processes that ended by themselves, None if all of them run."""
+    ended = tuple(name for name, p in running.processes.items() if p.poll() is not None)
+    return RunError((), ended, log_tail(running, ended[:_MAX_TAILS])) if ended else None
+
+
 async def wait_ready(
     running: Running,
     entries: list[PlanEntry],
     timeout_s: float = READY_TIMEOUT_S,
-) -> NotReady | None:
+) -> RunError | None:
     """Wait until all entry instances are ready.
 
     Returns
     -------
-    NotReady or None
+    RunError or None
         None when all are ready. Otherwise what was waited for when the time was over or when
         a process of the run ended.
     """
     waiting = {entry["name"]: entry for entry in entries}
     until = time.monotonic() + timeout_s
-    ended: tuple[str, ...] = ()
-    while waiting and not ended and time.monotonic() < until:
+    while time.monotonic() < until:
         for name, entry in list(waiting.items()):
             if await check_ready(entry):
                 del waiting[name]
-        ended = tuple(n for n, p in running.processes.items() if p.poll() is not None)
-        if waiting and not ended:
-            await asyncio.sleep(_POLL_S)
-    if not waiting and not ended:
-        return None
-    return NotReady(tuple(waiting), ended, log_tail(running, ended or tuple(waiting)[:3]))
+        if error := find_ended(running):
+            return error._replace(waiting=tuple(waiting))
+        if not waiting:
+            return None
+        await asyncio.sleep(_POLL_S)
+    return RunError(tuple(waiting), (), log_tail(running, tuple(waiting)[:_MAX_TAILS]))
--- a/packages/standins/src/wisteriastandins/measure/commands.py
+++ b/packages/standins/src/wisteriastandins/measure/commands.py
@@ -8,7 +8,7 @@
 
 from cyclopts import App
 
-from wisteriastandins.launcher import NotReady, end_on_sigterm, format_not_ready
+from wisteriastandins.launcher import RunError, end_on_sigterm, format_error
 from wisteriastandins.topology.const import DEFAULT_BASE_PORT
 from wisteriastandins.topology.customers import CUSTOMERS
 
@@ -24,14 +24,14 @@
 
 
 def _run(
-    measure: Callable[[MeasureOptions], Coroutine[Any, Any, int | NotReady]],
+    measure: Callable[[MeasureOptions], Coroutine[Any, Any, int | RunError]],
     options: MeasureOptions,
 ) -> None:
     """Run a measurement and exit with 1 when a check failed or a deployment did not start."""
     end_on_sigterm()
     failed = asyncio.run(measure(options))
-    if isinstance(failed, NotReady):
-        print(format_not_ready(failed), file=sys.stderr)
+    if isinstance(failed, RunError):
+        print(format_error(failed), file=sys.stderr)
         sys.exit(1)
     print(f"wrote {options.output}")
     sys.exit(1 if failed else 0)
--- a/packages/standins/src/wisteriastandins/measure/deployments.py
+++ b/packages/standins/src/wisteriastandins/measure/deployments.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from statistics import median
 
-from wisteriastandins.launcher import NotReady
+from wisteriastandins.launcher import RunError
 from wisteriastandins.load.models import ClassResult, LoadResult
 from wisteriastandins.load.report import format_result, is_correct
 from wisteriastandins.load.rows import load_rows_of
@@ -100,7 +100,7 @@
     return failed + unread
 
 
-async def measure_deployments(options: MeasureOptions) -> int | NotReady:
+async def measure_deployments(options: MeasureOptions) -> int | RunError:
     """Run every deployment at every share, write the page and return the failed checks."""
     groups = await repeat(options, _measure)
-    return groups if isinstance(groups, NotReady) else write_deployments(options, groups)
+    return groups if isinstance(groups, RunError) else write_deployments(options, groups)
--- a/packages/standins/src/wisteriastandins/measure/leg_cost.py
+++ b/packages/standins/src/wisteriastandins/measure/leg_cost.py
@@ -2,7 +2,7 @@
 
 from statistics import median
 
-from wisteriastandins.launcher import NotReady
+from wisteriastandins.launcher import RunError
 from wisteriastandins.load.record import legs_received, read_records
 from wisteriastandins.load.report import format_result, is_correct
 from wisteriastandins.load.rows import load_rows_of
@@ -84,10 +84,10 @@
     )
 
 
-async def measure_leg_cost(options: MeasureOptions) -> int | NotReady:
+async def measure_leg_cost(options: MeasureOptions) -> int | RunError:
     """Measure every deployment at every share, write the page, return the runs that failed."""
     groups = await repeat(options, _measure)
-    if isinstance(groups, NotReady):
+    if isinstance(groups, RunError):
         return groups
     rows = [cost_row(*group) for group in groups]
     failed = sum(not cost["correct"] for _, _, costs in groups for cost in costs)
--- a/packages/standins/src/wisteriastandins/measure/memory.py
+++ b/packages/standins/src/wisteriastandins/measure/memory.py
@@ -3,7 +3,7 @@
 import asyncio
 from statistics import median
 
-from wisteriastandins.launcher import NotReady
+from wisteriastandins.launcher import RunError
 from wisteriastandins.load.report import format_result, is_correct
 from wisteriastandins.load.rows import load_rows_of
 from wisteriastandins.load.run import run_load
@@ -51,10 +51,10 @@
     return (name, f"{share:g}", str(len(uses)), *(f"{figure:.1f}" for figure in figures))
 
 
-async def measure_memory(options: MeasureOptions) -> int | NotReady:
+async def measure_memory(options: MeasureOptions) -> int | RunError:
     """Measure every deployment at every share, write the page, return the runs that failed."""
     groups = await repeat(options, _measure)
-    if isinstance(groups, NotReady):
+    if isinstance(groups, RunError):
         return groups
     rows = [memory_row(*group) for group in groups]
     failed = sum(not use["correct"] for _, _, uses in groups for use in uses)
--- a/packages/standins/src/wisteriastandins/measure/session.py
+++ b/packages/standins/src/wisteriastandins/measure/session.py
@@ -5,7 +5,14 @@
 from tempfile import TemporaryDirectory
 from typing import NamedTuple, TypeVar
 
-from wisteriastandins.launcher import NotReady, Running, commands_of, started, wait_ready
+from wisteriastandins.launcher import (
+    RunError,
+    Running,
+    commands_of,
+    find_ended,
+    started,
+    wait_ready,
+)
 from wisteriastandins.load.arrivals import capacity_per_s
 from wisteriastandins.load.models import LoadOptions
 from wisteriastandins.topology.customers import CUSTOMERS
@@ -39,7 +46,7 @@
     seed: int,
     options: MeasureOptions,
     measure: Callable[[Session], Awaitable[T]],
-) -> T | NotReady:
+) -> T | RunError:
     """Start a deployment in a temporary folder, measure it and end it."""
     with TemporaryDirectory(prefix="wisteriarock-") as folder:
         run = create_run(CUSTOMERS[name], Path(folder), options.base_port, seed)
@@ -48,12 +55,13 @@
                 return error
             rate_per_s = share * capacity_per_s(run.plan)
             load = LoadOptions(rate_per_s, options.warm_up_s, options.duration_s, seed)
-            return await measure(Session(run.plan, running, load, f"{name}-{seed}"))
+            result = await measure(Session(run.plan, running, load, f"{name}-{seed}"))
+            return find_ended(running) or result
 
 
 async def repeat(
     options: MeasureOptions, measure: Callable[[Session], Awaitable[T]]
-) -> list[tuple[str, float, list[T]]] | NotReady:
+) -> list[tuple[str, float, list[T]]] | RunError:
     """Measure every deployment at every share, each run with processes of its own.
 
     Parameters
@@ -65,7 +73,7 @@
 
     Returns
     -------
-    list of tuple, or NotReady
+    list of tuple, or RunError
         Deployment, share and the results of the runs; or why a deployment did not start.
     """
     groups = []
@@ -74,7 +82,7 @@
             results: list[T] = []
             for number in range(options.runs):
                 result = await run_once(name, share, options.seed + number, options, measure)
-                if isinstance(result, NotReady):
+                if isinstance(result, RunError):
                     return result
                 results.append(result)
                 print(f"{name} at {share:g}: run {number + 1} of {options.runs} done", flush=True)
--- a/packages/standins/src/wisteriastandins/process_stats.py
+++ b/packages/standins/src/wisteriastandins/process_stats.py
@@ -4,17 +4,26 @@
 from pathlib import Path
 
 
+def _read(path: str) -> str:
+    """Return a file of /proc, empty when the process has ended."""
+    try:
+        return Path(path).read_text(encoding="ascii")
+    except (FileNotFoundError, ProcessLookupError):
+        return ""
+
+
 def cpu_seconds(pid: int) -> float:
-    """Return the user and system processor time of a process, from /proc, in seconds."""
-    text = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    """Return the user and system processor time of a process in seconds, 0 once it has ended."""
     # The command name is in brackets and may hold spaces; the fields after it are fixed.
-    fields = text.rpartition(")")[2].split()
+    fields = _read(f"/proc/{pid}/stat").rpartition(")")[2].split()
+    if len(fields) < 13:
+        return 0.0
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 def resident_bytes(pid: int) -> int:
-    """Return the resident set of a process, from /proc, in bytes."""
-    for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
+    """Return the resident set of a process in bytes, 0 once it has ended."""
+    for line in _read(f"/proc/{pid}/status").splitlines():
         if line.startswith("VmRSS:"):
             return int(line.split()[1]) * 1024
     return 0
--- a/packages/standins/src/wisteriastandins/topology/models.py
+++ b/packages/standins/src/wisteriastandins/topology/models.py
@@ -90,8 +90,8 @@
     host: str
     port: int
     latency_ms: float
-    writes_per_s: float
-    reads_per_s: float
+    writes_per_s: int
+    reads_per_s: int
     list_lag_ms: float
     instances: list[ListedInstance]
 
