--- a/packages/wisteriarock/src/wisteriarock/membership/exchange.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/exchange.py
@@ -5,8 +5,6 @@
 from .decide import Candidate, holder_of
 from .models import EndpointView, Heartbeat, Member, MembershipState
 
-_NEWS_FIELDS = ("state", "incarnation", "slots", "holdings")
-
 
 def is_news(known: EndpointView, view: EndpointView) -> bool:
     """Tell whether a change of a view is worth sending.
@@ -16,7 +14,10 @@
     """
     if (known["queued"] > known["slots"]) != (view["queued"] > view["slots"]):
         return True
-    return any(known[name] != view[name] for name in _NEWS_FIELDS)
+    return known["holdings"] != view["holdings"] or (
+        (known["state"], known["incarnation"], known["slots"])
+        != (view["state"], view["incarnation"], view["slots"])
+    )
 
 
 def sequence_views(state: MembershipState, held: Mapping[str, EndpointView]) -> None:
