--- /dev/null
+++ b/packages/wisteriactl/src/wisteriactl/__main__.py
@@ -0,0 +1,338 @@
+"""Arguments and output of `wisteriactl`."""
+
+import asyncio
+import os
+import random
+import sys
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from cyclopts import App, CycloptsError, Parameter
+from returns.result import Success
+from wisteriarock.observability.metrics import create_metrics
+from wisteriarock.platform.client import create_platform_client
+
+from . import commands
+from .const import (
+    CALL_TIMEOUT_MS,
+    CALLS_PER_S,
+    DEFAULT_SETTINGS,
+    DEFAULT_TIMEOUT_S,
+    ENV_SETTINGS,
+    ExitCode,
+)
+from .engine import Engine
+from .models import Outcome
+from .settings import load_content, load_ctl_settings, load_key
+from .status import create_ops_fetch
+
+HELP = """Operate wisteriarock by its bundle.
+
+Exit codes: 0 done, also when it had been done before; 2 wrong arguments, settings, key or content;
+3 conflict with another operator's bundle; 4 not yet known, or not yet in force; 5 platform or
+instances not reachable; 6 refused: signature, missing approval or damaged data; 1 a fault of the
+program. Progress goes to standard error, the result to standard output.
+"""
+
+app = App(name="wisteriactl", help=HELP)
+
+
+@Parameter(name="*")
+@dataclass
+class Common:
+    """Options of each command.
+
+    Attributes
+    ----------
+    settings : Path
+        Settings file, JSON with comments; the default comes from WISTERIACTL_SETTINGS.
+    json : bool
+        Print the result as JSON.
+    timeout_s : float
+        How long to try while the platform does not answer.
+    """
+
+    settings: Path | None = None
+    json: Annotated[bool, Parameter(negative="")] = False
+    timeout_s: float = DEFAULT_TIMEOUT_S
+
+
+_COMMON = Common()
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
+
+
+def _report(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
+
+
+def _print_outcome(command: str, outcome: Outcome, as_json: bool) -> int:
+    if as_json:
+        result = {
+            "command": command,
+            "exit_code": int(outcome.code),
+            "outcome": outcome.code.name.lower(),
+            "message": outcome.message,
+            **outcome.data,
+        }
+        print(msgspec.json.encode(result).decode())
+        return int(outcome.code)
+    for line in outcome.data.get("diff", []):
+        print(line)
+    for warning in outcome.data.get("warnings", []):
+        print(f"warning: {warning}")
+    print(outcome.message, file=sys.stdout if outcome.code is ExitCode.OK else sys.stderr)
+    for error in outcome.data.get("errors", []):
+        text = f"{error['path']}: found {error['found']}, allowed: {error['allowed']}"
+        print(text, file=sys.stderr)
+    return int(outcome.code)
+
+
+def _settings_path(common: Common) -> Path:
+    return common.settings or Path(os.environ.get(ENV_SETTINGS, DEFAULT_SETTINGS))
+
+
+def _run(
+    command: str, common: Common, work: Callable[[commands.Session], Awaitable[Outcome]]
+) -> int:
+    """Run a command that needs the settings and the platform."""
+    loaded = load_ctl_settings(_settings_path(common))
+    if not isinstance(loaded, Success):
+        return _print_outcome(command, loaded.failure(), common.json)
+    settings = loaded.unwrap()
+
+    async def run() -> Outcome:
+        platform = create_platform_client(
+            settings["platform_url"],
+            CALL_TIMEOUT_MS,
+            CALLS_PER_S,
+            create_metrics(),
+            _now_ms,
+            random.Random(),
+        )
+        engine = Engine(platform, _now_ms, _now_ms() + common.timeout_s * 1000, _report)
+        fetch_ops = create_ops_fetch(settings["operator_token"])
+        try:
+            return await work(commands.Session(settings, engine, fetch_ops))
+        finally:
+            await platform.close()
+
+    return _print_outcome(command, asyncio.run(run()), common.json)
+
+
+def _run_signed(
+    command: str,
+    common: Common,
+    work: Callable[[commands.Session, Ed25519PrivateKey], Awaitable[Outcome]],
+) -> int:
+    """Run a command that needs the operator's private key as well."""
+
+    async def with_key(session: commands.Session) -> Outcome:
+        key = load_key(session.settings, _settings_path(common).parent)
+        return await work(session, key.unwrap()) if isinstance(key, Success) else key.failure()
+
+    return _run(command, common, with_key)
+
+
+@app.command
+def keygen(path: Path, *, common: Common = _COMMON) -> int:
+    """Create a private key file and print the public key for `operator_keys`.
+
+    Parameters
+    ----------
+    path : Path
+        New file; an existing one is never replaced.
+    """
+    return _print_outcome("keygen", commands.keygen(path), common.json)
+
+
+@app.command
+def check(file: Path, *, common: Common = _COMMON) -> int:
+    """Check a content file and print every error.
+
+    Parameters
+    ----------
+    file : Path
+        Content, JSON with comments.
+    """
+    return _print_outcome("check", commands.check(file), common.json)
+
+
+@app.command
+def diff(file: Path, other: Path | None = None, *, common: Common = _COMMON) -> int:
+    """Compare two content files, or the content in force with one file.
+
+    Parameters
+    ----------
+    file : Path
+        The older content, or the new one if it is the only file.
+    other : Path
+        The newer content.
+    """
+    if other is not None:
+        return _print_outcome("diff", commands.diff_files(file, other), common.json)
+    return _run("diff", common, lambda session: commands.diff_with_head(session, file))
+
+
+@app.command
+def propose(
+    file: Path,
+    *,
+    approver: str | None = None,
+    base: int | None = None,
+    replace: Annotated[bool, Parameter(negative="")] = False,
+    common: Common = _COMMON,
+) -> int:
+    """Propose a content as the revision after the head.
+
+    Parameters
+    ----------
+    file : Path
+        Content, JSON with comments.
+    approver : str
+        Operator who is to approve; the default is that of the settings or the only other one.
+    base : int
+        Revision that the content was written against; another head is a conflict.
+    replace : bool
+        Replace an earlier proposal of one's own.
+    """
+
+    async def work(session: commands.Session, key: Ed25519PrivateKey) -> Outcome:
+        content = load_content(file)
+        if not isinstance(content, Success):
+            return content.failure()
+        return await commands.propose(session, key, content.unwrap(), approver, replace, base)
+
+    return _run_signed("propose", common, work)
+
+
+@app.command
+def approve(
+    *,
+    proposer: str | None = None,
+    digest: str = "",
+    dry_run: Annotated[bool, Parameter(negative="")] = False,
+    common: Common = _COMMON,
+) -> int:
+    """Sign another operator's proposal for the revision after the head.
+
+    Parameters
+    ----------
+    proposer : str
+        Whose proposal; needed when several wait.
+    digest : str
+        First digits of the content digest; another content is not approved.
+    dry_run : bool
+        Show differences and warnings without signing.
+    """
+    return _run_signed(
+        "approve",
+        common,
+        lambda session, key: commands.approve(session, key, proposer, digest, dry_run),
+    )
+
+
+@app.command
+def roll_forward(*, proposer: str | None = None, digest: str = "", common: Common = _COMMON) -> int:
+    """Move the head to the approved proposal.
+
+    Parameters
+    ----------
+    proposer : str
+        Whose proposal; needed when several are approved.
+    digest : str
+        First digits of the content digest.
+    """
+    return _run(
+        "roll-forward",
+        common,
+        lambda session: commands.roll_forward(session, proposer, digest),
+    )
+
+
+@app.command
+def roll_back(
+    *,
+    to: int,
+    approver: str | None = None,
+    replace: Annotated[bool, Parameter(negative="")] = False,
+    common: Common = _COMMON,
+) -> int:
+    """Propose the content of an older revision; it is approved and rolled forward like any other.
+
+    Parameters
+    ----------
+    to : int
+        The older revision.
+    approver : str
+        Operator who is to approve.
+    replace : bool
+        Replace an earlier proposal of one's own.
+    """
+    return _run_signed(
+        "roll-back",
+        common,
+        lambda session, key: commands.roll_back(session, key, to, approver, replace),
+    )
+
+
+@app.command
+def status(*, common: Common = _COMMON) -> int:
+    """Show the revision of each zone and instance, who lags, and why."""
+    return _run("status", common, commands.status)
+
+
+@app.command
+def wait(*, revision: int, common: Common = _COMMON) -> int:
+    """Wait until every zone and every instance that is heard has a revision.
+
+    Parameters
+    ----------
+    revision : int
+        The revision, or a later one.
+    """
+    return _run(
+        "wait",
+        common,
+        lambda session: commands.wait(session, revision, common.timeout_s, _now_ms, asyncio.sleep),
+    )
+
+
+@app.command
+def dump(*, instance: str | None = None, common: Common = _COMMON) -> int:
+    """Print the state dump of an instance; it holds no secrets.
+
+    Parameters
+    ----------
+    instance : str
+        Its name; the default is the first that answers.
+    """
+    return _run("dump", common, lambda session: commands.dump(session, instance))
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line and return its exit code.
+
+    Parameters
+    ----------
+    arguments : sequence of str or None
+        Arguments without the program's name; None takes those of the process.
+    """
+    tokens = list(sys.argv[1:] if arguments is None else arguments)
+    try:
+        code = app(tokens, exit_on_error=False, result_action="return_value")
+    except CycloptsError:
+        # cyclopts has printed what is wrong.
+        return int(ExitCode.INPUT)
+    return code if isinstance(code, int) else int(ExitCode.OK)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/wisteriactl/src/wisteriactl/status.py
@@ -0,0 +1,199 @@
+"""Read the status of instances and tell which ones lag, and why."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, NamedTuple
+
+from aiosonic import HTTPClient, TCPConnector
+from aiosonic.exceptions import AiosonicError
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+from returns.result import Failure, Result, Success
+from wisteriarock.codec.decode import decode
+
+from .const import CALL_TIMEOUT_MS, MAX_REPLY_BYTES, SILENT_MS, ExitCode
+from .models import InstanceAddress, MemberStatus, Outcome, StatusReply
+
+FetchOps = Callable[[InstanceAddress, str], Awaitable[Result[bytes, str]]]
+
+
+class Lag(NamedTuple):
+    """An instance that does not have the wanted revision; a silent one is not waited for."""
+
+    instance: str
+    zone: str
+    reason: str
+    silent: bool
+
+
+def create_ops_fetch(token: str) -> FetchOps:
+    """Return a function that reads a path of an instance's internal listener.
+
+    Parameters
+    ----------
+    token : str
+        The operator token; it is in no error text.
+    """
+
+    async def fetch(address: InstanceAddress, path: str) -> Result[bytes, str]:
+        timeout_s = CALL_TIMEOUT_MS / 1000
+        host = f"[{address['host']}]" if ":" in address["host"] else address["host"]
+        url = f"http://{host}:{address['port']}{path}"
+        connector = TCPConnector(
+            pool_configs={":default": PoolConfig(size=1)},
+            timeouts=Timeouts(sock_connect=timeout_s, sock_read=None, request_timeout=None),
+        )
+        client = HTTPClient(connector=connector)
+        headers = {"Authorization": f"Bearer {token}"}
+        body = bytearray()
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with client.stream("GET", url, headers=headers) as response:
+                    if response.status_code != 200:
+                        return Failure(f"status {response.status_code}")
+                    async for chunk in response.iter_bytes():
+                        body += chunk
+                        if len(body) > MAX_REPLY_BYTES:
+                            return Failure("an over-long reply")
+        except (AiosonicError, OSError, EOFError, ValueError, TimeoutError) as error:
+            return Failure(type(error).__name__)
+        finally:
+            await client.aclose()
+        return Success(bytes(body))
+
+    return fetch
+
+
+async def read_statuses(
+    instances: list[InstanceAddress], fetch: FetchOps
+) -> tuple[list[StatusReply], dict[str, str]]:
+    """Ask one instance of each zone, the next one of the zone if it does not answer.
+
+    Returns
+    -------
+    tuple
+        Replies, and the error of each instance that did not answer.
+    """
+    errors: dict[str, str] = {}
+
+    async def ask_zone(zone: str) -> StatusReply | None:
+        for address in instances:
+            if address["zone"] != zone:
+                continue
+            body = await fetch(address, "/ops/v1/status")
+            if not isinstance(body, Success):
+                errors[address["instance"]] = body.failure()
+                continue
+            decoded = decode(body.unwrap(), StatusReply, MAX_REPLY_BYTES)
+            if isinstance(decoded, Success):
+                reply: StatusReply = decoded.unwrap()
+                return reply
+            errors[address["instance"]] = decoded.failure().message
+        return None
+
+    zones = sorted({address["zone"] for address in instances})
+    replies = await asyncio.gather(*(ask_zone(zone) for zone in zones))
+    return [reply for reply in replies if reply is not None], errors
+
+
+def merge_statuses(replies: list[StatusReply]) -> dict[str, MemberStatus]:
+    """Return each instance as the one that heard it last sees it; its own word comes first."""
+    merged: dict[str, MemberStatus] = {}
+    for reply in replies:
+        own = MemberStatus(
+            instance=reply["instance"],
+            zone=reply["zone"],
+            revision=reply["revision"],
+            digest=reply["digest"],
+            phase=reply["phase"],
+            heard_ago_ms=0.0,
+        )
+        for member in [own, *reply["members"]]:
+            known = merged.get(member["instance"])
+            if known is None or member["heard_ago_ms"] < known["heard_ago_ms"]:
+                merged[member["instance"]] = member
+    return dict(sorted(merged.items()))
+
+
+def find_lags(
+    members: Mapping[str, MemberStatus],
+    instances: list[InstanceAddress],
+    errors: Mapping[str, str],
+    revision: int,
+    digest: str,
+) -> list[Lag]:
+    """Tell which instances do not have a bundle, and why.
+
+    Parameters
+    ----------
+    members : Mapping
+        Merged status by instance.
+    instances : list of InstanceAddress
+        Those of the settings.
+    errors : Mapping
+        Errors of those that did not answer.
+    revision : int
+        The wanted revision.
+    digest : str
+        Its envelope digest, empty if it is not known.
+    """
+    lags = []
+    for name, member in members.items():
+        silent = member["heard_ago_ms"] > SILENT_MS
+        if member["revision"] > revision:
+            continue
+        if member["revision"] == revision and digest in ("", member["digest"]):
+            continue
+        held = f"has revision {member['revision']}" if member["revision"] else "has no bundle"
+        if member["revision"] == revision:
+            held = f"has revision {revision} with another digest"
+        if silent:
+            held += f", not heard for {member['heard_ago_ms'] / 1000:.0f} s"
+        elif member["phase"] != "ready":
+            held += f", is {member['phase']}"
+        lags.append(Lag(name, member["zone"], held, silent))
+    for address in instances:
+        if address["instance"] not in members:
+            reason = errors.get(address["instance"], "unknown to the instances that answered")
+            lags.append(Lag(address["instance"], address["zone"], reason, True))
+    return lags
+
+
+def zones_without(
+    members: Mapping[str, MemberStatus], instances: list[InstanceAddress], revision: int
+) -> list[str]:
+    """Return zones in which no instance that is heard has the revision or a later one."""
+    zones = {a["zone"] for a in instances} | {m["zone"] for m in members.values()}
+    having = {
+        member["zone"]
+        for member in members.values()
+        if member["revision"] >= revision and member["heard_ago_ms"] <= SILENT_MS
+    }
+    return sorted(zones - having)
+
+
+def status_outcome(
+    members: Mapping[str, MemberStatus],
+    lags: list[Lag],
+    head: tuple[int, str] | None,
+    wanted: int,
+) -> Outcome:
+    """Return the table of revisions per zone and instance."""
+    zones: dict[str, dict[str, int]] = {}
+    for name, member in members.items():
+        zones.setdefault(member["zone"], {})[name] = member["revision"]
+    data: dict[str, Any] = {
+        "head": {"revision": head[0], "digest": head[1]} if head else None,
+        "wanted_revision": wanted,
+        "zones": dict(sorted(zones.items())),
+        "members": list(members.values()),
+        "lags": [lag._asdict() for lag in lags],
+    }
+    lines = [f"head: revision {head[0]}" if head else "head: not known"]
+    for zone, revisions in sorted(zones.items()):
+        listed = ", ".join(f"{name} {revision}" for name, revision in sorted(revisions.items()))
+        lines.append(f"zone {zone}: {listed}")
+    lines += [f"lags: {lag.instance} ({lag.zone}): {lag.reason}" for lag in lags]
+    if not members:
+        return Outcome(ExitCode.UNREACHABLE, "no instance answered", data)
+    return Outcome(ExitCode.OK, "\n".join(lines), data)
--- a/packages/wisteriarock/src/wisteriarock/bundle/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/bundle/controller.py
@@ -276,7 +276,10 @@
         if settings.bundle_path is None:
             return
         await sleep(FILE_WAIT_MS / 1000)
-        if board.bundle is not None or progress.state is not BundleState.NONE:
+        # A fetch may be under way; if it fails, the file is used after it.
+        while board.bundle is None and progress.state is not BundleState.NONE:
+            await sleep(tunables.heartbeat_interval_ms / 1000)
+        if board.bundle is not None:
             return
         read = read_bundle_file(settings.bundle_path, settings.operator_keys)
         if not isinstance(read, Success):
--- a/packages/wisteriarock/src/wisteriarock/bundle/diff.py
+++ b/packages/wisteriarock/src/wisteriarock/bundle/diff.py
@@ -23,9 +23,8 @@
     warnings: tuple[str, ...]
 
 
-def _short(value: Any) -> str:
-    text = str(value)
-    return text if len(text) <= 60 else text[:57] + "..."
+def _short(names: str) -> str:
+    return names if len(names) <= 60 else names[:57] + "..."
 
 
 def _changes(old: Any, new: Any, path: str) -> Iterator[str]:
@@ -33,11 +32,16 @@
         for name in sorted(old.keys() | new.keys()):
             here = f"{path}.{name}" if path else name
             if name not in new:
-                yield f"- {here}: {_short(old[name])}"
-            elif name not in old:
-                yield f"+ {here}: {_short(new[name])}"
-            else:
+                yield f"- {here}" if isinstance(old[name], dict) else f"- {here}: {old[name]}"
+            elif name in old:
                 yield from _changes(old[name], new[name], here)
+            elif isinstance(new[name], dict) and new[name]:
+                # Each field of an added object: the approver signs all of them.
+                yield from _changes({}, new[name], here)
+            elif name == "credential_sha256":
+                yield f"+ {here}: set"
+            else:
+                yield f"+ {here}: {new[name]}"
         return
     if old == new:
         return
@@ -49,7 +53,7 @@
         if sorted(old) == sorted(new):
             yield f"~ {path}: another order"
     else:
-        yield f"~ {path}: {_short(old)} -> {_short(new)}"
+        yield f"~ {path}: {old} -> {new}"
 
 
 def _held_shards(content: BundleContent) -> dict[str, set[str]]:
--- a/packages/wisteriarock/src/wisteriarock/bundle/verify.py
+++ b/packages/wisteriarock/src/wisteriarock/bundle/verify.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from wisteriarock.codec.decode import decode
@@ -10,14 +9,14 @@
 from .checks import check_content
 from .const import MAX_BODY_BYTES
 from .models import ActiveBundle, BundleFault, BundleRefusal, Envelope, RawBundle, SignedBundle
-from .signing import content_digest, envelope_digest, verify_envelope
+from .signing import canonical_bytes, content_digest, envelope_digest, verify_envelope
 
 _SHOWN_ERRORS = 3
 
 
 def encode_body(bundle: SignedBundle) -> bytes:
-    """Return the JSON text of an envelope and its content."""
-    return msgspec.json.encode(bundle)
+    """Return the JSON text of an envelope and its content, the same for the same bundle."""
+    return canonical_bytes(bundle)
 
 
 def join_body(envelope_text: str, content_text: str) -> bytes:
--- /dev/null
+++ b/tests/bundle_samples.py
@@ -0,0 +1,122 @@
+"""Sample contents, operators and settings that tests of bundles share."""
+
+import copy
+import random
+from typing import Any
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from wisteriarock.bundle.checks import check_content
+from wisteriarock.bundle.models import BundleContent, SignedBundle
+from wisteriarock.bundle.signing import envelope_digest, public_key_text, signed_bundle
+from wisteriarock.settings.load import check_settings
+from wisteriarock.settings.models import Settings
+
+KEYS = {
+    name: Ed25519PrivateKey.from_private_bytes(name.encode().ljust(32, b"."))
+    for name in ("ann", "bob", "cy")
+}
+OPERATOR_KEYS = {name: public_key_text(key) for name, key in KEYS.items()}
+
+_CONTENT: dict[str, Any] = {
+    "format": 1,
+    "organisations": ["cascade"],
+    "callers": {
+        "mill": {
+            "organisation": "cascade",
+            "credential_sha256": "a" * 64,
+            "kinds": ["find", "book"],
+            "shards": ["mill-01"],
+            "cost_per_s": 10,
+            "cost_burst": 20,
+        }
+    },
+    "kinds": {
+        "find": {
+            "cost_per_leg": 1,
+            "deadline_max_ms": 1000,
+            "coverage": "early",
+            "priority": "normal",
+            "idempotent": True,
+            "hedge": True,
+            "early_after_ms": 50,
+            "early_min_coverage": 0.9,
+        },
+        "book": {
+            "cost_per_leg": 1,
+            "deadline_max_ms": 1000,
+            "coverage": "wait_all",
+            "priority": "urgent",
+            "idempotent": False,
+            "hedge": False,
+        },
+    },
+    "services": {
+        "sorting": {
+            "shards": ["mill-01", "mill-02"],
+            "endpoints": {
+                f"sorting-{n}": {
+                    "zone": zone,
+                    "host": "127.0.0.1",
+                    "port": 9000 + n,
+                    "slots": 2,
+                    "connection_cap": 25,
+                    "connect_cost_ms": 6,
+                }
+                for n, zone in enumerate(("north", "east"))
+            },
+        }
+    },
+    "budgets": {"extra_legs_per_100": 5, "extra_legs_burst": 20},
+}
+
+
+def raw_content() -> dict[str, Any]:
+    """Return a valid content as a JSON decoder gives it, for a test to alter."""
+    return copy.deepcopy(_CONTENT)
+
+
+def sample_content(cost_per_s: float = 10) -> BundleContent:
+    """Return a checked content; another cost gives another content."""
+    raw = raw_content()
+    raw["callers"]["mill"]["cost_per_s"] = cost_per_s
+    return check_content(raw).unwrap()
+
+
+def sample_chain(length: int) -> list[SignedBundle]:
+    """Return approved bundles with revisions from 1 on, each on top of the one before."""
+    chain: list[SignedBundle] = []
+    for revision in range(1, length + 1):
+        previous = envelope_digest(chain[-1]["envelope"]) if chain else ""
+        content = sample_content(revision)
+        chain.append(
+            signed_bundle(content, revision, previous, "ann", KEYS["ann"], "bob", KEYS["bob"])
+        )
+    return chain
+
+
+def sample_settings(instance: str = "e1", **changes: Any) -> Settings:
+    """Return settings of an entry instance in zone north with peers e1 to e3."""
+    raw = {
+        "instance": instance,
+        "zone": "north",
+        "public_host": "127.0.0.1",
+        "public_port": 1,
+        "internal_host": "127.0.0.1",
+        "internal_port": 2,
+        "peers": [
+            {"instance": name, "zone": "north", "host": "127.0.0.1", "port": 3}
+            for name in ("e1", "e2", "e3")
+            if name != instance
+        ],
+        "peer_keys": [{"key_id": "k", "secret": "0123456789abcdef"}],
+        "operator_token": "token",
+        "operator_keys": OPERATOR_KEYS,
+        "platform_url": "http://127.0.0.1:1",
+        **changes,
+    }
+    return check_settings(raw).unwrap()
+
+
+def seeded() -> random.Random:
+    """Return a random source that is the same in every run."""
+    return random.Random(7)
--- /dev/null
+++ b/tests/platform_fake.py
@@ -0,0 +1,109 @@
+"""An in-memory platform with lost replies, late writes and outages."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from returns.result import Failure, Result, Success
+from wisteriarock.platform.client import PlatformClient
+from wisteriarock.platform.models import KeyValue, PlatformError
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+class Fault(StrEnum):
+    """What happens to a call.
+
+    `LATE` is a write whose reply is lost and that takes effect when `apply_late` is called.
+    """
+
+    NONE = "none"
+    DOWN = "down"
+    LOST_REQUEST = "lost_request"
+    LOST_REPLY = "lost_reply"
+    LATE = "late"
+
+
+@dataclass
+class FakePlatform:
+    """Values and faults; `faults` are used up by the calls in turn, `down` holds until changed."""
+
+    values: dict[str, KeyValue] = field(default_factory=dict)
+    faults: list[Fault] = field(default_factory=list)
+    late: list[Callable[[], Any]] = field(default_factory=list)
+    down: bool = False
+    writes: list[str] = field(default_factory=list)
+    reads: list[str] = field(default_factory=list)
+    before_write: Callable[[str], None] | None = None
+
+    def apply_late(self) -> None:
+        """Let the delayed writes take effect."""
+        while self.late:
+            self.late.pop(0)()
+
+
+def _next_fault(fake: FakePlatform) -> Fault:
+    if fake.down:
+        return Fault.DOWN
+    return fake.faults.pop(0) if fake.faults else Fault.NONE
+
+
+def _compare_and_swap(
+    fake: FakePlatform, key: str, value: str, expected_revision: int
+) -> Result[int, PlatformError]:
+    found = fake.values.get(key)
+    if (found.revision if found else 0) != expected_revision:
+        return Failure(PlatformError.CONFLICT)
+    fake.writes.append(key)
+    fake.values[key] = KeyValue(value, expected_revision + 1)
+    return Success(expected_revision + 1)
+
+
+def fake_client(fake: FakePlatform, sleep: Sleep = asyncio.sleep) -> PlatformClient:
+    """Return a client whose calls yield to the loop once and act on the fake.
+
+    A watch that sees no change sleeps for its waiting time and looks once more.
+    """
+
+    async def get(key: str) -> Result[KeyValue, PlatformError]:
+        await asyncio.sleep(0)
+        fake.reads.append(key)
+        if _next_fault(fake) is not Fault.NONE:
+            return Failure(PlatformError.UNAVAILABLE)
+        found = fake.values.get(key)
+        return Success(found) if found else Failure(PlatformError.NOT_FOUND)
+
+    async def watch(key: str, after_revision: int, wait_ms: int) -> Result[KeyValue, PlatformError]:
+        found = await get(key)
+        if isinstance(found, Success) and found.unwrap().revision <= after_revision:
+            await sleep(wait_ms / 1000)
+            found = await get(key)
+        if isinstance(found, Success) and found.unwrap().revision <= after_revision:
+            return Failure(PlatformError.NO_CHANGE)
+        return found
+
+    async def put(
+        key: str, value: str, expected_revision: int, lease_id: str | None = None
+    ) -> Result[int, PlatformError]:
+        await asyncio.sleep(0)
+        if fake.before_write is not None:
+            fake.before_write(key)
+        fault = _next_fault(fake)
+        if fault is Fault.DOWN:
+            return Failure(PlatformError.UNAVAILABLE)
+        if fault is Fault.LATE:
+            fake.late.append(lambda: _compare_and_swap(fake, key, value, expected_revision))
+        if fault in (Fault.LOST_REQUEST, Fault.LATE):
+            return Failure(PlatformError.UNKNOWN)
+        result = _compare_and_swap(fake, key, value, expected_revision)
+        return Failure(PlatformError.UNKNOWN) if fault is Fault.LOST_REPLY else result
+
+    async def unused(*_: Any) -> Any:
+        raise NotImplementedError
+
+    async def close() -> None:
+        return None
+
+    return PlatformClient(get, watch, put, unused, unused, unused, unused, close)
--- /dev/null
+++ b/tests/wisteriarock/bundle/test_signing.py
@@ -0,0 +1,134 @@
+"""Tests of digests and signatures."""
+
+from collections.abc import Mapping
+from typing import Any, cast
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+from wisteriarock.bundle.checks import check_content
+from wisteriarock.bundle.models import BundleFault, Envelope, SignatureError
+from wisteriarock.bundle.signing import (
+    content_digest,
+    draft_envelope,
+    private_key_from_pem,
+    private_key_to_pem,
+    public_key_text,
+    sign_envelope,
+    signed_statement,
+    verify_envelope,
+)
+from wisteriarock.bundle.verify import encode_body, verify_body
+
+from tests.bundle_samples import KEYS, OPERATOR_KEYS, raw_content, sample_chain, sample_content
+from tests.common import function_suite
+
+
+def _error(envelope: Envelope, keys: Mapping[str, str] = OPERATOR_KEYS) -> SignatureError:
+    result = verify_envelope(envelope, keys)
+    assert isinstance(result, Failure), result
+    return result.failure()
+
+
+def test_digest_depends_on_values_and_not_on_their_order_or_notation() -> None:
+    """Guards against operators and instances that compute other digests of one content."""
+    raw = raw_content()
+    turned = dict(reversed(raw.items()))
+    turned["callers"] = {"mill": dict(reversed(raw["callers"]["mill"].items()))}
+    turned["callers"]["mill"]["cost_per_s"] = 10.0
+    digest = content_digest(check_content(raw).unwrap())
+    assert content_digest(check_content(turned).unwrap()) == digest
+    assert content_digest(sample_content(11)) != digest
+
+
+def test_only_two_different_known_operators_are_accepted() -> None:
+    """Guards against content in force that a second operator has not approved."""
+    good = sample_chain(1)[0]["envelope"]
+    assert isinstance(verify_envelope(good, OPERATOR_KEYS), Success)
+    draft = draft_envelope(1, good["content_digest"], "", "ann", "bob")
+    half = sign_envelope(draft, "ann", KEYS["ann"])
+    assert _error(draft) is SignatureError.UNSIGNED
+    assert _error(half) is SignatureError.HALF_SIGNED
+    only_approver = sign_envelope(draft, "bob", KEYS["bob"])
+    assert _error(only_approver) is SignatureError.HALF_SIGNED
+    wrong_key = sign_envelope(half, "bob", KEYS["cy"])
+    assert _error(wrong_key) is SignatureError.INVALID_SIGNATURE
+    same: Envelope = {**half, "approver": "ann", "approver_signature": half["proposer_signature"]}
+    assert _error(same) is SignatureError.SELF_APPROVED
+    one_person = {**OPERATOR_KEYS, "bob": OPERATOR_KEYS["ann"]}
+    assert _error(good, one_person) is SignatureError.SELF_APPROVED
+    assert _error(good, {"ann": OPERATOR_KEYS["ann"]}) is SignatureError.UNKNOWN_OPERATOR
+    swapped: Envelope = {
+        **good,
+        "proposer_signature": good["approver_signature"],
+        "approver_signature": good["proposer_signature"],
+    }
+    assert _error(swapped) is SignatureError.INVALID_SIGNATURE
+
+
+def test_every_altered_field_is_refused() -> None:
+    """Guards against a signature that does not cover a field."""
+    good = sample_chain(2)[1]["envelope"]
+    changes: dict[str, Any] = {
+        "revision": 3,
+        "content_digest": "0" * 64,
+        "previous_digest": "0" * 64,
+        "proposer": "cy",
+        "approver": "cy",
+        "proposer_signature": good["approver_signature"],
+        "approver_signature": "",
+    }
+    assert changes.keys() == good.keys()
+    for name, value in changes.items():
+        _error(cast(Envelope, {**good, name: value}))
+    # The same signature bytes in another base64 text would give a second envelope digest.
+    text = good["approver_signature"]
+    twin = text[:-3] + chr(ord(text[-3]) + 1) + "=="
+    assert _error({**good, "approver_signature": twin}) is SignatureError.INVALID_SIGNATURE
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.tuples(st.integers(1, 99), *[st.text('ab1,:[]"', max_size=4)] * 4), st.data())
+def _statements_differ(fields: tuple[Any, ...], data: st.DataObject) -> None:
+    other = data.draw(st.permutations(fields[1:]).map(lambda texts: (fields[0], *texts)))
+    one, two = signed_statement(draft_envelope(*fields)), signed_statement(draft_envelope(*other))
+    assert (one == two) == (fields == other)
+
+
+def test_no_two_envelopes_share_a_statement() -> None:
+    """Guards against fields that run into each other in the signed bytes."""
+    _statements_differ()
+
+
+def test_body_is_refused_unless_all_its_parts_belong_together() -> None:
+    """Guards against a peer or platform that delivers another content than the signed one."""
+    first, second = sample_chain(2)
+    good = encode_body(first)
+    bundle = verify_body(good, OPERATOR_KEYS, None).unwrap()
+    assert (bundle.revision, bundle.content) == (1, first["content"])
+    mixed = encode_body({"envelope": first["envelope"], "content": second["content"]})
+    bad = encode_body(first).replace(b'"cost_burst":20.0', b'"cost_burst":0.0')
+    cases = [
+        (mixed, None, BundleFault.WRONG_BODY),
+        (good, "0" * 64, BundleFault.WRONG_BODY),
+        (good[:-1], None, BundleFault.WRONG_BODY),
+        (b"[]", None, BundleFault.WRONG_BODY),
+        (bad, None, BundleFault.CONTENT),
+        (good.replace(b'"approver_signature":"', b'"approver_signature":"A'), None, "signature"),
+    ]
+    for body, digest, fault in cases:
+        result = verify_body(body, OPERATOR_KEYS, digest)
+        assert isinstance(result, Failure)
+        assert result.failure().fault == fault, result
+
+
+def test_keys_survive_their_text_forms_and_errors_show_nothing() -> None:
+    """Guards against key files that cannot be read back and errors that leak them."""
+    pem = private_key_to_pem(KEYS["ann"])
+    assert public_key_text(private_key_from_pem(pem).unwrap()) == OPERATOR_KEYS["ann"]
+    broken = private_key_from_pem(pem.replace(b"MC4", b"MC5"))
+    assert isinstance(broken, Failure)
+    assert broken.failure() is SignatureError.INVALID_KEY
+
+
+load_tests = function_suite(globals())
