--- /dev/null
+++ b/tests/wisteriarock/platform/test_client.py
@@ -0,0 +1,260 @@
+"""Tests of the platform client against a scripted server on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+from wisteriarock.observability.metrics import Metrics, create_metrics
+from wisteriarock.platform.client import PlatformClient, create_platform_client
+from wisteriarock.platform.models import KeyValue, PlatformError
+
+from tests.bundle_samples import seeded
+from tests.common import function_suite
+
+CLOSE = b""
+
+
+@dataclass
+class Script:
+    """Replies to give in turn (`CLOSE` closes without one) and the requests that came.
+
+    A reply is sent once `gate` is set; `held` tells that one waits for that. `connections` counts
+    those that were accepted.
+    """
+
+    replies: list[bytes]
+    requests: list[tuple[str, str, Any]] = field(default_factory=list)
+    gate: asyncio.Event = field(default_factory=asyncio.Event)
+    held: asyncio.Event = field(default_factory=asyncio.Event)
+    connections: int = 0
+
+
+@dataclass
+class Served:
+    """A client and what is around it; `time_ms` is the client's clock."""
+
+    client: PlatformClient
+    script: Script
+    metrics: Metrics
+    time_ms: list[float]
+
+
+def reply(status: int, body: Any = None) -> bytes:
+    """Return an HTTP reply with a JSON body."""
+    encoded = b"" if body is None else msgspec.json.encode(body)
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(encoded), encoded)
+
+
+async def _serve(
+    script: Script, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    script.connections += 1
+    try:
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            length = 0
+            for line in head.split("\r\n"):
+                if line.lower().startswith("content-length:"):
+                    length = int(line.split(":")[1])
+            body = await reader.readexactly(length)
+            method, path, _ = head.split(" ", 2)
+            script.requests.append((method, path, msgspec.json.decode(body) if body else None))
+            answer = script.replies.pop(0)
+            if not script.gate.is_set():
+                script.held.set()
+            await script.gate.wait()
+            if answer == CLOSE:
+                return
+            writer.write(answer)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return
+    finally:
+        writer.close()
+
+
+@asynccontextmanager
+async def served(
+    *replies: bytes, timeout_ms: float = 5_000, calls_per_s: float = 1_000
+) -> AsyncIterator[Served]:
+    """Run a scripted server and a client of it whose clock a test moves."""
+    script = Script(list(replies))
+    script.gate.set()
+    handlers: set[asyncio.Task[None]] = set()
+
+    def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        handlers.add(asyncio.create_task(_serve(script, reader, writer)))
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    metrics, time_ms = create_metrics(), [0.0]
+    client = create_platform_client(
+        f"http://127.0.0.1:{port}", timeout_ms, calls_per_s, metrics, lambda: time_ms[0], seeded()
+    )
+    try:
+        yield Served(client, script, metrics, time_ms)
+    finally:
+        await client.close()
+        server.close()
+        for task in handlers:
+            task.cancel()
+        await asyncio.gather(*handlers, return_exceptions=True)
+
+
+def _error(result: Result[Any, PlatformError]) -> PlatformError:
+    assert isinstance(result, Failure), result
+    return result.failure()
+
+
+async def test_calls_follow_the_wire_format() -> None:
+    """Guards against paths, bodies and replies that differ from section 5.3 of the design."""
+    listed = {"instances": [], "as_of_ms": 5.0}
+    async with served(
+        reply(200, {"value": "v", "revision": 3}),
+        reply(200, {"value": "w", "revision": 4}),
+        reply(200, {"revision": 5}),
+        reply(200, {"revision": 6}),
+        reply(200, {"lease_id": "l1"}),
+        reply(200, {}),
+        reply(200, listed),
+    ) as run:
+        client = run.client
+        assert (await client.get("a/b c")).unwrap() == KeyValue("v", 3)
+        assert (await client.watch("a", 3, 50)).unwrap() == KeyValue("w", 4)
+        assert (await client.put("a", "x", 4, "l1")).unwrap() == 5
+        assert isinstance(await client.delete("a", 5), Success)
+        assert (await client.create_lease(900)).unwrap() == "l1"
+        assert isinstance(await client.renew_lease("l1"), Success)
+        assert (await client.instances()).unwrap() == listed
+        assert run.script.requests == [
+            ("GET", "/v1/kv/a/b%20c", None),
+            ("GET", "/v1/kv/a?after_revision=3&wait_ms=50", None),
+            ("PUT", "/v1/kv/a", {"value": "x", "expected_revision": 4, "lease_id": "l1"}),
+            ("DELETE", "/v1/kv/a", {"expected_revision": 5}),
+            ("POST", "/v1/leases", {"ttl_ms": 900}),
+            ("POST", "/v1/leases/l1/renew", {}),
+            ("GET", "/v1/instances", None),
+        ]
+
+
+async def test_each_answer_has_its_error() -> None:
+    """Guards against a write that is reported as not done although it may have been."""
+    cases: list[tuple[bytes, PlatformError, PlatformError]] = [
+        (reply(404), PlatformError.NOT_FOUND, PlatformError.NOT_FOUND),
+        (reply(409, {"revision": 1}), PlatformError.CONFLICT, PlatformError.CONFLICT),
+        (reply(429), PlatformError.OVER_RATE, PlatformError.OVER_RATE),
+        (reply(503), PlatformError.UNAVAILABLE, PlatformError.UNAVAILABLE),
+        (reply(500), PlatformError.UNAVAILABLE, PlatformError.UNKNOWN),
+        (reply(200, {"other": 1}), PlatformError.UNAVAILABLE, PlatformError.UNKNOWN),
+        (b"HTTP/1.1 200 X\r\n\r\n", PlatformError.UNAVAILABLE, PlatformError.UNKNOWN),
+        (b"nonsense\r\n\r\n", PlatformError.UNAVAILABLE, PlatformError.UNKNOWN),
+        (CLOSE, PlatformError.UNAVAILABLE, PlatformError.UNKNOWN),
+    ]
+    for answer, read_error, write_error in cases:
+        async with served(answer, answer) as run:
+            assert _error(await run.client.get("a")) is read_error, answer
+            run.time_ms[0] += 60_000
+            assert _error(await run.client.put("a", "x", 0)) is write_error, answer
+    async with served(reply(204)) as run:
+        assert _error(await run.client.watch("a", 1, 10)) is PlatformError.NO_CHANGE
+
+
+async def test_nothing_is_written_when_the_connection_is_refused() -> None:
+    """Guards against an unknown result where it is certain that nothing ran."""
+    async with served() as run:
+        pass
+    assert _error(await run.client.put("a", "x", 0)) is PlatformError.UNAVAILABLE
+
+
+async def test_a_write_with_a_lost_reply_is_not_sent_again() -> None:
+    """Guards against aiosonic's own repeat of PUT and DELETE after a dropped connection."""
+    ok = reply(200, {"value": "v", "revision": 1})
+    async with served(ok, CLOSE, reply(200, {"revision": 2}), CLOSE) as run:
+        # The read leaves a connection that a write must not use.
+        assert isinstance(await run.client.get("a"), Success)
+        assert _error(await run.client.put("a", "x", 1)) is PlatformError.UNKNOWN
+        run.time_ms[0] += 60_000
+        assert len(run.script.requests) == 2
+        assert isinstance(await run.client.put("a", "x", 1), Success)
+        assert _error(await run.client.delete("a", 2)) is PlatformError.UNKNOWN
+        assert len(run.script.requests) == 4
+
+
+async def test_a_late_reply_is_not_given_to_the_next_call() -> None:
+    """Guards against a reused connection that still carries the reply to an earlier call."""
+    late = reply(200, {"value": "late", "revision": 1})
+    fresh = reply(200, {"value": "fresh", "revision": 2})
+    first = reply(200, {"value": "first", "revision": 1})
+    async with served(first, late, fresh, timeout_ms=100) as run:
+        assert isinstance(await run.client.get("a"), Success)
+        run.script.gate.clear()
+        assert _error(await run.client.get("a")) is PlatformError.UNAVAILABLE
+        run.time_ms[0] += 60_000
+        run.script.gate.set()
+        assert (await run.client.get("b")).unwrap().value == "fresh"
+
+
+async def test_a_cancelled_call_leaves_no_connection_behind() -> None:
+    """Guards against the same mismatch after the caller, not a time-out, ended the call."""
+    first = reply(200, {"value": "first", "revision": 1})
+    fresh = reply(200, {"value": "fresh", "revision": 2})
+    async with served(first, first, fresh) as run:
+        await run.client.get("a")
+        run.script.gate.clear()
+        task = asyncio.create_task(run.client.get("a"))
+        await run.script.held.wait()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        run.script.gate.set()
+        assert (await run.client.get("b")).unwrap().value == "fresh"
+
+
+async def test_reads_share_connections() -> None:
+    """Guards against a new connection for each call of a long poll."""
+    ok = reply(200, {"value": "v", "revision": 1})
+    async with served(*[ok] * 6) as run:
+        for _ in range(6):
+            assert isinstance(await run.client.get("a"), Success)
+        assert run.script.connections == 1
+
+
+def _calls(metrics: Metrics, operation: str, result: str) -> float:
+    labels = {"operation": operation, "result": result}
+    return metrics.registry.get_sample_value("wisteriarock_platform_calls_total", labels) or 0.0
+
+
+async def test_calls_beyond_the_budget_are_held_back_and_counted() -> None:
+    """Guards against an instance that uses up the rate limits of the platform."""
+    ok = reply(200, {"value": "v", "revision": 1})
+    async with served(*[ok] * 7, calls_per_s=1) as run:
+        results = [await run.client.get("a") for _ in range(8)]
+        assert [isinstance(result, Success) for result in results] == [True] * 5 + [False] * 3
+        assert _error(results[-1]) is PlatformError.OVER_RATE
+        assert len(run.script.requests) == 5
+        assert _calls(run.metrics, "get", "ok") == 5
+        assert _calls(run.metrics, "get", "held_back") == 3
+        run.time_ms[0] += 1_000
+        assert isinstance(await run.client.get("a"), Success)
+
+
+async def test_failures_hold_back_the_next_calls_for_a_growing_time() -> None:
+    """Guards against instances that keep an overloaded platform down."""
+    async with served(*[reply(503)] * 10, reply(200, {"value": "v", "revision": 1})) as run:
+        gaps = []
+        for _ in range(10):
+            before, started_ms = len(run.script.requests), run.time_ms[0]
+            while len(run.script.requests) == before:
+                run.time_ms[0] += 5
+                await run.client.get("a")
+            gaps.append(run.time_ms[0] - started_ms)
+        assert gaps[0] == 5
+        assert 25 <= gaps[1] <= 60
+        assert 1_000 <= max(gaps) <= 2_010
+        run.time_ms[0] += 2_000
+        assert isinstance(await run.client.get("a"), Success)
+
+
+load_tests = function_suite(globals())
