--- a/packages/wisteriarock/src/wisteriarock/query/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/query/decide.py
@@ -30,8 +30,8 @@
 )
 from .hedging import (
     earn_budget,
-    hedge_delay_ms,
     is_slow_service,
+    latency_of,
     note_overdue,
     record_latency,
     take_extra,
@@ -200,14 +200,14 @@
     for shard, plan in pinned.shards.items():
         state.shard_open[shard] = len(plan)
         for partition, replicas in plan:
-            slot = Slot(shard, partition, endpoints[replicas[0]].service)
-            slots.append(slot)
             chosen = choose(tier.routing, state.routes, replicas, now_ms, tier.rng)
+            service = endpoints[chosen or replicas[0]].service
+            slot = Slot(shard, partition, latency_of(tier.hedging, service))
+            slots.append(slot)
             if chosen is None:
                 slot.reason = LegOutcome.DRAINING.value
                 _pause(state, slot, now_ms, actions)
             else:
-                slot.service = endpoints[chosen].service
                 _send(tier, state, slot, chosen, ROLE_PRIMARY, now_ms, actions)
     state.unresolved = len(slots)
 
@@ -232,23 +232,23 @@
     counted = role, state.routes.endpoints[endpoint].zone != tier.routing.own_zone
     state.leg_counts[counted] = state.leg_counts.get(counted, 0) + 1
     shard, part, parts = slot.partition
-    sent = LegRequest(
-        leg_id=leg_id,
-        request_id=request.request_id,
-        endpoint=endpoint,
-        kind=request.kind,
-        priority=state.kind["priority"],
-        shard=shard,
-        part=part,
-        parts=parts,
-        snapshot=state.snapshot if state.snapshot is not None else -1,
-        deadline_ms=request.deadline_at_ms - now_ms,
-        idempotent=state.idempotent,
-        params=request.params,
-    )
+    sent: LegRequest = {
+        "leg_id": leg_id,
+        "request_id": request.request_id,
+        "endpoint": endpoint,
+        "kind": request.kind,
+        "priority": state.kind["priority"],
+        "shard": shard,
+        "part": part,
+        "parts": parts,
+        "snapshot": state.snapshot if state.snapshot is not None else -1,
+        "deadline_ms": request.deadline_at_ms - now_ms,
+        "idempotent": state.idempotent,
+        "params": request.params,
+    }
     actions.append(SendLeg(sent, role))
     if state.idempotent and state.kind["hedge"]:
-        _wake(state, slot, now_ms + hedge_delay_ms(tier.hedging, slot.service), actions)
+        _wake(state, slot, now_ms + slot.latency.delay_ms, actions)
     else:
         slot.due_at_ms = NEVER_MS
 
@@ -282,9 +282,9 @@
     """Learn from the time that a primary leg took, or had taken when it was cancelled."""
     if not slot.counted_overdue:
         slot.counted_overdue = True
-        overdue = elapsed_ms > hedge_delay_ms(tier.hedging, slot.service)
-        note_overdue(tier.hedging, slot.service, overdue)
-    record_latency(tier.hedging, slot.service, elapsed_ms)
+        overdue = elapsed_ms > slot.latency.delay_ms
+        note_overdue(slot.latency, overdue)
+    record_latency(tier.hedging, slot.latency, elapsed_ms)
 
 
 def _cancel_losers(
@@ -322,12 +322,12 @@
     hedging = tier.hedging
     if not slot.counted_overdue:
         slot.counted_overdue = True
-        note_overdue(hedging, slot.service, True)
+        note_overdue(slot.latency, True)
     if slot.hedges >= MAX_HEDGES:
         slot.due_at_ms = NEVER_MS
         return
-    again_at_ms = now_ms + hedge_delay_ms(hedging, slot.service)
-    if is_slow_service(hedging, slot.service):
+    again_at_ms = now_ms + slot.latency.delay_ms
+    if is_slow_service(slot.latency):
         _wake(state, slot, again_at_ms, actions)
         return
     able = [
--- a/packages/wisteriarock/src/wisteriarock/query/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/query/diagnostics.py
@@ -2,7 +2,6 @@
 
 from typing import Any
 
-from .hedging import hedge_delay_ms
 from .state import Tier
 
 
@@ -19,7 +18,7 @@
         "services": {
             name: {
                 "samples": latency.samples,
-                "hedge_delay_ms": round(hedge_delay_ms(hedging, name), 2),
+                "hedge_delay_ms": round(latency.delay_ms, 2),
                 "overdue_share": round(latency.overdue_share, 3),
             }
             for name, latency in hedging.services.items()
--- a/packages/wisteriarock/src/wisteriarock/query/hedging.py
+++ b/packages/wisteriarock/src/wisteriarock/query/hedging.py
@@ -31,16 +31,16 @@
         Decaying histogram with logarithmic buckets.
     samples : int
         Samples seen since the start.
-    quantile_ms : float
-        The quantile at the last calculation.
+    delay_ms : float
+        How long a leg may take before it is hedged, as of the last calculation.
     overdue_share : float
         Moving share of primary legs that were not answered within the hedge delay.
     """
 
+    delay_ms: float
     counts: list[float] = field(default_factory=lambda: [0.0] * BUCKET_COUNT)
     weight: float = 0.0
     samples: int = 0
-    quantile_ms: float = 0.0
     overdue_share: float = 0.0
 
 
@@ -64,7 +64,7 @@
     """Return the latency of a service, created at first use."""
     found = state.services.get(service)
     if found is None:
-        found = state.services[service] = ServiceLatency()
+        found = state.services[service] = ServiceLatency(max(state.min_ms, state.initial_ms))
     return found
 
 
@@ -78,12 +78,11 @@
     return 0.0
 
 
-def record_latency(state: HedgeState, service: str, elapsed_ms: float) -> None:
+def record_latency(state: HedgeState, latency: ServiceLatency, elapsed_ms: float) -> None:
     """Add the time that a primary leg took, or had taken when it was cancelled as the loser.
 
     A loser counts with its time so far: leaving it out would hide exactly the stragglers.
     """
-    latency = latency_of(state, service)
     position = 0
     if elapsed_ms > BUCKET_LOW_MS:
         position = min(BUCKET_COUNT - 1, int((math.log(elapsed_ms) - _LOG_LOW) / _LOG_GROWTH))
@@ -93,27 +92,19 @@
     if latency.weight >= HISTOGRAM_MAX_WEIGHT:
         latency.counts = [count / 2 for count in latency.counts]
         latency.weight /= 2
-    if latency.samples % QUANTILE_EVERY == 0 or latency.samples == HEDGE_MIN_SAMPLES:
-        latency.quantile_ms = _quantile_ms(latency, state.quantile)
+    seen = latency.samples
+    if seen == HEDGE_MIN_SAMPLES or (seen > HEDGE_MIN_SAMPLES and seen % QUANTILE_EVERY == 0):
+        latency.delay_ms = max(state.min_ms, _quantile_ms(latency, state.quantile))
 
 
-def hedge_delay_ms(state: HedgeState, service: str) -> float:
-    """Return how long a leg may take before it is hedged."""
-    latency = latency_of(state, service)
-    if latency.samples < HEDGE_MIN_SAMPLES:
-        return max(state.min_ms, state.initial_ms)
-    return max(state.min_ms, latency.quantile_ms)
-
-
-def note_overdue(state: HedgeState, service: str, overdue: bool) -> None:
+def note_overdue(latency: ServiceLatency, overdue: bool) -> None:
     """Record whether a primary leg was answered within the hedge delay."""
-    latency = latency_of(state, service)
     latency.overdue_share += SLOW_SERVICE_WEIGHT * (overdue - latency.overdue_share)
 
 
-def is_slow_service(state: HedgeState, service: str) -> bool:
+def is_slow_service(latency: ServiceLatency) -> bool:
     """Tell whether so many legs are late that the service is overloaded, not straggling."""
-    return latency_of(state, service).overdue_share > SLOW_SERVICE_SHARE
+    return latency.overdue_share > SLOW_SERVICE_SHARE
 
 
 def earn_budget(state: HedgeState, spec: BudgetSpec, primary_legs: int) -> None:
--- a/packages/wisteriarock/src/wisteriarock/query/state.py
+++ b/packages/wisteriarock/src/wisteriarock/query/state.py
@@ -8,7 +8,7 @@
 from wisteriarock.routing.models import Routes, RoutingState
 from wisteriarock.snapshot.models import HoldingIndex
 
-from .hedging import HedgeState
+from .hedging import HedgeState, ServiceLatency
 from .models import LegRequest, Partition, QueryAnswer, QueryRequest
 
 
@@ -79,6 +79,8 @@
 
     Attributes
     ----------
+    latency : ServiceLatency
+        That of the service to which the primary leg goes.
     rows : list or None
         None until the partition has answered.
     failed : bool
@@ -98,7 +100,7 @@
 
     shard: str
     partition: Partition
-    service: str
+    latency: ServiceLatency
     rows: list[dict[str, Any]] | None = None
     failed: bool = False
     open_legs: list[Leg] = field(default_factory=list)
--- a/packages/wisteriarock/src/wisteriarock/routing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/routing/decide.py
@@ -18,7 +18,7 @@
     SHED_MEMORY_MS,
     SLOW_START_SHARE,
 )
-from .models import EndpointRoute, EndpointStats, Routes, RoutingState
+from .models import NEVER_MS, EndpointRoute, EndpointStats, Routes, RoutingState
 
 # Position in the order before zone, load and latency count.
 TIER_READY = 0
@@ -28,7 +28,8 @@
 TIER_EJECTED = 4
 
 FAILURES = frozenset({LegOutcome.LOST, LegOutcome.REFUSED})
-Score = tuple[int, int, float, int, float]
+Score = tuple[int, int, float, int]
+PLAIN_STATES = frozenset({EndpointState.READY, EndpointState.UNKNOWN})
 
 
 def build_routes(content: BundleContent) -> Routes:
@@ -53,6 +54,18 @@
     return stats
 
 
+def _set_plain_from(state: RoutingState, stats: EndpointStats) -> None:
+    if stats.state in PLAIN_STATES:
+        stats.plain_from_ms = max(
+            stats.ejected_until_ms,
+            stats.shed_at_ms + SHED_MEMORY_MS,
+            stats.drained_at_ms + DRAIN_MEMORY_MS,
+            stats.ready_since_ms + state.slow_start_ms,
+        )
+    else:
+        stats.plain_from_ms = float("inf")
+
+
 def note_view(state: RoutingState, view: EndpointView, now_ms: float) -> None:
     """Take over what a new view of an endpoint says."""
     stats = stats_of(state, view["endpoint"])
@@ -61,7 +74,7 @@
     if restarted:
         # Nothing that was seen of the former process holds for the new one.
         stats.failures = 0
-        stats.ejected_until_ms = stats.shed_at_ms = stats.drained_at_ms = float("-inf")
+        stats.ejected_until_ms = stats.shed_at_ms = stats.drained_at_ms = NEVER_MS
         stats.latency_rank = 0
     was_cold = stats.state is EndpointState.COLD
     if view["state"] == EndpointState.READY and (restarted or was_cold):
@@ -69,6 +82,7 @@
     stats.incarnation = view["incarnation"]
     stats.state = EndpointState(view["state"])
     stats.holder = view["holder"]
+    _set_plain_from(state, stats)
     # The holder counts legs from here too, which are known better here.
     stats.others = max(0, view["busy"] + view["queued"] - stats.outstanding)
     stats.hint_at_ms = now_ms
@@ -103,7 +117,7 @@
     if now_ms - stats.shed_at_ms < SHED_MEMORY_MS:
         return TIER_SHEDDING
     lost = state.holder_lost_at_ms
-    if lost and now_ms - lost.get(stats.holder, float("-inf")) < HOLDER_MEMORY_MS:
+    if lost and now_ms - lost.get(stats.holder, NEVER_MS) < HOLDER_MEMORY_MS:
         return TIER_HOLDER_SUSPECT
     return TIER_READY
 
@@ -116,49 +130,65 @@
     )
 
 
-def score(
-    state: RoutingState, routes: Routes, endpoint: str, now_ms: float, rng: Random
+def _score(
+    state: RoutingState, route: EndpointRoute, stats: EndpointStats, now_ms: float
 ) -> Score | None:
     """Return the place of an endpoint in the order, lowest first; None if it takes no work.
 
-    The order is: trouble seen, own zone while not overloaded, load per slot, latency, chance.
+    The order is: trouble seen, own zone while not overloaded, load per slot, latency.
     """
-    route = routes.endpoints.get(endpoint)
-    if route is None:
-        return None
-    stats = stats_of(state, endpoint)
-    if _takes_no_work(stats, now_ms):
-        return None
-    load = load_per_slot(state, stats, route.slots, now_ms)
-    near = route.zone == state.own_zone and load <= OVERLOAD_PER_SLOT
+    tier = TIER_READY
+    if now_ms < stats.plain_from_ms or state.holder_lost_at_ms:
+        if _takes_no_work(stats, now_ms):
+            return None
+        tier = _tier(state, stats, now_ms)
+        load = load_per_slot(state, stats, route.slots, now_ms)
+    elif stats.others:
+        load = load_per_slot(state, stats, route.slots, now_ms)
+    else:
+        load = (stats.outstanding + 1.0) / route.slots
+    near = load <= OVERLOAD_PER_SLOT and route.zone == state.own_zone
     fresh = now_ms - stats.latency_at_ms < LATENCY_LIFETIME_MS
-    return (
-        _tier(state, stats, now_ms),
-        0 if near else 1,
-        load,
-        stats.latency_rank if fresh else 0,
-        rng.random(),
-    )
+    return tier, 0 if near else 1, load, stats.latency_rank if fresh else 0
 
 
 def rank(
     state: RoutingState, routes: Routes, endpoints: Iterable[str], now_ms: float, rng: Random
 ) -> list[str]:
-    """Return the endpoints that may take a leg, the best first."""
-    scored = [(score(state, routes, name, now_ms, rng), name) for name in endpoints]
-    return [name for place, name in sorted((p, n) for p, n in scored if p is not None)]
+    """Return the endpoints that may take a leg, the best first, equal ones in random order."""
+    places: list[tuple[Score, float, str]] = []
+    for name in endpoints:
+        route = routes.endpoints.get(name)
+        if route is None:
+            continue
+        place = _score(state, route, stats_of(state, name), now_ms)
+        if place is not None:
+            places.append((place, rng.random(), name))
+    return [name for _, _, name in sorted(places)]
 
 
 def choose(
     state: RoutingState, routes: Routes, endpoints: Iterable[str], now_ms: float, rng: Random
 ) -> str | None:
-    """Return the first of `rank`, or None."""
+    """Return the first of `rank`, or None. This is the form for the hot path."""
     best: Score | None = None
     chosen: str | None = None
+    ties = 1
+    routes_of = routes.endpoints
+    known = state.endpoints
     for name in endpoints:
-        place = score(state, routes, name, now_ms, rng)
-        if place is not None and (best is None or place < best):
-            best, chosen = place, name
+        route = routes_of.get(name)
+        if route is None:
+            continue
+        place = _score(state, route, known.get(name) or stats_of(state, name), now_ms)
+        if place is None:
+            continue
+        if best is None or place < best:
+            best, chosen, ties = place, name, 1
+        elif place == best:
+            ties += 1
+            if rng.random() * ties < 1.0:
+                chosen = name
     return chosen
 
 
@@ -226,12 +256,14 @@
     now_ms : float
         Monotonic time in milliseconds.
     """
-    stats = stats_of(state, endpoint)
+    stats = state.endpoints.get(endpoint) or stats_of(state, endpoint)
     if stats.outstanding > 0:
         stats.outstanding -= 1
     if outcome == LegOutcome.OK:
         stats.failures = 0
-        stats.ejected_until_ms = float("-inf")
+        if stats.ejected_until_ms > now_ms:
+            stats.ejected_until_ms = NEVER_MS
+            _set_plain_from(state, stats)
         known = stats.latency_ms
         latency_ms = known + LATENCY_WEIGHT * (elapsed_ms - known) if known else elapsed_ms
         stats.latency_ms = latency_ms
@@ -241,8 +273,10 @@
             state.holder_lost_at_ms.pop(stats.holder, None)
     elif outcome == LegOutcome.SHEDDING:
         stats.shed_at_ms = now_ms
+        _set_plain_from(state, stats)
     elif outcome == LegOutcome.DRAINING:
         stats.drained_at_ms = now_ms
+        _set_plain_from(state, stats)
     elif outcome == LegOutcome.PEER_LOST:
         # The holder failed and not the endpoint, so the endpoint is not ejected.
         state.holder_lost_at_ms[stats.holder] = now_ms
@@ -257,6 +291,7 @@
         return
     if _may_eject(state, routes, endpoint, now_ms):
         stats.ejected_until_ms = now_ms + state.eject_ms
+        _set_plain_from(state, stats)
 
 
 def note_lost_race(state: RoutingState, routes: Routes, endpoint: str, now_ms: float) -> None:
--- a/packages/wisteriarock/src/wisteriarock/routing/models.py
+++ b/packages/wisteriarock/src/wisteriarock/routing/models.py
@@ -44,6 +44,8 @@
         Legs of other instances that the last view implies.
     ready_since_ms : float
         Begin of the slow start.
+    plain_from_ms : float
+        No state, failure or slow start has to be looked at from then on.
     """
 
     outstanding: int = 0
@@ -60,6 +62,7 @@
     state: EndpointState = EndpointState.UNKNOWN
     holder: str = ""
     ready_since_ms: float = NEVER_MS
+    plain_from_ms: float = NEVER_MS
 
 
 @dataclass
