--- /dev/null
+++ b/tests/wisteriastandins/relay/test_control.py
@@ -0,0 +1,161 @@
+"""Tests of the link relay over sockets."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from typing import Any
+
+from wisteriastandins.relay.control import start_relay
+from wisteriastandins.relay.models import LinkConfig, RelayConfig
+
+from tests.common import function_suite
+from tests.wisteriastandins.common import Connection, call, connect
+
+
+class Target(asyncio.Protocol):
+    """A server that records and echoes what it receives, and records the end."""
+
+    def __init__(self, received: list[bytes]) -> None:
+        self._received = received
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Record and echo a chunk."""
+        self._received.append(data)
+        self._transport.write(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Record the end."""
+        self._received.append(b"|closed")
+
+
+@asynccontextmanager
+async def running(delay_ms: float = 0) -> AsyncIterator[tuple[int, int, list[bytes]]]:
+    """Run a relay before an echo server; yield its port, its control port and what was received."""
+    received: list[bytes] = []
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: Target(received), "127.0.0.1", 0)
+    link = LinkConfig(
+        name="a-b",
+        listen_host="127.0.0.1",
+        listen_port=0,
+        target_host="127.0.0.1",
+        target_port=server.sockets[0].getsockname()[1],
+        delay_ms=delay_ms,
+        jitter_ms=delay_ms,
+    )
+    config = RelayConfig(control_host="127.0.0.1", control_port=0, seed=1, links=[link])
+    started = await start_relay(config)
+    try:
+        yield (await record(started.port))["listen_port"], started.port, received
+    finally:
+        await started.stop()
+        server.close()
+
+
+async def record(control: int) -> dict[str, Any]:
+    _, body = await call(control, "GET", "/record")
+    described: dict[str, Any] = body["links"]["a-b"]
+    return described
+
+
+async def act(control: int, action: str, **fields: Any) -> None:
+    body = {"match": "a-*", "action": action, **fields}
+    assert await call(control, "POST", "/control", body) == (200, {"matched": ["a-b"]})
+
+
+async def wait_closed(received: list[bytes]) -> bytes:
+    """Wait until the target's connection has closed, and return what it received."""
+    while True:
+        if b"|closed" in received:
+            return b"".join(received)
+        await asyncio.sleep(0.001)
+
+
+async def echo(connection: Connection, data: bytes) -> bytes:
+    connection.writer.write(data)
+    return await connection.reader.readexactly(len(data))
+
+
+async def read_end(connection: Connection) -> bytes:
+    """Read until the connection ends, by a close or a reset."""
+    with suppress(ConnectionResetError):
+        return await connection.reader.read()
+    return b""
+
+
+async def test_bytes_pass_in_order_and_the_close_follows() -> None:
+    """Guards against lost or swapped bytes under jitter and when reading is paused."""
+    async with running(delay_ms=1) as (port, control, received):
+        connection = await connect(port)
+        sent = b"".join(number.to_bytes(4, "big") for number in range(1_500_000))
+        assert await echo(connection, sent) == sent
+        connection.writer.close()
+        assert await wait_closed(received) == sent + b"|closed"
+        described = await record(control)
+        assert (described["bytes_up"], described["bytes_down"]) == (len(sent), len(sent))
+        assert described["open_connections"] == 0
+
+
+async def test_cut_and_heal() -> None:
+    """Guards against a cut that leaves connections open, or a link that stays down."""
+    async with running() as (port, control, received):
+        connection = await connect(port)
+        assert await echo(connection, b"x") == b"x"
+        await act(control, "cut")
+        assert await read_end(connection) == b""
+        assert await wait_closed(received) == b"x|closed"
+        try:
+            await connect(port)
+            raise AssertionError("the link accepts connections")
+        except ConnectionRefusedError:
+            pass
+        await act(control, "cut", new="unanswered")
+        unanswered = await connect(port)
+        unanswered.writer.write(b"y")
+        await act(control, "heal")
+        assert await echo(await connect(port), b"z") == b"z"
+        assert received == [b"x", b"|closed", b"z"]
+
+
+async def test_silence_is_for_good_and_for_open_connections_only() -> None:
+    """Guards against a silent connection that closes, recovers, or takes new ones with it."""
+    async with running() as (port, control, received):
+        old, after = await connect(port), []
+        assert await echo(old, b"x") == b"x"
+        await act(control, "silence")
+        old.writer.write(b"lost")
+        for data in (b"y", b"z"):
+            after.append(await connect(port))
+            assert await echo(after[-1], data) == data
+            await act(control, "heal")
+        old.writer.close()
+        assert (await record(control))["open_connections"] == 3
+        assert received == [b"x", b"y", b"z"]
+
+
+async def test_the_next_connection_is_cut_after_bytes() -> None:
+    """Guards against a request cut at another byte, or a cut that is used more than once."""
+    async with running() as (port, control, received):
+        await act(control, "cut_after_bytes", bytes=5)
+        connection = await connect(port)
+        connection.writer.write(b"abcdefgh")
+        assert await read_end(connection) == b""
+        assert await wait_closed(received) == b"abcde|closed"
+        assert await echo(await connect(port), b"abcdefgh") == b"abcdefgh"
+        assert (await record(control))["cut_connections"] == 1
+
+
+async def test_a_dead_target_closes_the_connection() -> None:
+    """Guards against a client that waits for a target that refuses."""
+    async with running() as (port, control, _):
+        await act(control, "delay", delay_ms=1, jitter_ms=0)
+        await act(control, "cut_after_bytes", bytes=0)
+        assert await read_end(await connect(port)) == b""
+
+
+load_tests = function_suite(globals())
--- /dev/null
+++ b/tests/wisteriastandins/relay/test_decide.py
@@ -0,0 +1,48 @@
+"""Tests of release times and limits of a link."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from wisteriastandins.relay.decide import control_error, enqueue, take_due
+from wisteriastandins.relay.models import Action, LinkControl, LinkState, Pipe
+
+from tests.common import function_suite
+
+
+@given(st.lists(st.tuples(st.integers(0, 20), st.binary(min_size=1, max_size=4))), st.integers())
+def test_order_is_kept_and_no_chunk_is_early(chunks: list[tuple[int, bytes]], seed: int) -> None:
+    """Guards against jitter that swaps chunks of a stream."""
+    link, pipe = LinkState(5, 10, random.Random(seed)), Pipe()
+    now_ms = 0
+    for gap_ms, data in chunks:
+        now_ms += gap_ms
+        enqueue(pipe, link, data, now_ms)
+        assert now_ms + 5 <= pipe.last_release_ms <= now_ms + 15
+    enqueue(pipe, link, b"", now_ms)
+    taken, ended = b"", False
+    for tick_ms in range(now_ms + 20):
+        data, ended = take_due(pipe, tick_ms)
+        taken += data
+    assert taken == b"".join(data for _, data in chunks)
+    assert ended or not pipe.queue
+    assert pipe.queued_bytes == 0
+
+
+def test_the_byte_limit_cuts_within_a_chunk() -> None:
+    """Guards against a cut that lets a whole request through."""
+    link, pipe = LinkState(0, 0, random.Random(1)), Pipe(bytes_left=5)
+    for data in (b"abc", b"def"):
+        enqueue(pipe, link, data, 0)
+    assert take_due(pipe, 0) == (b"abcde", False)
+    assert pipe.bytes_left == 0
+
+
+def test_actions_need_their_fields() -> None:
+    """Guards against a fault that is accepted and does nothing."""
+    assert control_error(LinkControl(match="*", action=Action.DELAY, delay_ms=1)) == "jitter_ms"
+    assert control_error(LinkControl(match="*", action=Action.CUT_AFTER_BYTES)) == "bytes"
+    assert control_error(LinkControl(match="*", action=Action.CUT)) is None
+
+
+load_tests = function_suite(globals())
