--- a/packages/standins/src/wisteriastandins/endpoint/command.py
+++ b/packages/standins/src/wisteriastandins/endpoint/command.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from wisteriastandins.process import run_process
+from wisteriastandins.process import duplicate_error, run_process
 
 from .control import start_endpoints
 from .models import EndpointsConfig
@@ -16,4 +16,8 @@
     config : Path
         JSON file with the endpoints, their sizes, latencies and holdings.
     """
-    return run_process("endpoints", config, EndpointsConfig, start_endpoints)
+
+    def check(content: EndpointsConfig) -> str | None:
+        return duplicate_error([entry["name"] for entry in content["endpoints"]])
+
+    return run_process("endpoints", config, EndpointsConfig, start_endpoints, check)
--- a/packages/standins/src/wisteriastandins/endpoint/control.py
+++ b/packages/standins/src/wisteriastandins/endpoint/control.py
@@ -1,6 +1,5 @@
 """Control listener of an endpoints process."""
 
-import asyncio
 import time
 from dataclasses import asdict
 from fnmatch import fnmatchcase
@@ -16,7 +15,7 @@
     route_requests,
     tracked_handlers,
 )
-from wisteriastandins.process import Started
+from wisteriastandins.process import Started, now_ms
 
 from .changes import apply_change, change_error, create_state, lift_faults, restart
 from .models import (
@@ -37,17 +36,13 @@
 )
 
 
-def _now_ms() -> float:
-    return asyncio.get_running_loop().time() * 1000
-
-
 def _new_incarnation() -> str:
     return f"{time.time_ns():x}"
 
 
 async def _change_host(host: EndpointHost, change: EndpointChange) -> None:
     """Apply a change to an endpoint; raise OSError if its port cannot be opened again."""
-    apply_change(host.state, change, _now_ms())
+    apply_change(host.state, change, now_ms())
     fill_slots(host.state)
     if change.get("silence"):
         silence_connections(host)
@@ -59,7 +54,7 @@
         close_listener(host)
     starts = change.get("restart") or change.get("down") is False
     if starts and host.state.down:
-        restart(host.state, _new_incarnation(), _now_ms())
+        restart(host.state, _new_incarnation(), now_ms())
         await open_listener(host)
     if change.get("refuse") is False and not host.state.down:
         await open_listener(host)
@@ -102,7 +97,7 @@
     hosts: dict[str, EndpointHost] = {}
     configured: dict[str, EndpointConfig] = {}
     for entry in config["endpoints"]:
-        state = create_state(entry, config["seed"], _new_incarnation(), _now_ms())
+        state = create_state(entry, config["seed"], _new_incarnation(), now_ms())
         host = hosts[entry["name"]] = EndpointHost(state)
         await open_listener(host)
         configured[entry["name"]] = {**entry, "port": state.config["port"]}
@@ -127,7 +122,7 @@
             host.state.counters = Counters()
             host.state.executed.clear()
             if body.get("faults"):
-                lift_faults(host.state, configured[name], _now_ms())
+                lift_faults(host.state, configured[name], now_ms())
                 await _change_host(host, EndpointChange(refuse=False, down=False))
         return Response(200, {})
 
--- a/packages/standins/src/wisteriastandins/endpoint/models.py
+++ b/packages/standins/src/wisteriastandins/endpoint/models.py
@@ -194,6 +194,8 @@
 class Counters:
     """Counts since the start or the last reset.
 
+    `most_late_ms` is by how much the loop of the process ended a leg too late, at most. Latencies
+    measured while it is high say more about the stand-in than about its caller.
     `drain_delays_ms` has the delay of each leg that arrived after the drain began, up to
     `MAX_DRAIN_DELAYS` entries.
     """
@@ -216,6 +218,7 @@
     most_connections: int = 0
     most_slots: int = 0
     most_waiting: int = 0
+    most_late_ms: float = 0.0
     legs_after_drain: int = 0
     drain_delays_ms: list[float] = field(default_factory=list)
 
--- a/packages/standins/src/wisteriastandins/endpoint/server.py
+++ b/packages/standins/src/wisteriastandins/endpoint/server.py
@@ -18,6 +18,7 @@
     listen,
     port_of,
 )
+from wisteriastandins.process import now_ms
 
 from .changes import note_report, visible_report
 from .legs import cancel_leg, end_running, expire_waiting, receive_leg, start_waiting
@@ -65,10 +66,6 @@
     return Response(REFUSAL_STATUS[refusal], body)
 
 
-def _now_ms() -> float:
-    return asyncio.get_running_loop().time() * 1000
-
-
 def _set_timer(leg: Leg, at_ms: float, callback: Callable[..., None], *args: Any) -> None:
     leg.cancel_timer = asyncio.get_running_loop().call_at(at_ms / 1000, callback, *args).cancel
 
@@ -79,6 +76,7 @@
 
 def _end(state: EndpointState, connection: HttpConnection, leg: Leg) -> None:
     end_running(state, leg)
+    state.counters.most_late_ms = max(state.counters.most_late_ms, now_ms() - leg.ends_at_ms)
     if leg.completes:
         connection.respond(_ok(state, leg.body))
     elif not connection.silent:
@@ -91,7 +89,7 @@
 def fill_slots(state: EndpointState) -> None:
     """Start waiting legs and keep the report after a change of the slots in use."""
     if state.waiting:
-        started, expired = start_waiting(state, _now_ms())
+        started, expired = start_waiting(state, now_ms())
         for leg in expired:
             if leg.cancel_timer is not None:
                 leg.cancel_timer()
@@ -103,7 +101,7 @@
             if leg.on_start is not None:
                 leg.on_start()
     if state.report_lag_ms > 0:
-        note_report(state, _now_ms())
+        note_report(state, now_ms())
 
 
 def _expire(state: EndpointState, leg: Leg) -> None:
@@ -141,7 +139,7 @@
         state.counters.bad_request += 1
         connection.respond(_refused("", Refusal.BAD_REQUEST))
         return
-    leg = receive_leg(state, body, _now_ms())
+    leg = receive_leg(state, body, now_ms())
     if not isinstance(leg, Leg):
         connection.respond(_refused(body["leg_id"], leg))
         return
@@ -149,7 +147,7 @@
     if leg.phase is LegPhase.RUNNING:
         _run(state, connection, leg)
         if state.report_lag_ms > 0:
-            note_report(state, _now_ms())
+            note_report(state, now_ms())
         return
     leg.on_start = lambda: _run(state, connection, leg)
     leg.on_refused = lambda refusal: connection.respond(_refused(body["leg_id"], refusal))
@@ -164,7 +162,7 @@
             _handle_leg(state, connection, request.body)
         elif request.path == "/report" and request.method == "GET":
             state.counters.reports += 1
-            connection.respond(Response(200, visible_report(state, _now_ms())))
+            connection.respond(Response(200, visible_report(state, now_ms())))
         else:
             connection.respond(error_response(404, "not_found", "There is no such resource."))
 
--- a/packages/standins/src/wisteriastandins/http_server.py
+++ b/packages/standins/src/wisteriastandins/http_server.py
@@ -115,11 +115,15 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except httptools.HttpParserCallbackError:
+            raise
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse(error_response(400, "invalid_http", "The request is not HTTP/1.1."))
 
     def _refuse(self, response: Response) -> None:
-        if self.transport is None or self.transport.is_closing():
+        """End the connection, with a response unless that would answer an earlier request."""
+        if self._current_keep_alive is not None:
+            self.close()
             return
         self._current_keep_alive = False
         self.respond(response)
@@ -241,6 +245,12 @@
         log_event("control", path=request.path, status=response.status)
         connection.respond(response)
 
+    def finish(task: asyncio.Task[None]) -> None:
+        tasks.discard(task)
+        if not task.cancelled():
+            # Raises what went wrong, so that the loop's exception handler learns of it.
+            task.result()
+
     def on_request(connection: HttpConnection, request: Request) -> None:
         route = routes.get((request.method, unquote(request.path)))
         if route is None:
@@ -248,7 +258,7 @@
             return
         task = asyncio.get_running_loop().create_task(answer(connection, route, request))
         tasks.add(task)
-        task.add_done_callback(tasks.discard)
+        task.add_done_callback(finish)
 
     return on_request
 
--- a/packages/standins/src/wisteriastandins/platform/server.py
+++ b/packages/standins/src/wisteriastandins/platform/server.py
@@ -18,7 +18,7 @@
     route_requests,
     tracked_handlers,
 )
-from wisteriastandins.process import Started
+from wisteriastandins.process import Started, now_ms
 
 from .decide import (
     admit_operation,
@@ -47,10 +47,6 @@
 Wake = Callable[[Response | None], None]
 
 
-def _now_ms() -> float:
-    return asyncio.get_running_loop().time() * 1000
-
-
 def _watch_times(request: Request) -> tuple[int, float] | None:
     """Return the revision and the longest wait in milliseconds, or None if they are no numbers."""
     try:
@@ -82,7 +78,7 @@
             expiry.append(loop.call_at(due_ms / 1000, on_expiry))
 
     def on_expiry() -> None:
-        expire_leases(state.store, _now_ms())
+        expire_leases(state.store, now_ms())
         serve_changes()
 
     def half_latency_s() -> float:
@@ -110,7 +106,7 @@
             if not waiting[key]:
                 del waiting[key]
 
-        expire_leases(state.store, _now_ms())
+        expire_leases(state.store, now_ms())
         serve_changes()
         timer = loop.call_later(wait_ms / 1000, wake, Response(204))
         waiting[key][wake] = None
@@ -136,7 +132,7 @@
                 watch(connection, request, name, reply)
                 return
             wall_ms = time.time() * 1000
-            response = run_operation(state, operation, name, request.body, _now_ms(), wall_ms)
+            response = run_operation(state, operation, name, request.body, now_ms(), wall_ms)
             serve_changes()
             if loses_reply(state, operation, response.status, rng):
                 state.results[f"{operation} lost"] += 1
@@ -148,13 +144,13 @@
             state.results[f"{operation} no_answer"] += 1
         elif state.outage is Outage.ERROR:
             reply(_UNAVAILABLE)
-        elif not admit_operation(state, operation, _now_ms()):
+        elif not admit_operation(state, operation, now_ms()):
             reply(_OVER_RATE)
         else:
             loop.call_later(half_latency_s(), run)
 
     def change(body: PlatformControl) -> str | None:
-        unknown = apply_control(state, body, _now_ms())
+        unknown = apply_control(state, body, now_ms())
         if state.outage is Outage.ERROR:
             for wakes in list(waiting.values()):
                 for wake in list(wakes):
@@ -196,7 +192,7 @@
     OSError
         The port cannot be opened.
     """
-    state = create_state(config, _now_ms())
+    state = create_state(config, now_ms())
     serve, change = create_service(state, random.Random(config.get("seed", 0)))
 
     async def control(body: PlatformControl) -> Response:
--- a/packages/standins/src/wisteriastandins/process.py
+++ b/packages/standins/src/wisteriastandins/process.py
@@ -3,9 +3,11 @@
 import asyncio
 import signal
 import sys
+import traceback
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import NamedTuple, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 from returns.result import Result, Success
 from wisteriarock.codec.decode import decode
@@ -25,6 +27,17 @@
 MAX_CONFIG_BYTES = 64_000_000
 
 
+def now_ms() -> float:
+    """Return the monotonic time of the running loop in milliseconds."""
+    return asyncio.get_running_loop().time() * 1000
+
+
+def duplicate_error(names: list[str]) -> str | None:
+    """Return a line that names the first name that occurs twice, or None."""
+    repeated = [name for name, count in Counter(names).items() if count > 1]
+    return f"the name {repeated[0]} occurs twice" if repeated else None
+
+
 def read_config(path: Path, kind: type[T]) -> Result[T, str]:
     """Return the checked content of a JSON file, or one line that says what is wrong with it."""
     try:
@@ -35,9 +48,23 @@
     return decoded.alt(lambda error: f"{path}: {error.message} (at {error.path})")
 
 
-async def _run(name: str, start: Callable[[], Awaitable[Started]]) -> None:
+async def _run(name: str, start: Callable[[], Awaitable[Started]]) -> int:
     stopped = asyncio.Event()
+    broken: list[BaseException] = []
     loop = asyncio.get_running_loop()
+
+    def on_exception(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Stop at an exception that nothing expected; errors of sockets do not count as such."""
+        error = context.get("exception")
+        if error is None or isinstance(error, OSError):
+            log_event("loop_error", message=context["message"], error=error)
+            return
+        trace = "".join(traceback.format_exception(error))
+        log_event("invariant_broken", message=context["message"], trace=trace)
+        broken.append(error)
+        stopped.set()
+
+    loop.set_exception_handler(on_exception)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     started = await start()
@@ -45,10 +72,15 @@
     await stopped.wait()
     await started.stop()
     log_event("stopped", process=name)
+    return 3 if broken else 0
 
 
 def run_process(
-    name: str, path: Path, kind: type[T], start: Callable[[T], Awaitable[Started]]
+    name: str,
+    path: Path,
+    kind: type[T],
+    start: Callable[[T], Awaitable[Started]],
+    check: Callable[[T], str | None] = lambda _: None,
 ) -> int:
     """Run a stand-in until SIGTERM or SIGINT.
 
@@ -62,11 +94,14 @@
         `TypedDict` of the configuration.
     start : callable
         Opens the listeners.
+    check : callable
+        Returns what is wrong with the configuration beyond its types, or None.
 
     Returns
     -------
     int
-        Exit status: 0, 1 if a port cannot be opened, or 2 if the configuration is refused.
+        Exit status: 0, 1 if a port cannot be opened, 2 if the configuration is refused, or 3 after
+        an exception that nothing expected.
     """
     start_logging()
     config = read_config(path, kind)
@@ -74,9 +109,11 @@
         print(config.failure(), file=sys.stderr)
         return 2
     value = config.unwrap()
+    if problem := check(value):
+        print(f"{path}: {problem}", file=sys.stderr)
+        return 2
     try:
-        asyncio.run(_run(name, lambda: start(value)))
+        return asyncio.run(_run(name, lambda: start(value)))
     except OSError as error:
         print(f"{name}: {error}", file=sys.stderr)
         return 1
-    return 0
--- a/packages/standins/src/wisteriastandins/relay/command.py
+++ b/packages/standins/src/wisteriastandins/relay/command.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from wisteriastandins.process import run_process
+from wisteriastandins.process import duplicate_error, run_process
 
 from .control import start_relay
 from .models import RelayConfig
@@ -16,4 +16,8 @@
     config : Path
         JSON file with the links, their addresses, delays and jitters.
     """
-    return run_process("relay", config, RelayConfig, start_relay)
+
+    def check(content: RelayConfig) -> str | None:
+        return duplicate_error([entry["name"] for entry in content["links"]])
+
+    return run_process("relay", config, RelayConfig, start_relay, check)
--- a/packages/standins/src/wisteriastandins/relay/link.py
+++ b/packages/standins/src/wisteriastandins/relay/link.py
@@ -6,6 +6,7 @@
 from typing import cast
 
 from wisteriastandins.http_server import port_of, reset
+from wisteriastandins.process import now_ms
 
 from .decide import RELEASE_SLACK_MS, clear, enqueue, set_up_ms, take_due
 from .models import LinkConfig, LinkState, NewWhenCut, Pipe
@@ -75,10 +76,6 @@
         self._on_full(False)
 
 
-def _now_ms() -> float:
-    return asyncio.get_running_loop().time() * 1000
-
-
 def _limit_reading(pipe: Pipe) -> None:
     """Stop or resume reading, by what is queued and by whether the other end takes more."""
     pause = pipe.sink_full or pipe.queued_bytes > MAX_QUEUED_BYTES
@@ -110,12 +107,15 @@
     sink = pipe.sink
     if sink is None or sink.is_closing():
         return
-    data, ended = take_due(pipe, _now_ms())
+    record = link.state.record
+    if pipe.queue:
+        record["most_late_ms"] = max(record["most_late_ms"], now_ms() - pipe.queue[0][0])
+    data, ended = take_due(pipe, now_ms())
     if data:
         sink.write(data)
-        link.state.record["bytes_up" if pipe is relayed.up else "bytes_down"] += len(data)
+        record["bytes_up" if pipe is relayed.up else "bytes_down"] += len(data)
     if pipe.bytes_left == 0:
-        link.state.record["cut_connections"] += 1
+        record["cut_connections"] += 1
         _abort(relayed)
         return
     if ended:
@@ -132,7 +132,7 @@
     """Take a chunk, or the end of the stream as b"", from one end."""
     if relayed.silent:
         return
-    enqueue(pipe, link.state, data, _now_ms())
+    enqueue(pipe, link.state, data, now_ms())
     if pipe.timer is None and pipe.sink is not None:
         _release(link, relayed, pipe)
     if pipe.queued_bytes > MAX_QUEUED_BYTES:
@@ -188,6 +188,7 @@
     if state.new_when_cut is NewWhenCut.UNANSWERED:
         relayed.silent = True
         return
+    relayed.up.last_release_ms = now_ms() + set_up_ms(state)
     relayed.up.bytes_left, state.cut_after_bytes = state.cut_after_bytes, None
     relayed.connecting = asyncio.get_running_loop().create_task(_connect(link, relayed))
 
--- a/packages/standins/src/wisteriastandins/relay/models.py
+++ b/packages/standins/src/wisteriastandins/relay/models.py
@@ -70,13 +70,18 @@
 
 
 class LinkRecord(TypedDict):
-    """Counts of a link; bytes are those written towards the target (`up`) and back (`down`)."""
+    """Counts of a link.
+
+    Bytes are those written towards the target (`up`) and back (`down`). `most_late_ms` is by how
+    much the loop of the process released a chunk too late, at most.
+    """
 
     connections: int
     failed_connections: int
     cut_connections: int
     bytes_up: int
     bytes_down: int
+    most_late_ms: float
 
 
 @dataclass
@@ -95,6 +100,7 @@
             cut_connections=0,
             bytes_up=0,
             bytes_down=0,
+            most_late_ms=0.0,
         )
     )
 
