--- a/packages/standins/src/wisteriastandins/platform/decide.py
+++ b/packages/standins/src/wisteriastandins/platform/decide.py
@@ -78,12 +78,13 @@
 def change_instances(state: PlatformState, change: PlatformControl, now_ms: float) -> str | None:
     """Change the list of instances; return the name that is not listed, if any."""
     entries = {entry["name"]: entry for entry in state.listed.history[-1][1]}
-    for entry in change.get("add_instances", []):
-        entries[entry["name"]] = entry
-    for name, new_state in change.get("instances", {}).items():
-        known = entries.pop(name, None) or state.gone.get(name)
-        if known is None:
+    entries.update({entry["name"]: entry for entry in change.get("add_instances", [])})
+    changes = change.get("instances", {})
+    for name in changes:
+        if name not in entries and name not in state.gone:
             return name
+    for name, new_state in changes.items():
+        known = entries.pop(name, None) or state.gone[name]
         if new_state == "gone":
             state.gone[name] = known
         else:
@@ -94,13 +95,14 @@
 
 def apply_control(state: PlatformState, change: PlatformControl, now_ms: float) -> str | None:
     """Apply a change of faults, rates and instances; return an unknown instance name, if any."""
+    listed = "instances" in change or "add_instances" in change
+    if listed and (unknown := change_instances(state, change, now_ms)):
+        return unknown
     for name in _FIELDS:
         if name in change:
             setattr(state, name, change[name])  # type: ignore[literal-required]
     state.writes.per_s = change.get("writes_per_s", state.writes.per_s)
     state.reads.per_s = change.get("reads_per_s", state.reads.per_s)
-    if "instances" in change or "add_instances" in change:
-        return change_instances(state, change, now_ms)
     return None
 
 
--- a/packages/standins/src/wisteriastandins/relay/control.py
+++ b/packages/standins/src/wisteriastandins/relay/control.py
@@ -33,7 +33,8 @@
     """Return a link with random numbers of its own; its listener is not open yet."""
     rng = random.Random(f"{seed}/{config['name']}")
     own = LinkConfig(**config)
-    return Link(own, LinkState(config["delay_ms"], config["jitter_ms"], rng))
+    loss_share = config.get("loss_share", 0.0)
+    return Link(own, LinkState(config["delay_ms"], config["jitter_ms"], rng, loss_share))
 
 
 async def change_link(link: Link, body: LinkControl) -> None:
@@ -57,6 +58,7 @@
             silence_connections(link)
         case Action.DELAY:
             state.delay_ms, state.jitter_ms = body["delay_ms"], body["jitter_ms"]
+            state.loss_share = body.get("loss_share", state.loss_share)
         case Action.CUT_AFTER_BYTES:
             state.cut_after_bytes = body["bytes"]
 
--- a/packages/standins/src/wisteriastandins/relay/decide.py
+++ b/packages/standins/src/wisteriastandins/relay/decide.py
@@ -1,6 +1,6 @@
 """Release times and byte limits of a link, without input or output."""
 
-from .models import Action, LinkControl, LinkState, Pipe
+from .models import RESEND_MS, Action, LinkControl, LinkState, Pipe
 
 # The loop rounds its waits up to whole milliseconds, 0.5 ms on average. Releasing this much early
 # centres the error.
@@ -12,6 +12,8 @@
     delay_ms = link.delay_ms
     if link.jitter_ms > 0:
         delay_ms += link.rng.random() * link.jitter_ms
+    if link.loss_share > 0 and data and link.rng.random() < link.loss_share:
+        delay_ms += RESEND_MS
     pipe.last_release_ms = max(pipe.last_release_ms, now_ms + delay_ms)
     pipe.queue.append((pipe.last_release_ms, data))
     pipe.queued_bytes += len(data)
--- a/packages/standins/src/wisteriastandins/relay/models.py
+++ b/packages/standins/src/wisteriastandins/relay/models.py
@@ -7,9 +7,16 @@
 from enum import StrEnum
 from typing import NotRequired, TypedDict
 
+# Linux waits at least this long before it sends a lost packet again, if none follows it.
+RESEND_MS = 200
+
 
 class LinkConfig(TypedDict):
-    """One link. `delay_ms` is one way; each chunk takes up to `jitter_ms` longer."""
+    """One link.
+
+    `delay_ms` is one way; each chunk takes up to `jitter_ms` longer. A share `loss_share` of the
+    chunks is sent a second time, after `RESEND_MS`, and holds up what follows it.
+    """
 
     name: str
     listen_host: str
@@ -18,6 +25,7 @@
     target_port: int
     delay_ms: float
     jitter_ms: float
+    loss_share: NotRequired[float]
 
 
 class RelayConfig(TypedDict):
@@ -56,14 +64,15 @@
 class LinkControl(TypedDict):
     """Body of `POST /control`; `match` is a shell-style pattern of link names.
 
-    `delay` takes `delay_ms` and `jitter_ms`, `cut_after_bytes` takes `bytes`, and `cut` may take
-    `open` (default `reset`) and `new` (default `refuse`).
+    `delay` takes `delay_ms`, `jitter_ms` and optionally `loss_share`, `cut_after_bytes` takes
+    `bytes`, and `cut` may take `open` (default `reset`) and `new` (default `refuse`).
     """
 
     match: str
     action: Action
     delay_ms: NotRequired[float]
     jitter_ms: NotRequired[float]
+    loss_share: NotRequired[float]
     bytes: NotRequired[int]
     open: NotRequired[OpenWhenCut]
     new: NotRequired[NewWhenCut]
@@ -91,6 +100,7 @@
     delay_ms: float
     jitter_ms: float
     rng: random.Random
+    loss_share: float = 0.0
     new_when_cut: NewWhenCut | None = None
     cut_after_bytes: int | None = None
     record: LinkRecord = field(
--- a/tests/wisteriastandins/relay/test_control.py
+++ b/tests/wisteriastandins/relay/test_control.py
@@ -122,6 +122,21 @@
         assert received == [b"x", b"|closed", b"z"]
 
 
+async def test_a_silent_cut_resets_nothing() -> None:
+    """Guards against a partition that callers notice at once because connections are reset."""
+    async with running() as (port, control, received):
+        old = await connect(port)
+        assert await echo(old, b"x") == b"x"
+        await act(control, "cut", open="silence", new="unanswered")
+        old.writer.write(b"lost")
+        new = await connect(port)
+        new.writer.write(b"lost")
+        described = await record(control)
+        assert (described["open_connections"], described["cut_connections"]) == (2, 0)
+        assert received == [b"x"]
+        assert not old.reader.at_eof() and not new.reader.at_eof()
+
+
 async def test_silence_is_for_good_and_for_open_connections_only() -> None:
     """Guards against a silent connection that closes, recovers, or takes new ones with it."""
     async with running() as (port, control, received):
--- a/tests/wisteriastandins/relay/test_decide.py
+++ b/tests/wisteriastandins/relay/test_decide.py
@@ -38,6 +38,15 @@
     assert pipe.bytes_left == 0
 
 
+def test_a_lost_chunk_holds_up_the_next() -> None:
+    """Guards against loss that delays one chunk and lets a later one overtake it."""
+    link, pipe = LinkState(5, 0, random.Random(1), loss_share=1), Pipe()
+    enqueue(pipe, link, b"a", 0)
+    link.loss_share = 0
+    enqueue(pipe, link, b"b", 100)
+    assert [at_ms for at_ms, _ in pipe.queue] == [205, 205]
+
+
 def test_actions_need_their_fields() -> None:
     """Guards against a fault that is accepted and does nothing."""
     assert control_error(LinkControl(match="*", action=Action.DELAY, delay_ms=1)) == "jitter_ms"
