--- a/packages/standins/src/wisteriastandins/endpoint/control.py
+++ b/packages/standins/src/wisteriastandins/endpoint/control.py
@@ -1,6 +1,5 @@
 """Control listener of an endpoints process."""
 
-import asyncio
 import time
 from dataclasses import asdict
 from fnmatch import fnmatchcase
@@ -12,10 +11,11 @@
     error_response,
     json_route,
     listen,
+    port_of,
     route_requests,
     tracked_handlers,
 )
-from wisteriastandins.process import Stop
+from wisteriastandins.process import Started, now_ms
 
 from .changes import apply_change, change_error, create_state, lift_faults, restart
 from .models import (
@@ -30,22 +30,20 @@
     EndpointHost,
     close_connections,
     close_listener,
+    fill_slots,
     open_listener,
     silence_connections,
 )
 
 
-def _now_ms() -> float:
-    return asyncio.get_running_loop().time() * 1000
-
-
 def _new_incarnation() -> str:
     return f"{time.time_ns():x}"
 
 
 async def _change_host(host: EndpointHost, change: EndpointChange) -> None:
     """Apply a change to an endpoint; raise OSError if its port cannot be opened again."""
-    apply_change(host.state, change, _now_ms())
+    apply_change(host.state, change, now_ms())
+    fill_slots(host.state)
     if change.get("silence"):
         silence_connections(host)
     if change.get("down") or change.get("restart"):
@@ -56,7 +54,7 @@
         close_listener(host)
     starts = change.get("restart") or change.get("down") is False
     if starts and host.state.down:
-        restart(host.state, _new_incarnation(), _now_ms())
+        restart(host.state, _new_incarnation(), now_ms())
         await open_listener(host)
     if change.get("refuse") is False and not host.state.down:
         await open_listener(host)
@@ -78,7 +76,7 @@
     }
 
 
-async def start_endpoints(config: EndpointsConfig) -> Stop:
+async def start_endpoints(config: EndpointsConfig) -> Started:
     """Open the listeners of all endpoints and then the control listener.
 
     Parameters
@@ -88,8 +86,8 @@
 
     Returns
     -------
-    callable
-        Closes everything.
+    Started
+        Port of the control listener, and the function that closes everything.
 
     Raises
     ------
@@ -99,7 +97,7 @@
     hosts: dict[str, EndpointHost] = {}
     configured: dict[str, EndpointConfig] = {}
     for entry in config["endpoints"]:
-        state = create_state(entry, config["seed"], _new_incarnation(), _now_ms())
+        state = create_state(entry, config["seed"], _new_incarnation(), now_ms())
         host = hosts[entry["name"]] = EndpointHost(state)
         await open_listener(host)
         configured[entry["name"]] = {**entry, "port": state.config["port"]}
@@ -124,7 +122,7 @@
             host.state.counters = Counters()
             host.state.executed.clear()
             if body.get("faults"):
-                lift_faults(host.state, configured[name], _now_ms())
+                lift_faults(host.state, configured[name], now_ms())
                 await _change_host(host, EndpointChange(refuse=False, down=False))
         return Response(200, {})
 
@@ -143,4 +141,4 @@
             close_listener(host)
             close_connections(host)
 
-    return stop
+    return Started(port_of(server), stop)
--- a/packages/standins/src/wisteriastandins/relay/models.py
+++ b/packages/standins/src/wisteriastandins/relay/models.py
@@ -7,9 +7,16 @@
 from enum import StrEnum
 from typing import NotRequired, TypedDict
 
+# Linux waits at least this long before it sends a lost packet again, if none follows it.
+RESEND_MS = 200
+
 
 class LinkConfig(TypedDict):
-    """One link. `delay_ms` is one way; each chunk takes up to `jitter_ms` longer."""
+    """One link.
+
+    `delay_ms` is one way; each chunk takes up to `jitter_ms` longer. A share `loss_share` of the
+    chunks is sent a second time, after `RESEND_MS`, and holds up what follows it.
+    """
 
     name: str
     listen_host: str
@@ -18,6 +25,7 @@
     target_port: int
     delay_ms: float
     jitter_ms: float
+    loss_share: NotRequired[float]
 
 
 class RelayConfig(TypedDict):
@@ -56,28 +64,33 @@
 class LinkControl(TypedDict):
     """Body of `POST /control`; `match` is a shell-style pattern of link names.
 
-    `delay` takes `delay_ms` and `jitter_ms`, `cut_after_bytes` takes `bytes`, and `cut` may take
-    `open` (default `reset`) and `new` (default `refuse`).
+    `delay` takes `delay_ms`, `jitter_ms` and optionally `loss_share`, `cut_after_bytes` takes
+    `bytes`, and `cut` may take `open` (default `reset`) and `new` (default `refuse`).
     """
 
     match: str
     action: Action
     delay_ms: NotRequired[float]
     jitter_ms: NotRequired[float]
+    loss_share: NotRequired[float]
     bytes: NotRequired[int]
     open: NotRequired[OpenWhenCut]
     new: NotRequired[NewWhenCut]
 
 
 class LinkRecord(TypedDict):
-    """Counts of a link; bytes are those written towards the target (`up`) and back (`down`)."""
+    """Counts of a link.
+
+    Bytes are those written towards the target (`up`) and back (`down`). `most_late_ms` is by how
+    much the loop of the process released a chunk too late, at most.
+    """
 
     connections: int
-    open_connections: int
     failed_connections: int
     cut_connections: int
     bytes_up: int
     bytes_down: int
+    most_late_ms: float
 
 
 @dataclass
@@ -87,16 +100,17 @@
     delay_ms: float
     jitter_ms: float
     rng: random.Random
+    loss_share: float = 0.0
     new_when_cut: NewWhenCut | None = None
     cut_after_bytes: int | None = None
     record: LinkRecord = field(
         default_factory=lambda: LinkRecord(
             connections=0,
-            open_connections=0,
             failed_connections=0,
             cut_connections=0,
             bytes_up=0,
             bytes_down=0,
+            most_late_ms=0.0,
         )
     )
 
