--- a/packages/wisteriarock/src/wisteriarock/query/const.py
+++ b/packages/wisteriarock/src/wisteriarock/query/const.py
@@ -37,7 +37,17 @@
 # The histogram is halved at this weight, so that it follows a change within about as many legs.
 HISTOGRAM_MAX_WEIGHT = 1_000.0
 QUANTILE_EVERY = 32
+# Standard errors by which the quantile is estimated low.
+QUANTILE_ERRORS = 2.0
 # Share of recent legs past the hedge delay above which a service is slow as a whole. The
-# quantile alone explains 5 in 100; hedges in an overload would add to it.
+# quantile alone explains 5 in 100; hedges in an overload would add to it. The weight is small
+# because the late legs of a query are counted one after the other, after all others: a weight of
+# 1/32 took 7 stragglers in 50 legs for a slow service.
 SLOW_SERVICE_SHARE = 0.25
-SLOW_SERVICE_WEIGHT = 1 / 32
+SLOW_SERVICE_WEIGHT = 1 / 128
+# Share of the burst that the first hedges leave untouched, and the age, in hedge delays, at which
+# a leg may use all of it. When the budget is short, the legs that have waited longest get it.
+BUDGET_RESERVE = 0.5
+RESERVE_AGE = 5.0
+# A hedge that had no budget or no replica is looked at again after this part of the delay.
+HEDGE_AGAIN = 0.25
--- a/packages/wisteriarock/src/wisteriarock/query/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/query/decide.py
@@ -15,12 +15,15 @@
 from wisteriarock.snapshot.models import Pinned
 
 from .const import (
+    BUDGET_RESERVE,
     DROP_LATE,
     DROP_MISMATCHED,
+    HEDGE_AGAIN,
     MAX_HEDGES,
     MAX_RESTARTS,
     REASON_DEADLINE,
     REASON_EARLY,
+    RESERVE_AGE,
     RESTART_MIN_TIME_LEFT,
     RETRY_PAUSE_MAX_MS,
     RETRY_PAUSE_MS,
@@ -326,7 +329,8 @@
     if slot.hedges >= MAX_HEDGES:
         slot.due_at_ms = NEVER_MS
         return
-    again_at_ms = now_ms + slot.latency.delay_ms
+    delay_ms = slot.latency.delay_ms
+    again_at_ms = now_ms + max(hedging.min_ms, HEDGE_AGAIN * delay_ms)
     if is_slow_service(slot.latency):
         _wake(state, slot, again_at_ms, actions)
         return
@@ -340,7 +344,9 @@
     if slot.hedges and not untried:
         untried = [name for name in able if name != slot.tried[-1]]
     chosen = choose(tier.routing, state.routes, untried, now_ms, tier.rng)
-    if chosen is None or not take_extra(hedging, now_ms):
+    age = (now_ms - slot.open_legs[0].sent_at_ms) / delay_ms
+    reserve = BUDGET_RESERVE * max(0.0, 1.0 - (age - 1.0) / (RESERVE_AGE - 1.0))
+    if chosen is None or not take_extra(hedging, now_ms, reserve):
         _wake(state, slot, again_at_ms, actions)
         return
     slot.hedges += 1
--- a/packages/wisteriarock/src/wisteriarock/query/hedging.py
+++ b/packages/wisteriarock/src/wisteriarock/query/hedging.py
@@ -12,6 +12,7 @@
     BUCKET_LOW_MS,
     HEDGE_MIN_SAMPLES,
     HISTOGRAM_MAX_WEIGHT,
+    QUANTILE_ERRORS,
     QUANTILE_EVERY,
     SLOW_SERVICE_SHARE,
     SLOW_SERVICE_WEIGHT,
@@ -69,8 +70,15 @@
 
 
 def _quantile_ms(latency: ServiceLatency, quantile: float) -> float:
-    """Return the upper end of the bucket in which the quantile lies."""
-    remaining = latency.weight * (1.0 - quantile)
+    """Return the upper end of the bucket in which the quantile lies, estimated low.
+
+    With as many stragglers as the quantile leaves out, the quantile may be found anywhere between
+    the usual legs and the stragglers. The lower end is the useful one: a delay that is too short
+    is made up for by the budget.
+    """
+    above = 1.0 - quantile
+    above += QUANTILE_ERRORS * math.sqrt(above * quantile / latency.weight)
+    remaining = latency.weight * above
     for position in range(BUCKET_COUNT - 1, -1, -1):
         remaining -= latency.counts[position]
         if remaining < 0:
@@ -113,6 +121,10 @@
     add(state.budget, primary_legs * spec["extra_legs_per_100"] / 100)
 
 
-def take_extra(state: HedgeState, now_ms: float) -> bool:
-    """Take the budget of one extra leg and tell whether there was enough."""
-    return take(state.budget, 1.0, now_ms)
+def take_extra(state: HedgeState, now_ms: float, reserve: float = 0.0) -> bool:
+    """Take the budget of one extra leg and tell whether there was enough.
+
+    `reserve` is the share of the burst that has to be left.
+    """
+    kept = state.budget.burst * reserve
+    return state.budget.tokens >= 1.0 + kept and take(state.budget, 1.0, now_ms)
--- a/packages/wisteriarock/src/wisteriarock/routing/const.py
+++ b/packages/wisteriarock/src/wisteriarock/routing/const.py
@@ -1,8 +1,8 @@
 """Limits of the order of replicas."""
 
 # Legs per slot, the new one included, above which a replica counts as overloaded. With 2 slots
-# it allows one leg in each slot and one waiting for each.
-OVERLOAD_PER_SLOT = 2.0
+# one leg may wait, for about half a service time; a detour over another zone costs as much.
+OVERLOAD_PER_SLOT = 1.5
 # An endpoint that shed load is used last for this long, and gets no hedge.
 SHED_MEMORY_MS = 1_000.0
 # Covers the time until the view of a draining endpoint reaches every instance (3 s).
