--- a/tests/wisteriastandins/endpoint/test_control.py
+++ b/tests/wisteriastandins/endpoint/test_control.py
@@ -56,7 +56,8 @@
         status, body = await call(port, "POST", "/leg", leg_body(snapshot=7))
         expected = {"leg_id": "r.0", "code": "snapshot_gone", "executed": False}
         assert (status, body) == (410, expected)
-        for wrong in ({**leg_body(), "extra": 1}, {"leg_id": "r.0"}, [], leg_body(part="0")):
+        refused: list[Any] = [{**leg_body(), "extra": 1}, {"leg_id": "r.0"}, [], leg_body(part="0")]
+        for wrong in refused:
             status, body = await call(port, "POST", "/leg", wrong)
             assert (status, body["code"], body["executed"]) == (400, "bad_request", False)
         described = await wait_for(control, "finished", 1)
--- a/tests/wisteriastandins/endpoint/test_legs.py
+++ b/tests/wisteriastandins/endpoint/test_legs.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from hypothesis import given
+from hypothesis import strategies as st
 from wisteriastandins.endpoint.changes import create_state
 from wisteriastandins.endpoint.legs import (
     cancel_leg,
@@ -126,9 +128,11 @@
 def test_absent_partitions_are_refused() -> None:
     """Guards against an answer from a snapshot or partition that the endpoint does not hold."""
     state = start()
-    for change in ({"snapshot": 2}, {"parts": 2}, {"shard": "mill-02"}):
+    absent: list[dict[str, Any]] = [{"snapshot": 2}, {"parts": 2}, {"shard": "mill-02"}]
+    for change in absent:
         assert receive_leg(state, leg_body(**change), 0) is Refusal.SNAPSHOT_GONE
-    for change in ({"part": 1}, {"part": -1}, {"params": {"limit": "1"}}):
+    wrong: list[dict[str, Any]] = [{"part": 1}, {"part": -1}, {"params": {"limit": "1"}}]
+    for change in wrong:
         assert receive_leg(state, leg_body(**change), 0) is Refusal.BAD_REQUEST
 
 
@@ -143,4 +147,37 @@
     assert 400 < drawn.count(200) < 600
 
 
+EVENTS = st.lists(
+    st.tuples(st.sampled_from(["receive", "cancel", "end", "expire"]), st.integers(0, 60))
+)
+
+
+@given(EVENTS, st.integers(0, 3), st.integers(0, 3))
+def test_every_leg_is_counted_once(
+    events: list[tuple[str, int]], slots: int, queue_limit: int
+) -> None:
+    """Guards against slots that leak, and counters that do not add up to the legs received."""
+    state, legs, now_ms = start(slots=slots, queue_limit=queue_limit), list[Leg](), 0.0
+    for name, number in events:
+        now_ms += number
+        found = legs[number % len(legs)] if legs else None
+        if name == "receive":
+            leg = receive_leg(state, leg_body(len(legs), deadline_ms=number), now_ms)
+            legs += [leg] if isinstance(leg, Leg) else []
+        elif found and name == "cancel":
+            cancel_leg(state, found)
+        elif found in state.running and name == "end":
+            end_running(state, found)
+        elif found in state.waiting and name == "expire":
+            expire_waiting(state, found)
+        start_waiting(state, now_ms)
+        assert len(state.running) <= slots and len(state.waiting) <= queue_limit
+        assert not state.waiting or len(state.running) == slots
+    c = state.counters
+    started = c.finished + c.cancelled_running + c.deadline_running + len(state.running)
+    not_started = c.cancelled_waiting + c.deadline_waiting + len(state.waiting)
+    assert c.started == started
+    assert c.received == started + not_started + c.shed + c.deadline_passed
+
+
 load_tests = function_suite(globals())
