--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -24,7 +24,7 @@
 from wisteriarock.wire.connection import Wire, close_wire
 
 from .auth import sign
-from .const import PATH_LEGS, PATH_QUERY, STREAM_SILENCE_MS
+from .const import PATH_LEGS, PATH_QUERY, SILENCE_STEP_MS, STREAM_SILENCE_MS
 from .models import PeerError
 from .pool import PeerPool, acquire, close_older, close_pool, create_pool, give_back
 
@@ -197,13 +197,20 @@
                 await response.content()
                 return False
             rest = b""
-            async for chunk in response.read_chunks():
-                silence.reschedule(loop.time() + STREAM_SILENCE_MS / 1000)
-                legs_received.inc(len(chunk))
-                *lines, rest = (rest + chunk).split(b"\n")
-                for line in lines:
-                    if line:
-                        on_line(line)
+            received_bytes = 0
+            moved_s = loop.time()
+            try:
+                async for chunk in response.read_chunks():
+                    if loop.time() - moved_s > SILENCE_STEP_MS / 1000:
+                        moved_s = loop.time()
+                        silence.reschedule(moved_s + STREAM_SILENCE_MS / 1000)
+                    received_bytes += len(chunk)
+                    *lines, rest = (rest + chunk).split(b"\n")
+                    for line in lines:
+                        if line:
+                            on_line(line)
+            finally:
+                legs_received.inc(received_bytes)
         return True
 
     async def run_legs(
--- a/packages/wisteriarock/src/wisteriarock/peers/server.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/server.py
@@ -1,8 +1,7 @@
 """Routes for other instances, on the internal listener."""
 
-import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import msgspec
@@ -10,17 +9,16 @@
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
-from starlette.types import Receive, Scope, Send
 
 from wisteriarock.blackboard.models import Blackboard
 from wisteriarock.codec.decode import decode
+from wisteriarock.codec.models import DecodeError
 from wisteriarock.membership.models import Heartbeat
 from wisteriarock.observability.metrics import Metrics
-from wisteriarock.query.models import Cancel, ExecuteLeg, LegReply, LegRequest
+from wisteriarock.query.models import ExecuteLeg
 
 from .auth import NonceStore, verify
 from .const import (
-    KEEPALIVE_MS,
     MAX_BODY_BYTES,
     PATH_BUNDLE,
     PATH_CANCEL,
@@ -28,15 +26,12 @@
     PATH_LEGS,
     PATH_QUERY,
 )
-from .models import CancelBody, LegsBody, PeerHandlers
+from .leg_stream import RunningLegs, leg_stream
+from .legs_body import decode_legs
+from .models import CancelBody, PeerHandlers
 
 T = TypeVar("T")
 _ENCODER = msgspec.json.Encoder()
-_STREAM_START = {
-    "type": "http.response.start",
-    "status": 200,
-    "headers": [(b"content-type", b"application/x-ndjson")],
-}
 
 
 def _json(value: Any, status: int = 200) -> Response:
@@ -73,7 +68,7 @@
         Wall clock, for the time in signed requests.
     """
     nonces = NonceStore()
-    running: dict[tuple[str, str], set[Cancel]] = {}
+    running: RunningLegs = {}
     received = {p: metrics.peer_bytes.labels(p, "received") for p in ("control", "legs")}
     sent = {p: metrics.peer_bytes.labels(p, "sent") for p in ("control", "legs")}
 
@@ -83,7 +78,7 @@
             return Failure(_error(413, "too_long", f"The body is over {MAX_BODY_BYTES} bytes."))
         body = await request.body()
         received[purpose].inc(len(body))
-        path = request.url.path
+        path = request.scope["path"]
         checked = verify(
             board.settings.peer_keys, request.method, path, request.headers, body, wall_ms(), nonces
         )
@@ -135,7 +130,7 @@
             return accepted.failure()
         sender, body = accepted.unwrap()
         for leg_id in body["leg_ids"]:
-            for cancel_leg in running.pop((sender, leg_id), set()):
+            for cancel_leg in list(running.get((sender, leg_id), ())):
                 cancel_leg()
         return answer({})
 
@@ -144,12 +139,10 @@
         if not isinstance(authentic, Success):
             return authentic.failure()
         sender, body = authentic.unwrap()
-        decoded = _decoded(sender, body, LegsBody)
+        decoded = decode_legs(body)
         if not isinstance(decoded, Success):
-            return decoded.failure()
-        return _leg_stream(
-            decoded.unwrap()[1]["legs"], sender, running, execute_leg, sent["legs"].inc
-        )
+            return _refused(decoded.failure())
+        return leg_stream(decoded.unwrap(), sender, running, execute_leg, sent["legs"].inc)
 
     return [
         Route(PATH_HEARTBEAT, heartbeat, methods=["POST"]),
@@ -164,88 +157,8 @@
     decoded = decode(body, kind, MAX_BODY_BYTES)
     if isinstance(decoded, Success):
         return Success((sender, decoded.unwrap()))
-    error = decoded.failure()
-    return Failure(_error(400, error.code, error.message, error.path))
-
+    return Failure(_refused(decoded.failure()))
 
-def _leg_stream(
-    legs: list[LegRequest],
-    sender: str,
-    running: dict[tuple[str, str], set[Cancel]],
-    execute_leg: ExecuteLeg,
-    on_sent: Callable[[int], None],
-) -> Callable[[Scope, Receive, Send], Awaitable[None]]:
-    """Return an ASGI response that runs legs and streams their replies as lines."""
-
-    async def respond(scope: Scope, receive: Receive, send: Send) -> None:
-        lines: list[bytes] = []
-        wake = asyncio.Event()
-        cancels: dict[int, tuple[tuple[str, str], Cancel]] = {}
-        open_legs = len(legs)
-        gone = False
-
-        def start(number: int, leg: LegRequest) -> None:
-            key = (sender, leg["leg_id"])
-
-            def on_reply(reply: LegReply) -> None:
-                nonlocal open_legs
-                open_legs -= 1
-                forget(number)
-                lines.append(_ENCODER.encode(reply) + b"\n")
-                wake.set()
-
-            def cancel() -> None:
-                nonlocal open_legs
-                open_legs -= 1
-                forget(number)
-                cancel_leg()
-                wake.set()
-
-            cancels[number] = (key, cancel)
-            running.setdefault(key, set()).add(cancel)
-            cancel_leg = execute_leg(leg, on_reply)
-
-        def forget(number: int) -> None:
-            key, cancel = cancels.pop(number)
-            same_id = running.get(key)
-            if same_id is not None:
-                same_id.discard(cancel)
-                if not same_id:
-                    del running[key]
-
-        async def watch_disconnect() -> None:
-            """Uvicorn does not cancel a handler whose client has gone."""
-            nonlocal gone
-            while (await receive())["type"] != "http.disconnect":
-                pass
-            gone = True
-            wake.set()
-
-        watch = asyncio.create_task(watch_disconnect())
-        try:
-            for number, leg in enumerate(legs):
-                start(number, leg)
-            await send(_STREAM_START)
-            while not gone:
-                if not lines and open_legs:
-                    wake.clear()
-                    try:
-                        async with asyncio.timeout(KEEPALIVE_MS / 1000):
-                            await wake.wait()
-                    except TimeoutError:
-                        lines.append(b"\n")
-                    continue
-                chunk = b"".join(lines)
-                lines.clear()
-                on_sent(len(chunk))
-                await send(
-                    {"type": "http.response.body", "body": chunk, "more_body": open_legs > 0}
-                )
-                if not open_legs:
-                    return
-        finally:
-            watch.cancel()
-            for _, cancel_leg in list(cancels.values()):
-                cancel_leg()
 
-    return respond
+def _refused(error: DecodeError) -> Response:
+    return _error(400, error.code, error.message, error.path)
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -146,7 +146,12 @@
 async def app_server(routes: list[Route]) -> AsyncIterator[int]:
     """Serve routes on a free port by uvicorn and yield the port."""
     config = uvicorn.Config(
-        Starlette(routes=routes), host="127.0.0.1", port=0, lifespan="off", log_level="critical"
+        Starlette(routes=routes),
+        host="127.0.0.1",
+        port=0,
+        lifespan="off",
+        log_level="critical",
+        access_log=False,
     )
     config.load()
     server = uvicorn.Server(config)
