--- a/packages/wisteriarock/src/wisteriarock/endpoints/connection.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/connection.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from wisteriarock.query.models import LegOutcome, LegRequest
-from wisteriarock.wire.connection import WireConnection, create_wire
+from wisteriarock.wire.connection import StaleConnectionError, WireConnection, create_wire
 
 from .const import MIN_LEG_MS, PATH_LEG, PATH_REPORT
 from .lifecycle import ConnectionState, next_connection_state
@@ -115,8 +115,6 @@
     connecting = connection.state is ConnectionState.CONNECTING
 
     def before_write() -> None:
-        if wire.is_stale():
-            raise _BeforeWriteError(LegOutcome.REFUSED)
         check()
         if connecting:
             connection.on_event("opened")
@@ -178,7 +176,7 @@
     leg: LegRequest,
     deadline_at_ms: float,
     now_ms: Callable[[], float],
-    on_write: Callable[[float], None] = lambda _: None,
+    may_write: Callable[[float], LegOutcome | None] = lambda _: None,
 ) -> LegResult:
     """Send a leg and read its reply; the connection is idle or closed afterwards.
 
@@ -192,8 +190,8 @@
         Checked again just before the first byte is written, for a process that was paused.
     now_ms : callable
         Monotonic clock.
-    on_write : callable
-        Called with the time just before the first byte is written.
+    may_write : callable
+        Called with the time just before the first byte is written; an outcome stops the leg.
 
     Returns
     -------
@@ -206,13 +204,16 @@
         time_ms = now_ms()
         if deadline_at_ms - time_ms < MIN_LEG_MS:
             raise _BeforeWriteError(LegOutcome.DEADLINE_PASSED)
-        on_write(time_ms)
+        if (outcome := may_write(time_ms)) is not None:
+            raise _BeforeWriteError(outcome)
 
     body = _leg_body(leg, max(0.0, deadline_at_ms - now_ms()))
     try:
         status, content = await _request(connection, "POST", PATH_LEG, body, check)
     except _BeforeWriteError as stop:
         return LegResult(stop.outcome, False, False)
+    except StaleConnectionError:
+        return LegResult(LegOutcome.REFUSED, False, False)
     except Exception:
         # The library raises many types for a broken exchange; only whether bytes left matters.
         if connection.wire.written:
--- a/packages/wisteriarock/src/wisteriarock/endpoints/const.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/const.py
@@ -14,8 +14,17 @@
 GONE_AFTER_REPORTS = 6
 # Time for replies in flight to arrive after a probe, added to the probe's round trip.
 PROBE_GRACE_MS = 20.0
-# Pause between two probes while the endpoint says that it works on every leg.
+# Pauses between probes while the endpoint says that it works on every leg; they double.
 PROBE_REPEAT_MS = 150.0
+PROBE_REPEAT_MAX_MS = 1_000.0
+# How long reports of an endpoint are not trusted after one that was wrong about its slots.
+DISTRUST_MS = 60_000.0
+# A leg that ran this long at a poll should be in the report; one that ended this long ago not.
+REPORT_SETTLED_MS = 200.0
+REPORT_IDLE_MS = 1_000.0
+# Without a trusted report, a leg counts as lost after this time beyond its silence bound. With
+# the probe it stays below the second in which a silent connection is to be replaced.
+UNTRUSTED_WAIT_MS = 600.0
 # Failed probes in a row after which the silent legs are given up.
 PROBE_ATTEMPTS = 2
 # Share of the report interval by which polls of different endpoints are spread.
--- a/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
@@ -20,18 +20,12 @@
 
 from . import lifecycle, queue
 from .connection import close_connection
-from .const import LOAD_VIEW_INTERVAL_MS, POLL_JITTER, TICK_MS
+from .const import POLL_JITTER, TICK_MS
 from .diagnostics import dump_endpoints
-from .held import (
-    ActiveLeg,
-    Env,
-    HeldEndpoint,
-    effective_slots,
-    reply_without_rows,
-    view_of,
-)
+from .held import ActiveLeg, Env, HeldEndpoint, effective_slots, reply_without_rows
 from .legs import LegEvents, create_leg_runner
 from .reports import ReportEvents, create_reporter
+from .views import create_views
 
 
 class EndpointsController(NamedTuple):
@@ -49,7 +43,8 @@
     run : callable
         Coroutine that polls reports until it is cancelled; raises when an invariant is broken.
     close : callable
-        Coroutine that finishes the legs taken so far and closes every connection.
+        Coroutine that finishes the legs taken so far, for `drain_grace_ms` at most, and closes
+        every connection.
     """
 
     execute_leg: ExecuteLeg
@@ -112,54 +107,27 @@
             log_event("invariant_broken", part="endpoints", error=repr(error))
             broken.append(error)
 
-    env = Env(board, metrics, now_ms, rng, spawn)
+    env = Env(board, metrics, now_ms, rng, spawn, lambda: paused)
     tunables = board.settings.tunables
-    me = board.settings.instance
     held_by_name: dict[str, HeldEndpoint] = {}
     released: set[HeldEndpoint] = set()
     paused = False
     closing = False
     quiet = asyncio.Event()
-    listed_at: object = None
+    seen_list: object = None
+    seen_bundle: object = None
     leaving: frozenset[str] = frozenset()
-    load_timer: asyncio.TimerHandle | None = None
-    last_flush_ms = float("-inf")
-
-    def publish(held: HeldEndpoint) -> None:
-        board.held_sequence += 1
-        board.held_views[held.name] = view_of(held, me, board.held_sequence)
-        held.load_changed = False
+    views = create_views(board, now_ms, on_views_changed)
 
     def state_changed(held: HeldEndpoint) -> None:
         if held_by_name.get(held.name) is not held:
             return
         if lifecycle.is_draining(held.life):
             answer_dropped(held, queue.drop_all(held.queue, LegOutcome.DRAINING))
-        publish(held)
+            close_idle(held)
+        views.publish(held)
         on_views_changed()
 
-    def load_changed(held: HeldEndpoint) -> None:
-        nonlocal load_timer
-        held.load_changed = True
-        if load_timer is None:
-            delay_ms = max(0.0, last_flush_ms + LOAD_VIEW_INTERVAL_MS - now_ms())
-            load_timer = asyncio.get_running_loop().call_later(delay_ms / 1000, flush_load)
-
-    def flush_load() -> None:
-        nonlocal load_timer, last_flush_ms
-        load_timer = None
-        last_flush_ms = now_ms()
-        changed = False
-        for held in held_by_name.values():
-            view = board.held_views.get(held.name)
-            load = (len(held.queue.running), queue.queued(held.queue))
-            if held.load_changed and view and (view["busy"], view["queued"]) != load:
-                publish(held)
-                changed = True
-            held.load_changed = False
-        if changed:
-            on_views_changed()
-
     def answer(active: ActiveLeg, outcome: LegOutcome, queued_ms: float) -> None:
         if not active.done:
             active.done = True
@@ -173,6 +141,8 @@
             metrics.queued_legs.dec()
             queued_ms = now_ms() - entry.arrived_ms
             asyncio.get_running_loop().call_soon(answer, active, outcome, queued_ms)
+        if not held.legs:
+            quiet.set()
 
     def on_expiry(held: HeldEndpoint) -> None:
         held.expiry_timer = None
@@ -198,7 +168,7 @@
                 metrics.queued_legs.dec()
                 runner.start(held, held.legs[entry.number])
             answer_dropped(held, dropped)
-        load_changed(held)
+        views.load_changed(held)
         if not held.legs:
             quiet.set()
         if held in released and not held.legs:
@@ -252,18 +222,43 @@
         held.next_poll_ms = now_ms() + wait_ms
         if wait_ms:
             held.wake_timer = asyncio.get_running_loop().call_later(wait_ms / 1000, pump, held)
-        publish(held)
+        views.publish(held)
+
+    def move_ready_time(held: HeldEndpoint, ready_at_ms: float) -> None:
+        """Start earlier when the former holder has confirmed the release, or later."""
+        if ready_at_ms == held.ready_at_ms:
+            return
+        held.ready_at_ms = ready_at_ms
+        if held.wake_timer is not None:
+            held.wake_timer.cancel()
+        wait_ms = max(0.0, ready_at_ms - now_ms())
+        held.wake_timer = asyncio.get_running_loop().call_later(wait_ms / 1000, pump, held)
 
     def begin_release(held: HeldEndpoint) -> None:
         del held_by_name[held.name]
         released.add(held)
         held.releasing = True
         answer_dropped(held, queue.drop_all(held.queue, LegOutcome.NOT_SENT))
+        close_idle(held)
+        if not held.legs:
+            end_release(held)
+
+    def close_idle(held: HeldEndpoint) -> None:
         for connection in held.idle:
             close_connection(connection)
         held.idle.clear()
-        if not held.legs:
-            end_release(held)
+
+    def take_back(name: str, spec: EndpointSpec) -> bool:
+        """Hold an endpoint again whose last legs from here still use its slots."""
+        for held in released:
+            if held.name == name and address_of(held.spec) == address_of(spec):
+                released.discard(held)
+                held.releasing = False
+                held.spec = spec
+                held_by_name[name] = held
+                views.publish(held)
+                return True
+        return False
 
     def end_release(held: HeldEndpoint) -> None:
         released.discard(held)
@@ -277,8 +272,7 @@
             close_connection(connection)
         lifecycle.forget_life(held.life)
         if held.name not in held_by_name:
-            board.held_views.pop(held.name, None)
-            board.held_sequence += 1
+            views.withdraw(held.name)
             on_views_changed()
 
     def set_held(names: frozenset[str], ready_at_ms: dict[str, float]) -> None:
@@ -294,10 +288,13 @@
                 changed = True
             else:
                 held.spec = spec
+                move_ready_time(held, ready_at_ms.get(name, held.ready_at_ms))
         for name in names - held_by_name.keys():
             if name in specs and not closing:
-                begin_holding(name, specs[name], ready_at_ms.get(name, now_ms()))
                 changed = True
+                if take_back(name, specs[name]):
+                    continue
+                begin_holding(name, specs[name], ready_at_ms.get(name, now_ms()))
         for held in list(held_by_name.values()):
             pump(held)
         if changed:
@@ -311,18 +308,34 @@
 
     def tick() -> None:
         """Bring states in line with the time and the platform's list, and start due polls."""
-        nonlocal listed_at, leaving
-        if board.listed is not listed_at:
-            listed_at, leaving = board.listed, leaving_endpoints(board)
+        nonlocal seen_list, leaving
+        if board.listed is not seen_list:
+            seen_list, leaving = board.listed, leaving_endpoints(board)
+        take_specs()
         time_ms = now_ms()
         for held in list(held_by_name.values()):
-            if lifecycle.on_listed(held.life, held.name in leaving, time_ms):
+            # A list from before a restart of the endpoint speaks of its former incarnation.
+            listed = held.name in leaving and board.listed_at_ms >= held.life.restarted_at_ms
+            if lifecycle.on_listed(held.life, listed, time_ms):
                 state_changed(held)
             if time_ms >= held.next_poll_ms and not paused:
                 jitter = 1 + POLL_JITTER * (rng.random() - 0.5)
                 held.next_poll_ms = time_ms + tunables.report_interval_ms * jitter
                 reporter.poll(held)
 
+    def take_specs() -> None:
+        """Use the slots and caps of a new bundle; which endpoints are held is decided elsewhere."""
+        nonlocal seen_bundle
+        if board.bundle is seen_bundle:
+            return
+        seen_bundle = board.bundle
+        specs = endpoint_specs(board)
+        for held in list(held_by_name.values()):
+            spec = specs.get(held.name)
+            if spec is not None and address_of(spec) == address_of(held.spec):
+                held.spec = spec
+                pump(held)
+
     async def run() -> None:
         while not broken:
             tick()
@@ -332,13 +345,20 @@
     async def close() -> None:
         nonlocal closing
         closing = True
-        while any(held.legs for held in [*held_by_name.values(), *released]):
-            quiet.clear()
-            await quiet.wait()
+        try:
+            async with asyncio.timeout(tunables.drain_grace_ms / 1000):
+                while any(held.legs for held in [*held_by_name.values(), *released]):
+                    quiet.clear()
+                    await quiet.wait()
+        except TimeoutError:
+            log_event("legs_interrupted", legs=sum(len(h.legs) for h in held_by_name.values()))
         for held in list(held_by_name.values()):
             begin_release(held)
-        if load_timer is not None:
-            load_timer.cancel()
+        for held in list(released):
+            # Closing its connection ends a leg as lost, which ends the release.
+            for connection in list(held.connections):
+                close_connection(connection)
+        views.stop()
 
     board.diagnostics["endpoints"] = lambda: dump_endpoints(
         [*held_by_name.values(), *released], now_ms()
--- a/packages/wisteriarock/src/wisteriarock/endpoints/held.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/held.py
@@ -15,13 +15,14 @@
 from .connection import EndpointConnection, close_connection, create_connection
 from .lifecycle import ConnectionState, EndpointLife
 from .queue import LegQueue, QueuedLeg, queued
-from .suspicion import UsualTime
+from .suspicion import ReportCheck, ReportTrust, UsualTime
 
 
 class Env(NamedTuple):
     """What the parts of the endpoints concern share.
 
     `spawn` runs a coroutine as a task whose exception, a broken invariant, ends the controller.
+    `paused` tells whether this instance may not send legs at present.
     """
 
     board: Blackboard
@@ -29,6 +30,7 @@
     now_ms: Callable[[], float]
     rng: Random
     spawn: Callable[[Coroutine[None, None, None]], asyncio.Task[None]]
+    paused: Callable[[], bool]
 
 
 @dataclass(eq=False, slots=True)
@@ -36,8 +38,9 @@
     """A leg at its holder, from its arrival to its reply.
 
     `may_have_run` is set once an attempt was written and not answered. `resend` and `abandoned`
-    tell its task why its connection was closed. `silent` is set while the time without a reply
-    byte is over the bound.
+    tell its task why its connection was closed. `silent_since_ms` is
+    the time when the bound without a reply byte was reached, None before. `check` is set
+    while a report is in doubt that may have left out the leg.
     """
 
     entry: QueuedLeg
@@ -47,7 +50,8 @@
     connection: EndpointConnection | None = None
     written_ms: float = 0.0
     received_bytes: int = 0
-    silent: bool = False
+    silent_since_ms: float | None = None
+    check: ReportCheck | None = None
     resend: bool = False
     abandoned: bool = False
     expired: bool = False
@@ -73,13 +77,13 @@
     idle: list[EndpointConnection] = field(default_factory=list)
     reporter: EndpointConnection | None = None
     usual: dict[str, UsualTime] = field(default_factory=dict)
+    trust: ReportTrust = field(default_factory=ReportTrust)
     room: asyncio.Event = field(default_factory=asyncio.Event)
     probe: asyncio.Task[None] | None = None
     poll: asyncio.Task[None] | None = None
     next_poll_ms: float = 0.0
     expiry_timer: asyncio.TimerHandle | None = None
     wake_timer: asyncio.TimerHandle | None = None
-    load_changed: bool = False
     releasing: bool = False
     counters: dict[str, int] = field(default_factory=dict)
 
--- a/packages/wisteriarock/src/wisteriarock/endpoints/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/legs.py
@@ -22,7 +22,7 @@
 )
 from .lifecycle import ConnectionState
 from .models import LegResult
-from .suspicion import UsualTime, add_sample, silence_bound_ms
+from .suspicion import UsualTime, add_sample, note_answer, silence_bound_ms
 
 
 class LegRunner(NamedTuple):
@@ -64,7 +64,9 @@
         usual = held.usual.get(active.entry.leg["kind"])
         bound_ms = silence_bound_ms(usual, tunables.silence_suspect_ms)
         silent_ms = active.written_ms + bound_ms - now_ms if active.written_ms else bound_ms
-        delay_ms = left_ms if active.silent else min(left_ms, max(1.0, silent_ms))
+        if active.silent_since_ms is not None:
+            silent_ms = left_ms
+        delay_ms = min(left_ms, max(1.0, silent_ms))
         active.timer = asyncio.get_running_loop().call_later(
             max(0.0, delay_ms) / 1000, on_timer, held, active
         )
@@ -73,22 +75,26 @@
         active.timer = None
         if active.done or active.task is None:
             return
-        if env.now_ms() >= active.entry.deadline_at_ms:
+        now_ms = env.now_ms()
+        if now_ms >= active.entry.deadline_at_ms:
             active.expired = True
             active.task.cancel()
             return
         connection = active.connection
-        if connection is None or not connection.wire.written:
+        usual = held.usual.get(active.entry.leg["kind"])
+        bound_ms = silence_bound_ms(usual, tunables.silence_suspect_ms)
+        written = connection is not None and connection.wire.written
+        if connection is None or not written or now_ms < active.written_ms + bound_ms:
             arm(held, active)
             return
         received_bytes = connection.wire.received_bytes()
         if connection.wire.answered and received_bytes != active.received_bytes:
             # A long reply is on its way; it is silent when it stops for the bound again.
             active.received_bytes = received_bytes
-            active.written_ms = env.now_ms()
+            active.written_ms = now_ms
             arm(held, active)
             return
-        active.silent = True
+        active.silent_since_ms = now_ms
         if connection.state is ConnectionState.BUSY:
             change_state(connection, "suspect")
             connection.on_event("silent")
@@ -98,16 +104,22 @@
     async def attempt(held: HeldEndpoint, active: ActiveLeg) -> LegResult:
         connection = await acquire(held)
         active.connection = connection
-        active.silent = active.resend = active.abandoned = False
+        active.silent_since_ms = None
+        active.resend = active.abandoned = False
+        active.check = None
         active.written_ms = 0.0
         active.received_bytes = 0
         arm(held, active)
 
-        def on_write(time_ms: float) -> None:
+        def may_write(time_ms: float) -> LegOutcome | None:
+            # A cancellation can be lost in the library while it connects.
+            if active.done or env.paused():
+                return LegOutcome.NOT_SENT
             active.written_ms = time_ms
+            return None
 
         entry = active.entry
-        result = await send_leg(connection, entry.leg, entry.deadline_at_ms, env.now_ms, on_write)
+        result = await send_leg(connection, entry.leg, entry.deadline_at_ms, env.now_ms, may_write)
         give_back(held, connection)
         return result
 
@@ -141,6 +153,8 @@
             add_sample(held.usual.setdefault(kind, UsualTime()), service_ms)
         if result.answered:
             lifecycle.on_success(held.life)
+            if active.check is not None:
+                note_answer(held.trust, active.check, now_ms)
         elif result.outcome in (LegOutcome.LOST, LegOutcome.REFUSED) and not active.abandoned:
             changed = lifecycle.on_failure(held.life, now_ms, tunables)
         if result.outcome is LegOutcome.DRAINING:
@@ -183,6 +197,7 @@
     def end(held: HeldEndpoint, active: ActiveLeg) -> None:
         queue.finish(held.queue, active.entry)
         held.legs.pop(active.entry.number, None)
+        held.trust.last_leg_ended_ms = env.now_ms()
 
     def start(held: HeldEndpoint, active: ActiveLeg) -> None:
         active.task = env.spawn(run(held, active))
--- a/packages/wisteriarock/src/wisteriarock/endpoints/lifecycle.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/lifecycle.py
@@ -100,7 +100,7 @@
 _MACHINE = _endpoint_machine()
 
 
-# Compared by identity: the machine takes a model that equals a known one for the same.
+# Compared by identity: `transitions` registers no model that equals one it has.
 @dataclass(eq=False)
 class EndpointLife:
     """Facts from which the state of an endpoint follows, and the state itself.
@@ -115,6 +115,8 @@
         Legs, and reports, that failed in a row.
     ejected_until_ms, cold_until_ms : float
         Monotonic times; 0 when not ejected and not in slow start.
+    restarted_at_ms : float
+        When a new incarnation was first seen; 0 if there was none.
     leaving : bool
         The platform's list says that the endpoint leaves.
     told_draining_at_ms : float or None
@@ -128,6 +130,7 @@
     report_failures: int = 0
     ejected_until_ms: float = 0.0
     cold_until_ms: float = 0.0
+    restarted_at_ms: float = 0.0
     leaving: bool = False
     told_draining_at_ms: float | None = None
 
@@ -187,6 +190,8 @@
     """Take a report; a new incarnation starts a slow start. Tell whether the state changed."""
     if life.incarnation and report["incarnation"] != life.incarnation:
         life.cold_until_ms = now_ms + tunables.slow_start_ms
+        life.restarted_at_ms = now_ms
+        life.leaving = False
         life.failures = 0
         life.ejected_until_ms = 0.0
         life.told_draining_at_ms = None
--- a/packages/wisteriarock/src/wisteriarock/endpoints/suspicion.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/suspicion.py
@@ -3,7 +3,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .const import USUAL_TIME_DEVIATIONS, USUAL_TIME_WEIGHT
+from .const import (
+    DISTRUST_MS,
+    REPORT_IDLE_MS,
+    REPORT_SETTLED_MS,
+    UNTRUSTED_WAIT_MS,
+    USUAL_TIME_DEVIATIONS,
+    USUAL_TIME_WEIGHT,
+)
 
 
 @dataclass(slots=True)
@@ -34,14 +41,16 @@
 
 @dataclass(slots=True, frozen=True)
 class OpenLeg:
-    """A leg that has been written and not answered; `silent` when it is over its bound."""
+    """A leg that has been written and not answered; `silent_ms` is the time over its bound."""
 
     number: int
     written_ms: float
-    silent: bool
+    silent_ms: float
 
 
-def lost_legs(legs: Iterable[OpenLeg], asked_ms: float, answered_ms: float, busy: int) -> list[int]:
+def lost_legs(
+    legs: Iterable[OpenLeg], asked_ms: float, answered_ms: float, busy: int | None
+) -> list[int]:
     """Return the numbers of the silent legs that the endpoint is not working on.
 
     The holder is the only sender of an endpoint, so `busy` below the number of legs that are still
@@ -53,11 +62,85 @@
         Open when the probe was sent, and still open when replies in flight have had time to come.
     asked_ms, answered_ms : float
         When the probe was written and answered.
-    busy : int
-        Slots in use at the endpoint, from the probe.
+    busy : int or None
+        Slots in use at the endpoint, from the probe; None when its reports are not trusted. Then
+        a leg is lost once it has been silent for long.
     """
+    if busy is None:
+        return [leg.number for leg in legs if leg.silent_ms >= UNTRUSTED_WAIT_MS]
     # A leg written within the probe's round trip may not have reached the endpoint yet.
     sure_ms = asked_ms - (answered_ms - asked_ms)
     known = sorted((e for e in legs if e.written_ms <= sure_ms), key=lambda e: e.written_ms)
     lost = max(0, len(known) - busy)
-    return [e.number for e in known if e.silent][:lost]
+    return [e.number for e in known if e.silent_ms > 0][:lost]
+
+
+@dataclass(slots=True)
+class ReportTrust:
+    """Whether the reported slots in use agree with the legs sent from here."""
+
+    distrusted_until_ms: float = 0.0
+    last_leg_ended_ms: float = 0.0
+
+
+def is_trusted(trust: ReportTrust, now_ms: float) -> bool:
+    """Tell whether reports may be used to find lost legs."""
+    return now_ms >= trust.distrusted_until_ms
+
+
+def distrust(trust: ReportTrust, now_ms: float) -> None:
+    """Note that a report was wrong: it lags, or it misleads."""
+    trust.distrusted_until_ms = now_ms + DISTRUST_MS
+
+
+@dataclass(slots=True)
+class ReportCheck:
+    """A report that counts fewer slots than legs have been sent; `answered` legs prove it wrong."""
+
+    asked_ms: float
+    busy: int
+    answered: int = 0
+
+
+def check_report(
+    trust: ReportTrust, written_ms: Iterable[float], busy: int, asked_ms: float
+) -> ReportCheck | None:
+    """Compare a report with the legs sent from here.
+
+    Parameters
+    ----------
+    trust : ReportTrust
+        Changed when the report counts slots although no leg has run for a while.
+    written_ms : iterable of float
+        When the legs that are open now were written.
+    busy : int
+        Slots in use at the endpoint.
+    asked_ms : float
+        When the report was asked for.
+
+    Returns
+    -------
+    ReportCheck or None
+        To be kept by the legs that `is_settled`, if the report leaves one of them out.
+    """
+    written = list(written_ms)
+    idle_ms = asked_ms - trust.last_leg_ended_ms
+    if not written and busy > 0 and idle_ms > REPORT_IDLE_MS:
+        distrust(trust, asked_ms)
+    settled = sum(1 for time_ms in written if is_settled(time_ms, asked_ms))
+    return ReportCheck(asked_ms, busy) if settled > busy else None
+
+
+def is_settled(written_ms: float, asked_ms: float) -> bool:
+    """Tell whether a leg was written long enough before a report to be counted in it."""
+    return asked_ms - written_ms > REPORT_SETTLED_MS
+
+
+def note_answer(trust: ReportTrust, check: ReportCheck, now_ms: float) -> None:
+    """Note that a leg was answered which a report may have left out."""
+    if now_ms - check.asked_ms <= REPORT_SETTLED_MS:
+        # It may have ended at the endpoint before the report was made.
+        return
+    check.answered += 1
+    if check.answered > check.busy:
+        distrust(trust, now_ms)
--- a/packages/wisteriarock/src/wisteriarock/wire/connection.py
+++ b/packages/wisteriarock/src/wisteriarock/wire/connection.py
@@ -22,6 +22,10 @@
         """Do nothing, there is no state."""
 
 
+class StaleConnectionError(ConnectionError):
+    """The other side closed the connection, or wrote to it, before the request was written."""
+
+
 class WireConnection(Connection):
     """aiosonic's connection, which the pool requires to be a class, with what we must know of it.
 
@@ -57,6 +61,8 @@
             self._head = data
             return
         if not self.written:
+            if self.is_stale():
+                raise StaleConnectionError
             self.before_write()
             self.written = True
         super().write(self._head + data if self.has_body else data)
--- a/tests/wisteriarock/endpoints/test_suspicion.py
+++ b/tests/wisteriarock/endpoints/test_suspicion.py
@@ -2,9 +2,13 @@
 
 from wisteriarock.endpoints.suspicion import (
     OpenLeg,
+    ReportTrust,
     UsualTime,
     add_sample,
+    check_report,
+    is_trusted,
     lost_legs,
+    note_answer,
     silence_bound_ms,
 )
 
@@ -24,7 +28,7 @@
 
 def test_as_many_legs_are_lost_as_the_endpoint_does_not_work_on() -> None:
     """Guards against doubling a leg that runs, and against waiting for one that does not."""
-    legs = [OpenLeg(1, 0.0, True), OpenLeg(2, 100.0, True)]
+    legs = [OpenLeg(1, 0.0, 100.0), OpenLeg(2, 100.0, 100.0)]
     assert lost_legs(legs, 500.0, 510.0, busy=2) == []
     assert lost_legs(legs, 500.0, 510.0, busy=1) == [1]
     assert lost_legs(legs, 500.0, 510.0, busy=0) == [1, 2]
@@ -33,14 +37,36 @@
 
 def test_a_leg_that_was_just_written_does_not_count() -> None:
     """Guards against a running leg that is doubled because another has not arrived yet."""
-    legs = [OpenLeg(1, 0.0, True), OpenLeg(2, 495.0, False)]
+    legs = [OpenLeg(1, 0.0, 100.0), OpenLeg(2, 495.0, 0.0)]
     assert lost_legs(legs, 500.0, 510.0, busy=1) == []
     assert lost_legs(legs, 500.0, 510.0, busy=0) == [1]
 
 
 def test_a_leg_within_its_bound_is_left_alone() -> None:
     """Guards against closing a connection on which nothing is late."""
-    assert lost_legs([OpenLeg(1, 0.0, False)], 500.0, 510.0, busy=0) == []
+    assert lost_legs([OpenLeg(1, 0.0, 0.0)], 500.0, 510.0, busy=0) == []
+
+
+def test_without_trust_only_long_silence_counts() -> None:
+    """Guards against a report that misleads and hides, or invents, a lost leg."""
+    legs = [OpenLeg(1, 0.0, 599.0), OpenLeg(2, 0.0, 600.0)]
+    assert lost_legs(legs, 500.0, 510.0, busy=None) == [2]
+
+
+def test_reports_that_disagree_with_the_legs_are_not_trusted_for_a_time() -> None:
+    """Guards against doubled legs, or stuck ones, for as long as reports lag or mislead."""
+    idle = ReportTrust()
+    assert check_report(idle, [], 2, 5_000.0) is None
+    assert not is_trusted(idle, 5_001.0)
+    assert is_trusted(idle, 65_000.0)
+    trust = ReportTrust()
+    assert check_report(trust, [4_900.0, 0.0], 1, 5_000.0) is None
+    check = check_report(trust, [1.0, 0.0], 1, 5_000.0)
+    assert check is not None
+    # The first answer may be of a leg that had ended when the report was made.
+    for now_ms, trusted in ((5_100.0, True), (5_300.0, True), (5_400.0, False)):
+        note_answer(trust, check, now_ms)
+        assert is_trusted(trust, now_ms) is trusted
 
 
 load_tests = function_suite(globals())
