--- a/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
@@ -116,6 +116,7 @@
     quiet = asyncio.Event()
     seen_list: object = None
     seen_bundle: object = None
+    specs: dict[str, EndpointSpec] = {}
     leaving: frozenset[str] = frozenset()
     views = create_views(board, now_ms, on_views_changed)
 
@@ -232,6 +233,8 @@
         if held.wake_timer is not None:
             held.wake_timer.cancel()
         wait_ms = max(0.0, ready_at_ms - now_ms())
+        if held.life.report is None:
+            held.next_poll_ms = now_ms() + wait_ms
         held.wake_timer = asyncio.get_running_loop().call_later(wait_ms / 1000, pump, held)
 
     def begin_release(held: HeldEndpoint) -> None:
@@ -275,10 +278,23 @@
             views.withdraw(held.name)
             on_views_changed()
 
+    def take_specs() -> None:
+        """Use the slots and caps of a new bundle; which endpoints are held is decided elsewhere."""
+        nonlocal specs, seen_bundle
+        if board.bundle is seen_bundle:
+            return
+        seen_bundle = board.bundle
+        specs = endpoint_specs(board)
+        for held in list(held_by_name.values()):
+            spec = specs.get(held.name)
+            if spec is not None and address_of(spec) == address_of(held.spec):
+                held.spec = spec
+                pump(held)
+
     def set_held(names: frozenset[str], ready_at_ms: dict[str, float]) -> None:
         nonlocal paused
         paused = False
-        specs = endpoint_specs(board)
+        take_specs()
         changed = False
         for name, held in list(held_by_name.items()):
             spec = specs.get(name)
@@ -287,7 +303,6 @@
                 begin_release(held)
                 changed = True
             else:
-                held.spec = spec
                 move_ready_time(held, ready_at_ms.get(name, held.ready_at_ms))
         for name in names - held_by_name.keys():
             if name in specs and not closing:
@@ -323,19 +338,6 @@
                 held.next_poll_ms = time_ms + tunables.report_interval_ms * jitter
                 reporter.poll(held)
 
-    def take_specs() -> None:
-        """Use the slots and caps of a new bundle; which endpoints are held is decided elsewhere."""
-        nonlocal seen_bundle
-        if board.bundle is seen_bundle:
-            return
-        seen_bundle = board.bundle
-        specs = endpoint_specs(board)
-        for held in list(held_by_name.values()):
-            spec = specs.get(held.name)
-            if spec is not None and address_of(spec) == address_of(held.spec):
-                held.spec = spec
-                pump(held)
-
     async def run() -> None:
         while not broken:
             tick()
--- a/tests/wisteriarock/endpoints/test_controller.py
+++ b/tests/wisteriarock/endpoints/test_controller.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 from wisteriarock.blackboard.models import Blackboard
+from wisteriarock.bundle.models import EndpointSpec
 from wisteriarock.endpoints.controller import EndpointsController, create_endpoints
 from wisteriarock.membership.models import EndpointState
 from wisteriarock.observability.metrics import create_metrics
@@ -53,6 +54,19 @@
     return await future
 
 
+def endpoints_of(holding: Holding) -> dict[str, EndpointSpec]:
+    """Return the endpoints of the bundle in force."""
+    assert holding.board.bundle is not None
+    return holding.board.bundle.content["services"]["bales"]["endpoints"]
+
+
+def change_endpoints(holding: Holding, **endpoints: EndpointSpec) -> None:
+    """Put a new bundle in force."""
+    assert holding.board.bundle is not None
+    endpoints_of(holding).update(endpoints)
+    holding.board.bundle = holding.board.bundle._replace(revision=2)
+
+
 async def test_a_leg_is_answered_and_its_connection_used_again() -> None:
     """Guards against a new connection for each leg, of which endpoints allow few."""
     async with holding() as h:
@@ -191,7 +205,7 @@
     """Guards against a refused connection that is reported as work that may have run."""
     async with holding(tunables={"eject_after_failures": 2}) as h:
         await until(lambda: h.server.reports)
-        h.board.bundle.content["services"]["bales"]["endpoints"]["a"]["port"] = 9  # type: ignore
+        change_endpoints(h, a={**endpoints_of(h)["a"], "port": 9})
         h.controller.set_held(frozenset({"a"}), {})
         for number in range(2):
             reply = await run_leg(h, make_leg(f"r1.{number}"))
@@ -202,9 +216,7 @@
 async def test_endpoints_have_a_state_each() -> None:
     """Guards against state machines that take two endpoints with equal facts for one."""
     async with holding(tunables={"report_interval_ms": 50}) as h:
-        services = h.board.bundle.content["services"]  # type: ignore[union-attr]
-        endpoints = services["bales"]["endpoints"]
-        endpoints["b"] = endpoints["a"]
+        change_endpoints(h, b=endpoints_of(h)["a"])
         h.controller.set_held(frozenset({"a", "b"}), {})
         await until(lambda: h.board.held_views["a"]["state"] is EndpointState.READY)
         # Endpoint `b` is reached at the address of `a`, whose reports it must not take.
