--- a/tests/wisteriarock/endpoints/test_controller.py
+++ b/tests/wisteriarock/endpoints/test_controller.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 from wisteriarock.blackboard.models import Blackboard
+from wisteriarock.bundle.models import EndpointSpec
 from wisteriarock.endpoints.controller import EndpointsController, create_endpoints
 from wisteriarock.membership.models import EndpointState
 from wisteriarock.observability.metrics import create_metrics
@@ -41,6 +42,7 @@
         try:
             yield Holding(board, controller, server)
         finally:
+            assert not running.done(), "an invariant was broken"
             running.cancel()
             await controller.close()
 
@@ -52,6 +54,19 @@
     return await future
 
 
+def endpoints_of(holding: Holding) -> dict[str, EndpointSpec]:
+    """Return the endpoints of the bundle in force."""
+    assert holding.board.bundle is not None
+    return holding.board.bundle.content["services"]["bales"]["endpoints"]
+
+
+def change_endpoints(holding: Holding, **endpoints: EndpointSpec) -> None:
+    """Put a new bundle in force."""
+    assert holding.board.bundle is not None
+    endpoints_of(holding).update(endpoints)
+    holding.board.bundle = holding.board.bundle._replace(revision=2)
+
+
 async def test_a_leg_is_answered_and_its_connection_used_again() -> None:
     """Guards against a new connection for each leg, of which endpoints allow few."""
     async with holding() as h:
@@ -190,7 +205,7 @@
     """Guards against a refused connection that is reported as work that may have run."""
     async with holding(tunables={"eject_after_failures": 2}) as h:
         await until(lambda: h.server.reports)
-        h.board.bundle.content["services"]["bales"]["endpoints"]["a"]["port"] = 9  # type: ignore
+        change_endpoints(h, a={**endpoints_of(h)["a"], "port": 9})
         h.controller.set_held(frozenset({"a"}), {})
         for number in range(2):
             reply = await run_leg(h, make_leg(f"r1.{number}"))
@@ -198,6 +213,16 @@
         assert h.board.held_views["a"]["state"] is EndpointState.EJECTED
 
 
+async def test_endpoints_have_a_state_each() -> None:
+    """Guards against state machines that take two endpoints with equal facts for one."""
+    async with holding(tunables={"report_interval_ms": 50}) as h:
+        change_endpoints(h, b=endpoints_of(h)["a"])
+        h.controller.set_held(frozenset({"a", "b"}), {})
+        await until(lambda: h.board.held_views["a"]["state"] is EndpointState.READY)
+        # Endpoint `b` is reached at the address of `a`, whose reports it must not take.
+        await until(lambda: h.board.held_views["b"]["state"] is EndpointState.GONE)
+
+
 async def test_close_finishes_running_legs() -> None:
     """Guards against a planned stop that interrupts a request."""
 
