Let other zones hold endpoints only when the platform lists no instance there

Cause: with a zone silent, the other zones assigned its endpoints to themselves, so in a partition both sides would have used the slots and connections of the same endpoints.

--- a/packages/wisteriarock/src/wisteriarock/membership/const.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/const.py
@@ -13,6 +13,8 @@
 # A peer that was heard within this share of the interval is not sent a heartbeat.
 HEARD_LATELY = 0.7
 OTHER_ZONE_FACTOR = 2
+# An older copy of the platform's list does not prove that a zone has no entry instance.
+LIST_MAX_AGE_MS = 10_000.0
 # A change is announced at once, but not more often than this.
 MIN_ANNOUNCE_INTERVAL_MS = 50.0
 EVENT_CLOCK_GAP = "clock_gap"
--- a/packages/wisteriarock/src/wisteriarock/membership/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/controller.py
@@ -28,7 +28,13 @@
     MAX_HEARTBEAT_BYTES,
     MIN_ANNOUNCE_INTERVAL_MS,
 )
-from .decide import Candidate, holding_candidates, is_heartbeat_due, live_members
+from .decide import (
+    Candidate,
+    holding_candidates,
+    is_heartbeat_due,
+    live_members,
+    vacant_zones,
+)
 from .diagnostics import membership_diagnostics
 from .exchange import (
     assign,
@@ -181,10 +187,12 @@
         update_views()
 
     def update_assignment(bundle: ActiveBundle, candidates: tuple[Candidate, ...]) -> None:
-        if state.candidates == candidates and state.assigned_digest == bundle.digest:
+        vacant = vacant_zones(board.listed, now_ms() - board.listed_at_ms)
+        present = (state.candidates, state.vacant, state.assigned_digest)
+        if present == (candidates, vacant, bundle.digest):
             return
-        state.candidates, state.assigned_digest = candidates, bundle.digest
-        state.assignment = assign(endpoint_zones(bundle), candidates)
+        state.candidates, state.vacant, state.assigned_digest = candidates, vacant, bundle.digest
+        state.assignment = assign(endpoint_zones(bundle), candidates, vacant)
         mine = {name for name, holder in state.assignment.items() if holder == own}
         now = now_ms()
         state.assigned_at_ms = {name: state.assigned_at_ms.get(name, now) for name in mine}
--- a/packages/wisteriarock/src/wisteriarock/membership/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/decide.py
@@ -5,7 +5,9 @@
 
 import xxhash
 
-from .const import HEARD_LATELY, OTHER_ZONE_FACTOR
+from wisteriarock.platform.models import InstanceList
+
+from .const import HEARD_LATELY, LIST_MAX_AGE_MS, OTHER_ZONE_FACTOR
 from .models import Member, Phase
 
 # Phases in which an instance may hold endpoints. A draining one hands its endpoints over.
@@ -69,7 +71,22 @@
     return [Candidate(m.instance, m.zone) for m in live.values() if m.phase in HOLDING_PHASES]
 
 
-def holder_of(endpoint: str, zone: str, candidates: Iterable[Candidate]) -> str | None:
+def vacant_zones(listed: InstanceList | None, age_ms: float) -> frozenset[str]:
+    """Return the zones that, by a recent platform list, have endpoints but no entry instance.
+
+    Silence alone does not make a zone vacant: behind a network partition its own instances go on
+    using the slots of its endpoints.
+    """
+    if listed is None or age_ms > LIST_MAX_AGE_MS:
+        return frozenset()
+    instances = listed["instances"]
+    manned = {i["zone"] for i in instances if i["role"] == "entry" and i["state"] == "live"}
+    return frozenset(i["zone"] for i in instances if i["role"] == "endpoint") - manned
+
+
+def holder_of(
+    endpoint: str, zone: str, candidates: Iterable[Candidate], vacant: frozenset[str] = frozenset()
+) -> str | None:
     """Return the instance that holds the connections to an endpoint.
 
     Parameters
@@ -80,6 +97,8 @@
         Availability zone of the endpoint. Instances of this zone are preferred.
     candidates : iterable of Candidate
         Instances that may hold endpoints, this one included.
+    vacant : frozenset of str
+        Zones whose endpoints may be held from other zones.
 
     Returns
     -------
@@ -88,5 +107,5 @@
     """
     everyone = list(candidates)
     local = [c.instance for c in everyone if c.zone == zone]
-    names = local or [c.instance for c in everyone]
+    names = local or [c.instance for c in everyone if zone in vacant]
     return rank_instances(endpoint, names)[0] if names else None
--- a/packages/wisteriarock/src/wisteriarock/membership/exchange.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/exchange.py
@@ -97,11 +97,15 @@
         table.pop(peer, None)
 
 
-def assign(endpoint_zones: Mapping[str, str], candidates: tuple[Candidate, ...]) -> dict[str, str]:
+def assign(
+    endpoint_zones: Mapping[str, str],
+    candidates: tuple[Candidate, ...],
+    vacant: frozenset[str] = frozenset(),
+) -> dict[str, str]:
     """Return the holder of each endpoint, without those that have none."""
     assignment = {}
     for endpoint, zone in endpoint_zones.items():
-        holder = holder_of(endpoint, zone, candidates)
+        holder = holder_of(endpoint, zone, candidates, vacant)
         if holder is not None:
             assignment[endpoint] = holder
     return assignment
--- a/packages/wisteriarock/src/wisteriarock/membership/models.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/models.py
@@ -108,6 +108,8 @@
         Peers that have answered or failed at least once.
     candidates : tuple
         Candidates of the current assignment.
+    vacant : frozenset
+        Zones without entry instances at the current assignment.
     assigned_digest : str
         Digest of the bundle of the current assignment.
     """
@@ -122,4 +124,5 @@
     assigned_at_ms: dict[str, float] = field(default_factory=dict)
     contacted: set[str] = field(default_factory=set)
     candidates: tuple[tuple[str, str], ...] = ()
+    vacant: frozenset[str] = frozenset()
     assigned_digest: str = ""
