--- /dev/null
+++ b/tests/wisteriarock/query/test_controller.py
@@ -0,0 +1,141 @@
+"""Tests of the execution of actions: batches, cancellation, timers."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from random import Random
+
+from wisteriarock.blackboard.models import Blackboard
+from wisteriarock.membership.models import Member, Phase
+from wisteriarock.observability.metrics import Metrics, create_metrics
+from wisteriarock.query.controller import QueryController, create_query_controller
+from wisteriarock.query.models import LegOutcome, LegRequest, OnLegReply, QueryAnswer
+from wisteriarock.settings.const import TUNABLES
+from wisteriarock.settings.models import Settings, Tunables
+
+from tests.common import function_suite
+from tests.wisteriarock.query.fixtures import bundle, reply_to, request, view
+
+ACTIVE = bundle({"n": "north", "m": "north", "e": "east", "f": "east"}, "abc", per_100=1_000)
+SHARDS = [("a", 0, 1), ("b", 0, 1), ("c", 0, 1)]
+
+
+@dataclass
+class Calls:
+    """What the controller called; `batches` are (holder, legs, sink)."""
+
+    metrics: Metrics
+    now_ms: float = 0.0
+    batches: list[tuple[str, list[LegRequest], OnLegReply]] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    timers: list[tuple[float, Callable[[], None]]] = field(default_factory=list)
+    holders: dict[str, str | None] = field(default_factory=dict)
+
+
+@asynccontextmanager
+async def _controller() -> AsyncIterator[tuple[QueryController, Calls]]:
+    """Provide a controller of instance `e0` whose endpoints `n` and `m` are held by itself."""
+    tunables = Tunables(**{name: limits.default for name, limits in TUNABLES.items()})
+    settings = Settings("e0", "north", "", 0, "", 0, (), (), "", {}, "", None, None, tunables)
+    board = Blackboard(settings, "1")
+    board.members["e1"] = Member("e1", "1", "east", "", 0, Phase.READY, float("inf"), 1, "")
+    calls = Calls(create_metrics(), holders={"n": "e0", "m": "e0", "e": "e1", "f": "e1"})
+    held = {"n": SHARDS[:1], "m": SHARDS[:1], "e": SHARDS[1:], "f": SHARDS[1:]}
+    for name, triples in held.items():
+        board.endpoint_views[name] = view(name, {7: triples}, holder=calls.holders[name] or "")
+
+    def send(holder: str, legs: list[LegRequest], sink: OnLegReply) -> Callable[[], None]:
+        calls.batches.append((holder, legs, sink))
+        return lambda: calls.cancelled.extend(leg["leg_id"] for leg in legs)
+
+    def later(delay_ms: float, call: Callable[[], None]) -> Callable[[], None]:
+        timer = (calls.now_ms + delay_ms, call)
+        calls.timers.append(timer)
+        return lambda: calls.timers.remove(timer) if timer in calls.timers else None
+
+    yield (
+        create_query_controller(
+            board,
+            calls.metrics,
+            send,
+            lambda holder, leg_ids: calls.cancelled.extend([holder, *leg_ids]),
+            lambda leg, sink: send("e0", [leg], sink),
+            lambda endpoint: calls.holders[endpoint],
+            lambda: calls.now_ms,
+            Random(1),
+            later,
+        ),
+        calls,
+    )
+
+
+async def _start(controller: QueryController, shards: str) -> asyncio.Task[QueryAnswer]:
+    task = asyncio.ensure_future(controller.run_query(request(shards), ACTIVE))
+    await asyncio.sleep(0)
+    return task
+
+
+async def test_legs_for_one_holder_are_sent_in_one_call() -> None:
+    """Guards against a request to a peer for each leg."""
+    async with _controller() as (controller, calls):
+        task = await _start(controller, "abc")
+        assert [(holder, len(legs)) for holder, legs, _ in calls.batches] == [("e0", 1), ("e1", 2)]
+        assert controller.in_flight() == 1
+        for _, legs, sink in calls.batches:
+            for leg in legs:
+                sink(reply_to(leg))
+        answer = await task
+        assert answer["outcome"] == "complete"
+        assert answer["stats"]["cross_zone_legs"] == 2
+        assert (calls.cancelled, calls.timers, controller.in_flight()) == ([], [], 0)
+        sample = calls.metrics.registry.get_sample_value
+        labels = {"role": "primary", "cross_zone": "yes"}
+        assert sample("wisteriarock_legs_total", labels) == 2
+
+
+async def test_a_caller_that_is_gone_cancels_all_legs() -> None:
+    """Guards against work that goes on for nobody."""
+    async with _controller() as (controller, calls):
+        task = await _start(controller, "abc")
+        _, legs, sink = calls.batches[1]
+        sink(reply_to(legs[0]))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert set(calls.cancelled) >= {"q.0", "q.2"}
+        assert (calls.timers, controller.in_flight()) == ([], 0)
+        sink(reply_to(legs[1]))
+        assert controller.diagnostics()["dropped_replies"] == {"late": 1}
+        outstanding = [e["outstanding"] for e in controller.diagnostics()["endpoints"].values()]
+        assert outstanding == [0, 0, 0, 0]
+
+
+async def test_one_leg_of_a_batch_is_cancelled_alone() -> None:
+    """Guards against the loss of a whole batch when one of its legs lost to a hedge."""
+    async with _controller() as (controller, calls):
+        task = await _start(controller, "bc")
+        calls.now_ms = 100
+        calls.timers[-1][1]()
+        hedges = [leg for _, legs, _ in calls.batches[1:] for leg in legs]
+        assert len(hedges) == 2
+        calls.batches[1][2](reply_to(hedges[0]))
+        assert calls.cancelled == ["e1", "q.0"]
+        calls.batches[1][2](reply_to(hedges[1]))
+        assert (await task)["outcome"] == "complete"
+
+
+async def test_a_leg_without_a_holder_was_not_sent() -> None:
+    """Guards against a request that waits for a reply which nobody will send."""
+    async with _controller() as (controller, calls):
+        calls.holders["n"] = calls.holders["m"] = None
+        task = await _start(controller, "a")
+        calls.now_ms = 1_000
+        while not task.done():
+            calls.timers[-1][1]()
+            await asyncio.sleep(0)
+        answer = await task
+        assert (answer["outcome"], answer["stats"]["legs"] > 0) == ("not_run", True)
+        assert answer["coverage"]["missing"] == [{"shard": "a", "reason": LegOutcome.NOT_SENT}]
+
+
+load_tests = function_suite(globals())
