--- a/packages/wisteriarock/src/wisteriarock/query/const.py
+++ b/packages/wisteriarock/src/wisteriarock/query/const.py
@@ -27,6 +27,8 @@
 # happens to one query in eight of 50 legs.
 MAX_HEDGES = 2
 MAX_RESTARTS = 2
+# Timers that are due within this time are handled together.
+TIMER_SLACK_MS = 1.0
 RESTART_MIN_TIME_LEFT = 0.5
 
 HEDGE_MIN_SAMPLES = 20
@@ -39,12 +41,6 @@
 QUANTILE_EVERY = 32
 # Standard errors by which the quantile is estimated low.
 QUANTILE_ERRORS = 2.0
-# Share of recent legs past the hedge delay above which a service is slow as a whole. The
-# quantile alone explains 5 in 100; hedges in an overload would add to it. The weight is small
-# because the late legs of a query are counted one after the other, after all others: a weight of
-# 1/32 took 7 stragglers in 50 legs for a slow service.
-SLOW_SERVICE_SHARE = 0.25
-SLOW_SERVICE_WEIGHT = 1 / 128
 # Share of the burst that the first hedges leave untouched, and the age, in hedge delays, at which
 # a leg may use all of it. When the budget is short, the legs that have waited longest get it.
 BUDGET_RESERVE = 0.5
--- a/packages/wisteriarock/src/wisteriarock/query/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/query/diagnostics.py
@@ -19,7 +19,6 @@
             name: {
                 "samples": latency.samples,
                 "hedge_delay_ms": round(latency.delay_ms, 2),
-                "overdue_share": round(latency.overdue_share, 3),
             }
             for name, latency in hedging.services.items()
         },
@@ -29,6 +28,7 @@
                 "outstanding": stats.outstanding,
                 "others": stats.others,
                 "failures": stats.failures,
+                "overdue_share": round(stats.overdue_share, 3),
                 "latency_ms": round(stats.latency_ms, 2),
                 "ejected_for_ms": round(max(0.0, stats.ejected_until_ms - now_ms), 1),
             }
--- a/packages/wisteriarock/src/wisteriarock/query/hedging.py
+++ b/packages/wisteriarock/src/wisteriarock/query/hedging.py
@@ -14,8 +14,6 @@
     HISTOGRAM_MAX_WEIGHT,
     QUANTILE_ERRORS,
     QUANTILE_EVERY,
-    SLOW_SERVICE_SHARE,
-    SLOW_SERVICE_WEIGHT,
 )
 
 _LOG_GROWTH = math.log(BUCKET_GROWTH)
@@ -34,15 +32,12 @@
         Samples seen since the start.
     delay_ms : float
         How long a leg may take before it is hedged, as of the last calculation.
-    overdue_share : float
-        Moving share of primary legs that were not answered within the hedge delay.
     """
 
     delay_ms: float
     counts: list[float] = field(default_factory=lambda: [0.0] * BUCKET_COUNT)
     weight: float = 0.0
     samples: int = 0
-    overdue_share: float = 0.0
 
 
 @dataclass
@@ -105,16 +100,6 @@
         latency.delay_ms = max(state.min_ms, _quantile_ms(latency, state.quantile))
 
 
-def note_overdue(latency: ServiceLatency, overdue: bool) -> None:
-    """Record whether a primary leg was answered within the hedge delay."""
-    latency.overdue_share += SLOW_SERVICE_WEIGHT * (overdue - latency.overdue_share)
-
-
-def is_slow_service(latency: ServiceLatency) -> bool:
-    """Tell whether so many legs are late that the service is overloaded, not straggling."""
-    return latency.overdue_share > SLOW_SERVICE_SHARE
-
-
 def earn_budget(state: HedgeState, spec: BudgetSpec, primary_legs: int) -> None:
     """Add the extra legs that primary legs allow, within the bundle's rates."""
     state.budget.burst = spec["extra_legs_burst"]
--- a/packages/wisteriarock/src/wisteriarock/routing/const.py
+++ b/packages/wisteriarock/src/wisteriarock/routing/const.py
@@ -16,3 +16,9 @@
 # Share of its slots that an endpoint gets at the beginning of its slow start.
 SLOW_START_SHARE = 0.1
 LATENCY_WEIGHT = 0.2
+# Share of an endpoint's recent primary legs past the hedge delay. Above the first it gets no
+# hedges: in an overload they would add to it. Above the second it is used late for a while.
+NO_HEDGE_OVERDUE_SHARE = 0.25
+SLOW_OVERDUE_SHARE = 0.5
+OVERDUE_WEIGHT = 1 / 16
+SLOW_MEMORY_MS = 2_000.0
--- a/packages/wisteriarock/src/wisteriarock/routing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/routing/decide.py
@@ -14,18 +14,23 @@
     HOLDER_MEMORY_MS,
     LATENCY_LIFETIME_MS,
     LATENCY_WEIGHT,
+    NO_HEDGE_OVERDUE_SHARE,
+    OVERDUE_WEIGHT,
     OVERLOAD_PER_SLOT,
     SHED_MEMORY_MS,
+    SLOW_MEMORY_MS,
+    SLOW_OVERDUE_SHARE,
     SLOW_START_SHARE,
 )
 from .models import NEVER_MS, EndpointRoute, EndpointStats, Routes, RoutingState
 
 # Position in the order before zone, load and latency count.
 TIER_READY = 0
-TIER_HOLDER_SUSPECT = 1
-TIER_SHEDDING = 2
-TIER_COLD = 3
-TIER_EJECTED = 4
+TIER_SLOW = 1
+TIER_HOLDER_SUSPECT = 2
+TIER_SHEDDING = 3
+TIER_COLD = 4
+TIER_EJECTED = 5
 
 FAILURES = frozenset({LegOutcome.LOST, LegOutcome.REFUSED})
 Score = tuple[int, int, float, int]
@@ -61,6 +66,7 @@
             stats.shed_at_ms + SHED_MEMORY_MS,
             stats.drained_at_ms + DRAIN_MEMORY_MS,
             stats.ready_since_ms + state.slow_start_ms,
+            stats.slow_until_ms,
         )
     else:
         stats.plain_from_ms = float("inf")
@@ -76,6 +82,8 @@
         stats.failures = 0
         stats.ejected_until_ms = stats.shed_at_ms = stats.drained_at_ms = NEVER_MS
         stats.latency_rank = 0
+        stats.overdue_share = 0.0
+        stats.slow_until_ms = NEVER_MS
     was_cold = stats.state is EndpointState.COLD
     if view["state"] == EndpointState.READY and (restarted or was_cold):
         stats.ready_since_ms = now_ms
@@ -119,6 +127,8 @@
     lost = state.holder_lost_at_ms
     if lost and now_ms - lost.get(stats.holder, NEVER_MS) < HOLDER_MEMORY_MS:
         return TIER_HOLDER_SUSPECT
+    if now_ms < stats.slow_until_ms:
+        return TIER_SLOW
     return TIER_READY
 
 
@@ -200,6 +210,8 @@
     stats = stats_of(state, endpoint)
     if _takes_no_work(stats, now_ms) or _tier(state, stats, now_ms) != TIER_READY:
         return False
+    if stats.overdue_share > NO_HEDGE_OVERDUE_SHARE:
+        return False
     return load_per_slot(state, stats, route.slots, now_ms) <= OVERLOAD_PER_SLOT
 
 
@@ -304,6 +316,15 @@
     _note_failure(state, routes, endpoint, now_ms)
 
 
+def note_overdue(state: RoutingState, endpoint: str, overdue: bool, now_ms: float) -> None:
+    """Record whether a primary leg was answered within the hedge delay."""
+    stats = state.endpoints.get(endpoint) or stats_of(state, endpoint)
+    stats.overdue_share += OVERDUE_WEIGHT * (overdue - stats.overdue_share)
+    if overdue and stats.overdue_share > SLOW_OVERDUE_SHARE:
+        stats.slow_until_ms = now_ms + SLOW_MEMORY_MS
+        _set_plain_from(state, stats)
+
+
 def shed_recently(state: RoutingState, endpoint: str, now_ms: float) -> bool:
     """Tell whether an endpoint refused a leg because of its load a short time ago."""
     return now_ms - stats_of(state, endpoint).shed_at_ms < SHED_MEMORY_MS
--- a/packages/wisteriarock/src/wisteriarock/routing/models.py
+++ b/packages/wisteriarock/src/wisteriarock/routing/models.py
@@ -40,6 +40,10 @@
         Moving average of the time from sending a leg to its reply.
     latency_rank : int
         Logarithm of `latency_ms`, coarse enough that equal replicas share the load.
+    overdue_share : float
+        Moving share of primary legs that were not answered within the hedge delay.
+    slow_until_ms : float
+        The endpoint is used late until then, because most of its legs are overdue.
     others : int
         Legs of other instances that the last view implies.
     ready_since_ms : float
@@ -56,6 +60,8 @@
     latency_at_ms: float = NEVER_MS
     shed_at_ms: float = NEVER_MS
     drained_at_ms: float = NEVER_MS
+    overdue_share: float = 0.0
+    slow_until_ms: float = NEVER_MS
     others: int = 0
     hint_at_ms: float = NEVER_MS
     incarnation: str = ""
--- a/packages/wisteriarock/src/wisteriarock/snapshot/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/snapshot/decide.py
@@ -107,10 +107,10 @@
     return changed
 
 
-def _usable(index: HoldingIndex, endpoint: str, shard: str) -> bool:
-    if index.routes is None or index.seen[endpoint]["holder"] not in index.live_holders:
+def _usable(index: HoldingIndex, routes: Routes | None, endpoint: str, shard: str) -> bool:
+    if routes is None or index.seen[endpoint]["holder"] not in index.live_holders:
         return False
-    route = index.routes.endpoints.get(endpoint)
+    route = routes.endpoints.get(endpoint)
     return route is not None and shard in route.shards
 
 
@@ -118,7 +118,7 @@
     """Return the partitions of a shard in a snapshot, or the reason why it can't be served."""
     by_parts: dict[int, list[PartitionReplicas]] = {}
     for partition, holders in index.replicas[snapshot].get(shard, {}).items():
-        usable = tuple(name for name in holders if _usable(index, name, shard))
+        usable = tuple(name for name in holders if _usable(index, index.routes, name, shard))
         if usable:
             found = by_parts.setdefault(partition.parts, [])
             found.append(PartitionReplicas(partition, usable))
@@ -140,10 +140,12 @@
         index.resolved.clear()
 
 
-def replicas_of(index: HoldingIndex, snapshot: int, partition: Partition) -> list[str]:
-    """Return the endpoints that can serve a partition in a snapshot now."""
+def replicas_of(
+    index: HoldingIndex, routes: Routes, snapshot: int, partition: Partition
+) -> list[str]:
+    """Return the endpoints of a query's bundle that can serve a partition in a snapshot now."""
     holders = index.replicas.get(snapshot, {}).get(partition.shard, {}).get(partition, {})
-    return [name for name in holders if _usable(index, name, partition.shard)]
+    return [name for name in holders if _usable(index, routes, name, partition.shard)]
 
 
 def pin(index: HoldingIndex, wanted: Sequence[str], newer_than: int = -1) -> Pinned:
