--- a/packages/standins/src/wisteriastandins/commands.py
+++ b/packages/standins/src/wisteriastandins/commands.py
@@ -2,10 +2,14 @@
 
 import sys
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import cyclopts
 
 from .demo import DEFAULT_OPTIONS, DemoOptions, run_demo
+from .faults.catalogue import FAULTS
+from .faults.run import FaultOptions, run_faults
+from .launcher import end_on_sigterm
 from .measure.commands import app as measure_app
 
 
@@ -48,7 +52,48 @@
     sys.exit(run_demo(options))
 
 
+def faults(
+    *,
+    fault: list[str] | None = None,
+    customer: str = "cascade",
+    share: float = 0.1,
+    duration_s: float = 15.0,
+    seed: int = 1,
+    base_port: int = DEFAULT_OPTIONS.base_port,
+    run_folder: Path | None = None,
+) -> None:
+    """Load a deployment during faults and planned changes, one run for each.
+
+    Exits with 1 when an answer fails its check, or a planned change harms a request.
+
+    Parameters
+    ----------
+    fault
+        Name of a fault, see `wisteriastandins.faults.catalogue`; may be given several times.
+    customer
+        The deployment: cascade or popravka.
+    share
+        Load as a share of the capacity of the busiest service's slots.
+    duration_s
+        Seconds of load; the fault begins after a third and ends at two thirds of it.
+    seed
+        Seed of the load and of the stand-ins.
+    base_port
+        First of the loopback ports.
+    run_folder
+        Where files and logs are kept; a temporary folder without it.
+    """
+    names = tuple(fault or FAULTS)
+    end_on_sigterm()
+    with TemporaryDirectory(prefix="wisteriarock-") as temporary:
+        folder = run_folder or Path(temporary)
+        options = FaultOptions(customer, names, share, duration_s, seed, base_port, folder)
+        code = run_faults(options)
+    sys.exit(code)
+
+
 def register(app: cyclopts.App) -> None:
     """Add the commands to the application."""
     app.command(demo)
+    app.command(faults)
     app.command(measure_app)
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults and planned changes while a deployment is under load."""
--- a/packages/standins/src/wisteriastandins/load/models.py
+++ b/packages/standins/src/wisteriastandins/load/models.py
@@ -72,6 +72,8 @@
         Hedges and retries in per cent of primary legs.
     cross_zone_legs : float
         Mean of an answer.
+    missing_reasons : dict
+        Reason that an answer gave for a missing shard to the number of such shards.
     """
 
     kind: str
@@ -84,6 +86,7 @@
     mean_coverage: float
     extra_load_pct: float
     cross_zone_legs: float
+    missing_reasons: dict[str, int]
     errors: dict[str, int]
     check_failures: int
 
--- a/packages/standins/src/wisteriastandins/load/report.py
+++ b/packages/standins/src/wisteriastandins/load/report.py
@@ -61,6 +61,11 @@
         f"load tool: {result['late_starts']} late starts, {result['tool_cpu_pct']:.0f} % of a core"
     )
     lines = [head, format_rows([_HEAD, *(_row(item) for item in result["classes"])])]
+    for item in result["classes"]:
+        reasons = sorted(item["missing_reasons"].items())
+        if reasons:
+            text = ", ".join(f"{reason} {count}" for reason, count in reasons)
+            lines.append(f"missing shards of {item['kind']}: {text}")
     if not result["record_checked"]:
         lines.append("the record of executions could not be read from every stand-in")
     for check, count in sorted(result["failed_checks"].items()):
--- a/packages/standins/src/wisteriastandins/load/stats.py
+++ b/packages/standins/src/wisteriastandins/load/stats.py
@@ -33,6 +33,7 @@
     late_answers: int = 0
     outcomes: Counter[str] = field(default_factory=Counter)
     errors: Counter[str] = field(default_factory=Counter)
+    missing_reasons: Counter[str] = field(default_factory=Counter)
     coverage_sum: float = 0.0
     primary_legs: int = 0
     extra_legs: int = 0
@@ -63,6 +64,7 @@
         latency_us = max(_LOWEST_US, min(_HIGHEST_US, round(latency_ms * 1000)))
         stats.latency_us.record_value(latency_us)
     stats.coverage_sum += len(answer["coverage"]["answered"]) / wanted
+    stats.missing_reasons.update(item["reason"] for item in answer["coverage"]["missing"])
     cost = answer["stats"]
     stats.primary_legs += primary_legs(cost)
     stats.extra_legs += cost["hedges"] + cost["retries"]
@@ -84,6 +86,7 @@
         mean_coverage=stats.coverage_sum / answers,
         extra_load_pct=100 * stats.extra_legs / max(1, stats.primary_legs),
         cross_zone_legs=stats.cross_zone_legs / answers,
+        missing_reasons=dict(stats.missing_reasons),
         errors=dict(stats.errors),
         check_failures=stats.check_failures,
     )
--- a/packages/standins/src/wisteriastandins/topology/build.py
+++ b/packages/standins/src/wisteriastandins/topology/build.py
@@ -219,6 +219,7 @@
     relays: dict[str, RelayConfig],
     credentials: dict[str, str],
     operator_token: str,
+    platform_url: str,
 ) -> LoadPlan:
     services = {
         endpoint.service: PlanService(
@@ -269,6 +270,7 @@
         ],
         endpoint_controls=[f"http://{LOOPBACK}:{c['control_port']}" for c in configs.values()],
         relay_controls=[f"http://{LOOPBACK}:{c['control_port']}" for c in relays.values()],
+        platform_control=platform_url,
         operator_token=operator_token,
     )
 
@@ -307,6 +309,7 @@
     relays = _relays(customer, entries, ports, seed + 100)
     configs = _endpoint_configs(customer, endpoints, ports, seed + 200)
     credentials = {c.caller: rng.randbytes(_CREDENTIAL_BYTES).hex() for c in customer.classes}
+    platform_url = f"http://{LOOPBACK}:{platform_port}"
     operator_token = rng.randbytes(_CREDENTIAL_BYTES).hex()
     peer_secret = rng.randbytes(_CREDENTIAL_BYTES).hex()
     settings = {
@@ -321,7 +324,7 @@
             peer_keys=[{"key_id": "key-1", "secret": peer_secret}],
             operator_token=operator_token,
             operator_keys=operator_keys,
-            platform_url=f"http://{LOOPBACK}:{platform_port}",
+            platform_url=platform_url,
         )
         for entry in entries
     }
@@ -340,5 +343,14 @@
             list_lag_ms=1000.0,
             instances=_listed(entries, endpoints),
         ),
-        plan=_plan(customer, entries, endpoints, configs, relays, credentials, operator_token),
+        plan=_plan(
+            customer,
+            entries,
+            endpoints,
+            configs,
+            relays,
+            credentials,
+            operator_token,
+            platform_url,
+        ),
     )
--- a/packages/standins/src/wisteriastandins/topology/models.py
+++ b/packages/standins/src/wisteriastandins/topology/models.py
@@ -171,6 +171,7 @@
     endpoints: list[PlanEndpoint]
     endpoint_controls: list[str]
     relay_controls: list[str]
+    platform_control: str
     operator_token: str
 
 
--- a/tests/wisteriastandins/load/test_arrivals.py
+++ b/tests/wisteriastandins/load/test_arrivals.py
@@ -1,16 +1,15 @@
 """Tests of arrivals and capacity."""
 
-import random
 from collections import Counter
 
 from wisteriastandins.load.arrivals import arrivals, capacity_per_s, legs_per_request
 from wisteriastandins.load.models import LoadOptions
-from wisteriastandins.topology.build import build_topology
-from wisteriastandins.topology.customers import CASCADE, CUSTOMERS
+from wisteriastandins.topology.customers import CUSTOMERS
 
 from tests.common import function_suite
+from tests.wisteriastandins.plans import cascade_plan, make_plan
 
-PLAN = build_topology(CASCADE, 21_000, 1, {}, random.Random(1)).plan
+PLAN = cascade_plan()
 
 
 def test_the_same_seed_gives_the_same_requests() -> None:
@@ -38,7 +37,7 @@
 def test_capacity_uses_up_the_busiest_service() -> None:
     """Guards against a load above the slots of some service, or far below those of all."""
     for customer in CUSTOMERS.values():
-        plan = build_topology(customer, 21_000, 1, {}, random.Random(1)).plan
+        plan = make_plan(customer)
         rate_per_s, legs = capacity_per_s(plan), legs_per_request(plan)
         busy = [
             rate_per_s * legs[s["shard"]] * s["mean_service_ms"] / 1000 / s["slots"]
--- a/tests/wisteriastandins/load/test_run.py
+++ b/tests/wisteriastandins/load/test_run.py
@@ -1,23 +1,22 @@
 """Tests of a load run against a fake tier."""
 
-import random
 from collections import Counter
 from typing import Any
 
 from wisteriastandins.load.models import LoadOptions, LoadResult
 from wisteriastandins.load.report import format_result, is_correct
 from wisteriastandins.load.run import run_load
-from wisteriastandins.topology.build import build_topology
 from wisteriastandins.topology.customers import CASCADE
 
 from tests.common import function_suite
 from tests.wisteriastandins.fakes import Change, fake_entry, rows_of, serve, use_port
+from tests.wisteriastandins.plans import cascade_plan
 
 OPTIONS = LoadOptions(rate_per_s=200, warm_up_s=0.0, duration_s=0.5, seed=3)
 
 
 async def _run(change: Change, refused_port: bool = False) -> tuple[LoadResult, Counter[str]]:
-    plan = build_topology(CASCADE, 21_000, 1, {}, random.Random(1)).plan
+    plan = cascade_plan()
     executed: Counter[str] = Counter()
     tickets: Counter[str] = Counter()
     async with serve(fake_entry(CASCADE.lots_per_shard, executed, tickets, change)) as port:
--- a/tests/wisteriastandins/measure/test_measure.py
+++ b/tests/wisteriastandins/measure/test_measure.py
@@ -1,6 +1,5 @@
 """Tests of the measurements' figures and of the bare fan-out."""
 
-import random
 from collections import Counter
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -10,51 +9,27 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse
 from starlette.routing import Route
-from wisteriastandins.load.models import ClassResult, LoadOptions, LoadResult
+from wisteriastandins.load.models import LoadOptions
 from wisteriastandins.measure.bare import run_bare
 from wisteriastandins.measure.deployments import write_deployments
 from wisteriastandins.measure.leg_cost import cost_row
 from wisteriastandins.measure.memory import memory_row
 from wisteriastandins.measure.models import LegCost, MeasureOptions, MemoryUse
-from wisteriastandins.topology.build import build_topology
 from wisteriastandins.topology.customers import CASCADE
 
 from tests.common import function_suite
 from tests.wisteriastandins.fakes import rows_of, serve
-
-
-def _result(p99_ms: float, failed: dict[str, int]) -> LoadResult:
-    result = ClassResult(
-        kind="recall_screen",
-        requests=10,
-        rate_per_s=1.0,
-        outcomes={"complete": 9, "partial": 1},
-        p50_ms=20.0,
-        p99_ms=p99_ms,
-        late_answers=1,
-        mean_coverage=0.998,
-        extra_load_pct=1.5,
-        cross_zone_legs=12.0,
-        errors={"timeout": 1},
-        check_failures=sum(failed.values()),
-    )
-    return LoadResult(
-        customer="cascade",
-        rate_per_s=1.0,
-        duration_s=10.0,
-        seed=1,
-        classes=[result],
-        late_starts=0,
-        tool_cpu_pct=20.0,
-        record_checked=True,
-        failed_checks=failed,
-        failures=[],
-    )
+from tests.wisteriastandins.plans import cascade_plan
+from tests.wisteriastandins.results import load_result
 
 
 def test_the_page_gives_medians_and_every_failed_check() -> None:
     """Guards against a page that hides failed checks or gives the best run."""
-    runs = [_result(50.0, {}), _result(90.0, {"doubles": 2}), _result(60.0, {})]
+    runs = [
+        load_result(50.0, errors={"timeout": 3}),
+        load_result(90.0, {"doubles": 2}),
+        load_result(60.0),
+    ]
     with TemporaryDirectory() as folder:
         path = Path(folder) / "new" / "page.md"
         options = MeasureOptions(("cascade",), (0.5,), 3, 0.0, 1.0, 1, 21_000, path)
@@ -96,7 +71,7 @@
         rows = rows_of(body["shard"], 0, 1, 1, CASCADE.lots_per_shard, body["params"])
         return JSONResponse({"leg_id": body["leg_id"], "rows": rows})
 
-    plan = build_topology(CASCADE, 21_000, 1, {}, random.Random(1)).plan
+    plan = cascade_plan()
     async with serve(Starlette(routes=[Route("/leg", leg, methods=["POST"])])) as port:
         for endpoint in plan["endpoints"]:
             endpoint["port"] = port
--- /dev/null
+++ b/tests/wisteriastandins/plans.py
@@ -0,0 +1,17 @@
+"""Plans for tests."""
+
+import random
+
+from wisteriastandins.topology.build import build_topology
+from wisteriastandins.topology.customers import CASCADE
+from wisteriastandins.topology.models import Customer, LoadPlan
+
+
+def make_plan(customer: Customer) -> LoadPlan:
+    """Return the plan of a deployment whose addresses nobody listens on."""
+    return build_topology(customer, 21_000, 1, {}, random.Random(1)).plan
+
+
+def cascade_plan() -> LoadPlan:
+    """Return the plan of the first deployment."""
+    return make_plan(CASCADE)
