--- a/packages/standins/src/wisteriastandins/faults/catalogue.py
+++ b/packages/standins/src/wisteriastandins/faults/catalogue.py
@@ -82,13 +82,14 @@
 
 
 async def _repartition(target: Target) -> str | None:
-    """Publish a snapshot in which every shard of the first class has two partitions."""
-    copy = {"copy_snapshot": {"source": DEFAULT_SNAPSHOT, "target": _NEXT_SNAPSHOT}}
-    error = await change_endpoints(target.plan, "*", copy)
-    for shard in target.plan["classes"][0]["shards"]:
-        parts = {"snapshot": _NEXT_SNAPSHOT, "shard": shard, "parts": [(0, 2), (1, 2)]}
-        error = error or await change_endpoints(target.plan, "*", {"repartition": parts})
-    return error
+    """Publish a snapshot in which every shard has two partitions, on each of its endpoints."""
+    shards = {e["name"].rpartition("-")[0]: e["shards"] for e in target.plan["endpoints"]}
+    for service, held in shards.items():
+        partitions = [(shard, part, 2) for shard in held for part in (0, 1)]
+        added = {"add_snapshots": {str(_NEXT_SNAPSHOT): partitions}}
+        if error := await change_endpoints(target.plan, f"{service}-*", added):
+            return error
+    return None
 
 
 _COPY = {"copy_snapshot": {"source": DEFAULT_SNAPSHOT, "target": _NEXT_SNAPSHOT}}
