Keep a cancellation that arrives as a connection opens

A fault run of the load tool did not end: a readiness check had lost its cancellation in asyncio.wait_for, which aiosonic uses for the time limit of a connect.

--- a/packages/standins/src/wisteriastandins/launcher.py
+++ b/packages/standins/src/wisteriastandins/launcher.py
@@ -179,6 +179,8 @@
 
 def end_on_sigterm() -> None:
     """Treat SIGTERM like an interrupt, so that the processes of a run are ended in both cases."""
+    # A shell starts background jobs with SIGINT ignored.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
 
 
--- a/packages/standins/src/wisteriastandins/load/client.py
+++ b/packages/standins/src/wisteriastandins/load/client.py
@@ -6,20 +6,21 @@
 from dataclasses import dataclass, field
 
 import aiosonic
-from aiosonic.exceptions import AiosonicError, ConnectTimeout
+from aiosonic.exceptions import AiosonicError
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
 from .models import SendError
 
-CONNECT_TIMEOUT_S = 1.0
 # Shorter than uvicorn's keep-alive of 5 s, so that no request meets a connection being closed.
 _MAX_IDLE_MS = 2_000
 
 
 def create_client() -> aiosonic.HTTPClient:
     """Return a client with a single connection; the caller bounds the time of its requests."""
-    timeouts = Timeouts(sock_connect=CONNECT_TIMEOUT_S, sock_read=None, request_timeout=None)
+    # With a time limit aiosonic uses asyncio.wait_for, which before Python 3.12 loses a
+    # cancellation that arrives just as the connection opens. The task then never ends.
+    timeouts = Timeouts(sock_connect=None, sock_read=None, request_timeout=None)
     pool = PoolConfig(size=1, max_conn_requests=None, max_conn_idle_ms=_MAX_IDLE_MS)
     return aiosonic.HTTPClient(aiosonic.TCPConnector({":default": pool}, timeouts=timeouts))
 
@@ -65,7 +66,7 @@
             content = await response.content()
         whole = True
         return response.status_code, content
-    except (ConnectionRefusedError, ConnectTimeout):
+    except ConnectionRefusedError:
         return SendError.NO_CONNECTION
     except TimeoutError:
         return SendError.TIMEOUT
--- a/tests/wisteriastandins/load/test_client.py
+++ b/tests/wisteriastandins/load/test_client.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections import Counter
+from typing import Any
+from unittest.mock import patch
 
+from aiosonic.connection import Connection
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import PlainTextResponse
@@ -56,6 +59,26 @@
     assert await post(connections, url, "/", "c", b"{}", 5.0) is SendError.NO_CONNECTION
 
 
+async def test_a_cancel_just_as_the_connection_opens_is_kept() -> None:
+    """Guards against a load run that never ends because a task missed its cancellation."""
+    connect = Connection.connect
+
+    async def connect_and_cancel(connection: Connection, *args: Any) -> None:
+        await connect(connection, *args)
+        task.cancel()
+
+    async def never_answer(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+        await reader.read()
+
+    server = await asyncio.start_server(never_answer, "127.0.0.1", 0)
+    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    with patch.object(Connection, "connect", connect_and_cancel):
+        task = asyncio.create_task(post(Connections(), url, "/", "c", b"{}", 60.0))
+        await asyncio.wait({task}, timeout=10)
+    assert task.cancelled()
+    server.close()
+
+
 def test_instances_take_turns_and_those_not_ready_are_skipped() -> None:
     """Guards against load on one instance only, and on one that is draining."""
     balancer = create_balancer([_entry(name, 1) for name in "abc"])
