--- a/packages/standins/src/wisteriastandins/commands.py
+++ b/packages/standins/src/wisteriastandins/commands.py
@@ -1,21 +1,27 @@
 """Commands of the load tool, the launcher and the measurements."""
 
+import asyncio
 import sys
+from contextlib import suppress
+from json import dumps as json_text
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
 import cyclopts
 
 from .demo import DEFAULT_OPTIONS, DemoOptions, run_demo
+from .deployment import keep_running, load_running
 from .faults.catalogue import FAULTS
 from .faults.run import FaultOptions, run_faults
-from .launcher import end_on_sigterm
+from .launcher import end_on_sigterm, format_error
+from .load.report import format_result, is_correct
 from .measure.commands import app as measure_app
+from .topology.customers import CUSTOMERS, CustomerName
 
 
 def demo(
     *,
-    customer: str = "",
+    customer: CustomerName | None = None,
     share: float = DEFAULT_OPTIONS.share,
     warm_up_s: float = DEFAULT_OPTIONS.warm_up_s,
     duration_s: float = DEFAULT_OPTIONS.duration_s,
@@ -55,7 +61,7 @@
 def faults(
     *,
     fault: list[str] | None = None,
-    customer: str = "cascade",
+    customer: CustomerName = "cascade",
     share: float = 0.1,
     duration_s: float = 15.0,
     seed: int = 1,
@@ -84,6 +90,9 @@
         Where files and logs are kept; a temporary folder without it.
     """
     names = tuple(fault or FAULTS)
+    if unknown := [name for name in names if name not in FAULTS]:
+        print(f"no such fault: {', '.join(unknown)}; known: {', '.join(FAULTS)}", file=sys.stderr)
+        sys.exit(2)
     end_on_sigterm()
     with TemporaryDirectory(prefix="wisteriarock-") as temporary:
         folder = run_folder or Path(temporary)
@@ -92,8 +101,71 @@
     sys.exit(code)
 
 
+def launch(
+    customer: CustomerName,
+    run_folder: Path,
+    *,
+    seed: int = 1,
+    base_port: int = DEFAULT_OPTIONS.base_port,
+) -> None:
+    """Start a deployment and keep it until SIGINT or SIGTERM.
+
+    Parameters
+    ----------
+    customer
+        The deployment: cascade or popravka.
+    run_folder
+        Where files and logs are written.
+    seed
+        Seed of the stand-ins.
+    base_port
+        First of the loopback ports.
+    """
+    end_on_sigterm()
+    with suppress(KeyboardInterrupt):
+        if error := asyncio.run(keep_running(CUSTOMERS[customer], run_folder, base_port, seed)):
+            print(format_error(error), file=sys.stderr)
+            sys.exit(1)
+
+
+def load(
+    run_folder: Path,
+    *,
+    share: float = DEFAULT_OPTIONS.share,
+    warm_up_s: float = DEFAULT_OPTIONS.warm_up_s,
+    duration_s: float = DEFAULT_OPTIONS.duration_s,
+    seed: int = DEFAULT_OPTIONS.seed,
+    json: bool = False,
+) -> None:
+    """Load a deployment that `launch` keeps, and check every answer.
+
+    Parameters
+    ----------
+    run_folder
+        The folder that `launch` wrote.
+    share
+        Load as a share of the capacity of the busiest service's slots.
+    warm_up_s
+        Seconds of load that are checked but not counted.
+    duration_s
+        Seconds of load that are counted.
+    seed
+        Seed of the load.
+    json
+        Print JSON.
+    """
+    result = load_running(run_folder, share, warm_up_s, duration_s, seed)
+    if isinstance(result, str):
+        print(result, file=sys.stderr)
+        sys.exit(2)
+    print(json_text(result) if json else format_result(result))
+    sys.exit(0 if is_correct(result) else 1)
+
+
 def register(app: cyclopts.App) -> None:
     """Add the commands to the application."""
     app.command(demo)
     app.command(faults)
+    app.command(launch)
+    app.command(load)
     app.command(measure_app)
--- a/packages/standins/src/wisteriastandins/measure/commands.py
+++ b/packages/standins/src/wisteriastandins/measure/commands.py
@@ -10,7 +10,7 @@
 
 from wisteriastandins.launcher import RunError, end_on_sigterm, format_error
 from wisteriastandins.topology.const import DEFAULT_BASE_PORT
-from wisteriastandins.topology.customers import CUSTOMERS
+from wisteriastandins.topology.customers import CUSTOMERS, CustomerName
 
 from .deployments import measure_deployments
 from .leg_cost import measure_leg_cost
@@ -40,7 +40,7 @@
 @app.command
 def deployments(
     *,
-    customer: list[str] | None = None,
+    customer: list[CustomerName] | None = None,
     share: list[float] | None = None,
     runs: int = MIN_RUNS,
     warm_up_s: float = 3.0,
@@ -78,7 +78,7 @@
 @app.command
 def leg_cost(
     *,
-    customer: list[str] | None = None,
+    customer: list[CustomerName] | None = None,
     share: list[float] | None = None,
     runs: int = MIN_RUNS,
     warm_up_s: float = 2.0,
@@ -96,7 +96,7 @@
 @app.command
 def memory(
     *,
-    customer: list[str] | None = None,
+    customer: list[CustomerName] | None = None,
     share: list[float] | None = None,
     runs: int = MIN_RUNS,
     warm_up_s: float = 2.0,
--- a/packages/standins/src/wisteriastandins/topology/customers.py
+++ b/packages/standins/src/wisteriastandins/topology/customers.py
@@ -1,5 +1,7 @@
 """The two deployments in the sizes of today (design page, section 1.5)."""
 
+from typing import Literal
+
 from wisteriarock.bundle.models import CoverageRule, KindSpec, Priority
 
 from .models import Customer, RequestClass, ServiceGroup
@@ -165,4 +167,6 @@
     ),
 )
 
+CustomerName = Literal["cascade", "popravka"]
+
 CUSTOMERS = {customer.name: customer for customer in (CASCADE, POPRAVKA)}
--- a/tests/wisteriastandins/test_launcher.py
+++ b/tests/wisteriastandins/test_launcher.py
@@ -18,6 +18,7 @@
 from wisteriastandins.process_stats import cpu_seconds, resident_bytes
 from wisteriastandins.topology.customers import POPRAVKA
 from wisteriastandins.topology.models import PlanEntry
+from wisteriastandins.topology.read import read_plan
 from wisteriastandins.topology.write import create_run
 
 from tests.common import function_suite
@@ -92,6 +93,7 @@
         assert sum(command.is_entry for command in commands) == 9
         assert len(commands) == 1 + 3 + 3 + 9
         assert all(Path(command.arguments[-1]).exists() for command in commands)
+        assert read_plan(Path(folder)).unwrap() == run.plan
 
 
 load_tests = function_suite(globals())
