--- a/tests/bundle_samples.py
+++ b/tests/bundle_samples.py
@@ -4,10 +4,12 @@
 import random
 from typing import Any
 
+import json5
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from wisteriarock.bundle.checks import check_content
 from wisteriarock.bundle.models import BundleContent, SignedBundle
 from wisteriarock.bundle.signing import envelope_digest, public_key_text, signed_bundle
+from wisteriarock.membership.models import Member, Phase
 from wisteriarock.settings.load import check_settings
 from wisteriarock.settings.models import Settings
 
@@ -17,57 +19,23 @@
 }
 OPERATOR_KEYS = {name: public_key_text(key) for name, key in KEYS.items()}
 
-_CONTENT: dict[str, Any] = {
-    "format": 1,
-    "organisations": ["cascade"],
-    "callers": {
-        "mill": {
-            "organisation": "cascade",
-            "credential_sha256": "a" * 64,
-            "kinds": ["find", "book"],
-            "shards": ["mill-01"],
-            "cost_per_s": 10,
-            "cost_burst": 20,
-        }
-    },
-    "kinds": {
-        "find": {
-            "cost_per_leg": 1,
-            "deadline_max_ms": 1000,
-            "coverage": "early",
-            "priority": "normal",
-            "idempotent": True,
-            "hedge": True,
-            "early_after_ms": 50,
-            "early_min_coverage": 0.9,
-        },
-        "book": {
-            "cost_per_leg": 1,
-            "deadline_max_ms": 1000,
-            "coverage": "wait_all",
-            "priority": "urgent",
-            "idempotent": False,
-            "hedge": False,
-        },
-    },
-    "services": {
-        "sorting": {
-            "shards": ["mill-01", "mill-02"],
-            "endpoints": {
-                f"sorting-{n}": {
-                    "zone": zone,
-                    "host": "127.0.0.1",
-                    "port": 9000 + n,
-                    "slots": 2,
-                    "connection_cap": 25,
-                    "connect_cost_ms": 6,
-                }
-                for n, zone in enumerate(("north", "east"))
-            },
-        }
-    },
-    "budgets": {"extra_legs_per_100": 5, "extra_legs_burst": 20},
-}
+_CONTENT: dict[str, Any] = json5.loads("""{
+  format: 1, organisations: ["cascade"],
+  callers: {mill: {
+    organisation: "cascade", credential_sha256: "CREDENTIAL", kinds: ["find", "book"],
+    shards: ["mill-01"], cost_per_s: 10, cost_burst: 20}},
+  kinds: {
+    find: {cost_per_leg: 1, deadline_max_ms: 1000, coverage: "early", priority: "normal",
+      idempotent: true, hedge: true, early_after_ms: 50, early_min_coverage: 0.9},
+    book: {cost_per_leg: 1, deadline_max_ms: 1000, coverage: "wait_all", priority: "urgent",
+      idempotent: false, hedge: false}},
+  services: {sorting: {shards: ["mill-01", "mill-02"], endpoints: {
+    "sorting-0": {zone: "north", host: "127.0.0.1", port: 9000, slots: 2, connection_cap: 25,
+      connect_cost_ms: 6},
+    "sorting-1": {zone: "east", host: "127.0.0.1", port: 9001, slots: 2, connection_cap: 25,
+      connect_cost_ms: 6}}}},
+  budgets: {extra_legs_per_100: 5, extra_legs_burst: 20},
+}""".replace("CREDENTIAL", "a" * 64))
 
 
 def raw_content() -> dict[str, Any]:
@@ -96,27 +64,23 @@
 
 def sample_settings(instance: str = "e1", **changes: Any) -> Settings:
     """Return settings of an entry instance in zone north with peers e1 to e3."""
-    raw = {
-        "instance": instance,
-        "zone": "north",
-        "public_host": "127.0.0.1",
-        "public_port": 1,
-        "internal_host": "127.0.0.1",
-        "internal_port": 2,
-        "peers": [
-            {"instance": name, "zone": "north", "host": "127.0.0.1", "port": 3}
-            for name in ("e1", "e2", "e3")
-            if name != instance
-        ],
-        "peer_keys": [{"key_id": "k", "secret": "0123456789abcdef"}],
-        "operator_token": "token",
-        "operator_keys": OPERATOR_KEYS,
-        "platform_url": "http://127.0.0.1:1",
-        **changes,
-    }
+    raw = json5.loads("""{zone: "north", public_host: "127.0.0.1", public_port: 1,
+        internal_host: "127.0.0.1", internal_port: 2, platform_url: "http://127.0.0.1:1",
+        peer_keys: [{key_id: "k", secret: "0123456789abcdef"}], operator_token: "token"}""")
+    raw |= {"instance": instance, "operator_keys": OPERATOR_KEYS, **changes}
+    raw["peers"] = [
+        {"instance": name, "zone": "north", "host": "127.0.0.1", "port": 3}
+        for name in ("e1", "e2", "e3")
+        if name != instance
+    ]
     return check_settings(raw).unwrap()
 
 
 def seeded() -> random.Random:
     """Return a random source that is the same in every run."""
     return random.Random(7)
+
+
+def sample_member(name: str, zone: str, now_ms: float, revision: int, digest: str) -> Member:
+    """Return a member that is ready and was heard now."""
+    return Member(name, "1", zone, "127.0.0.1", 1, Phase.READY, now_ms, revision, digest)
--- a/tests/wisteriactl/test_rollout.py
+++ b/tests/wisteriactl/test_rollout.py
@@ -17,10 +17,9 @@
 from wisteriarock.bundle.models import ActiveBundle
 from wisteriarock.bundle.signing import canonical_bytes, sha256_hex, verify_envelope
 from wisteriarock.bundle.verify import join_body
-from wisteriarock.membership import models as membership
 from wisteriarock.observability.metrics import create_metrics
 
-from tests.bundle_samples import KEYS, OPERATOR_KEYS, sample_settings, seeded
+from tests.bundle_samples import KEYS, OPERATOR_KEYS, sample_member, sample_settings, seeded
 from tests.common import function_suite
 from tests.platform_fake import FakePlatform, Fault, fake_client
 from tests.virtual_clock import VirtualClock
@@ -109,17 +108,9 @@
         for name, receiver in world.instances.items():
             if name == sender or {name, sender} & world.cut:
                 continue
-            receiver.board.members[sender] = membership.Member(
-                sender,
-                "1",
-                ZONES[sender],
-                "127.0.0.1",
-                1,
-                membership.Phase.READY,
-                world.clock.now_ms(),
-                revision,
-                digest,
-            )
+            now_ms, zone = world.clock.now_ms(), ZONES[sender]
+            member = sample_member(sender, zone, now_ms, revision, digest)
+            receiver.board.members[sender] = member
             receiver.controller.on_peer_head(sender, revision, digest)
 
 
--- a/tests/wisteriarock/bundle/test_controller.py
+++ b/tests/wisteriarock/bundle/test_controller.py
@@ -17,11 +17,10 @@
 from wisteriarock.bundle.signing import canonical_bytes, envelope_digest
 from wisteriarock.bundle.verify import encode_body
 from wisteriarock.membership.decide import rank_instances
-from wisteriarock.membership.models import Member, Phase
 from wisteriarock.observability.metrics import create_metrics
 from wisteriarock.platform.models import KeyValue
 
-from tests.bundle_samples import sample_chain, sample_settings, seeded
+from tests.bundle_samples import sample_chain, sample_member, sample_settings, seeded
 from tests.common import function_suite
 from tests.platform_fake import FakePlatform, fake_client
 from tests.virtual_clock import VirtualClock
@@ -124,8 +123,7 @@
         run.platform.down = True
         ranked = rank_instances(WATCH_ROLE, ["e1", *(f"e{n}" for n in range(2, 20))])
         for name in ranked[:2]:
-            member = Member(name, "1", "north", "127.0.0.1", 1, Phase.READY, 1e9, 2, DIGESTS[1])
-            run.board.members[name] = member
+            run.board.members[name] = sample_member(name, "north", 1e9, 2, DIGESTS[1])
         assert not run.controller.diagnostics()["distribution"]["watches_platform"]
         run.controller.on_peer_head(ranked[0], 2, DIGESTS[1])
         await run.clock.advance(0)
--- a/tests/wisteriarock/platform/test_client.py
+++ b/tests/wisteriarock/platform/test_client.py
@@ -3,10 +3,9 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
-import msgspec
 from returns.result import Failure, Result, Success
 from wisteriarock.observability.metrics import Metrics, create_metrics
 from wisteriarock.platform.client import PlatformClient, create_platform_client
@@ -14,94 +13,53 @@
 
 from tests.bundle_samples import seeded
 from tests.common import function_suite
+from tests.http_stub import reply, serve_http
 
 CLOSE = b""
 
 
 @dataclass
-class Script:
-    """Replies to give in turn (`CLOSE` closes without one) and the requests that came.
+class Served:
+    """A client, the requests that came, and the client's clock in `time_ms`.
 
-    A reply is sent once `gate` is set; `held` tells that one waits for that. `connections` counts
-    those that were accepted.
+    A reply is sent once `gate` is set; `held` tells that one waits for that.
     """
 
-    replies: list[bytes]
-    requests: list[tuple[str, str, Any]] = field(default_factory=list)
-    gate: asyncio.Event = field(default_factory=asyncio.Event)
-    held: asyncio.Event = field(default_factory=asyncio.Event)
-    connections: int = 0
-
-
-@dataclass
-class Served:
-    """A client and what is around it; `time_ms` is the client's clock."""
-
     client: PlatformClient
-    script: Script
     metrics: Metrics
     time_ms: list[float]
-
-
-def reply(status: int, body: Any = None) -> bytes:
-    """Return an HTTP reply with a JSON body."""
-    encoded = b"" if body is None else msgspec.json.encode(body)
-    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(encoded), encoded)
-
-
-async def _serve(
-    script: Script, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    script.connections += 1
-    try:
-        while True:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            length = 0
-            for line in head.split("\r\n"):
-                if line.lower().startswith("content-length:"):
-                    length = int(line.split(":")[1])
-            body = await reader.readexactly(length)
-            method, path, _ = head.split(" ", 2)
-            script.requests.append((method, path, msgspec.json.decode(body) if body else None))
-            answer = script.replies.pop(0)
-            if not script.gate.is_set():
-                script.held.set()
-            await script.gate.wait()
-            if answer == CLOSE:
-                return
-            writer.write(answer)
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return
-    finally:
-        writer.close()
+    requests: list[tuple[str, str, Any]]
+    connections: list[asyncio.Task[None]]
+    gate: asyncio.Event
+    held: asyncio.Event
 
 
 @asynccontextmanager
 async def served(
     *replies: bytes, timeout_ms: float = 5_000, calls_per_s: float = 1_000
 ) -> AsyncIterator[Served]:
-    """Run a scripted server and a client of it whose clock a test moves."""
-    script = Script(list(replies))
-    script.gate.set()
-    handlers: set[asyncio.Task[None]] = set()
-
-    def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        handlers.add(asyncio.create_task(_serve(script, reader, writer)))
-
-    server = await asyncio.start_server(accept, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    metrics, time_ms = create_metrics(), [0.0]
-    client = create_platform_client(
-        f"http://127.0.0.1:{port}", timeout_ms, calls_per_s, metrics, lambda: time_ms[0], seeded()
-    )
-    try:
-        yield Served(client, script, metrics, time_ms)
-    finally:
-        await client.close()
-        server.close()
-        for task in handlers:
-            task.cancel()
-        await asyncio.gather(*handlers, return_exceptions=True)
+    """Run a server that gives the replies in turn, and a client of it whose clock a test moves."""
+    waiting, requests = list(replies), list[tuple[str, str, Any]]()
+    gate, held = asyncio.Event(), asyncio.Event()
+    gate.set()
+
+    async def handle(method: str, path: str, _: str, body: Any) -> bytes:
+        requests.append((method, path, body))
+        answer = waiting.pop(0)
+        if not gate.is_set():
+            held.set()
+        await gate.wait()
+        return answer
+
+    async with serve_http(handle) as (port, connections):
+        url, metrics, time_ms = f"http://127.0.0.1:{port}", create_metrics(), [0.0]
+        client = create_platform_client(
+            url, timeout_ms, calls_per_s, metrics, lambda: time_ms[0], seeded()
+        )
+        try:
+            yield Served(client, metrics, time_ms, requests, connections, gate, held)
+        finally:
+            await client.close()
 
 
 def _error(result: Result[Any, PlatformError]) -> PlatformError:
@@ -129,7 +87,7 @@
         assert (await client.create_lease(900)).unwrap() == "l1"
         assert isinstance(await client.renew_lease("l1"), Success)
         assert (await client.instances()).unwrap() == listed
-        assert run.script.requests == [
+        assert run.requests == [
             ("GET", "/v1/kv/a/b%20c", None),
             ("GET", "/v1/kv/a?after_revision=3&wait_ms=50", None),
             ("PUT", "/v1/kv/a", {"value": "x", "expected_revision": 4, "lease_id": "l1"}),
@@ -177,10 +135,10 @@
         assert isinstance(await run.client.get("a"), Success)
         assert _error(await run.client.put("a", "x", 1)) is PlatformError.UNKNOWN
         run.time_ms[0] += 60_000
-        assert len(run.script.requests) == 2
+        assert len(run.requests) == 2
         assert isinstance(await run.client.put("a", "x", 1), Success)
         assert _error(await run.client.delete("a", 2)) is PlatformError.UNKNOWN
-        assert len(run.script.requests) == 4
+        assert len(run.requests) == 4
 
 
 async def test_a_late_reply_is_not_given_to_the_next_call() -> None:
@@ -190,10 +148,10 @@
     first = reply(200, {"value": "first", "revision": 1})
     async with served(first, late, fresh, timeout_ms=100) as run:
         assert isinstance(await run.client.get("a"), Success)
-        run.script.gate.clear()
+        run.gate.clear()
         assert _error(await run.client.get("a")) is PlatformError.UNAVAILABLE
         run.time_ms[0] += 60_000
-        run.script.gate.set()
+        run.gate.set()
         assert (await run.client.get("b")).unwrap().value == "fresh"
 
 
@@ -203,12 +161,12 @@
     fresh = reply(200, {"value": "fresh", "revision": 2})
     async with served(first, first, fresh) as run:
         await run.client.get("a")
-        run.script.gate.clear()
+        run.gate.clear()
         task = asyncio.create_task(run.client.get("a"))
-        await run.script.held.wait()
+        await run.held.wait()
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        run.script.gate.set()
+        run.gate.set()
         assert (await run.client.get("b")).unwrap().value == "fresh"
 
 
@@ -218,7 +176,7 @@
     async with served(*[ok] * 6) as run:
         for _ in range(6):
             assert isinstance(await run.client.get("a"), Success)
-        assert run.script.connections == 1
+        assert len(run.connections) == 1
 
 
 def _calls(metrics: Metrics, operation: str, result: str) -> float:
@@ -233,7 +191,7 @@
         results = [await run.client.get("a") for _ in range(8)]
         assert [isinstance(result, Success) for result in results] == [True] * 5 + [False] * 3
         assert _error(results[-1]) is PlatformError.OVER_RATE
-        assert len(run.script.requests) == 5
+        assert len(run.requests) == 5
         assert _calls(run.metrics, "get", "ok") == 5
         assert _calls(run.metrics, "get", "held_back") == 3
         run.time_ms[0] += 1_000
@@ -245,8 +203,8 @@
     async with served(*[reply(503)] * 10, reply(200, {"value": "v", "revision": 1})) as run:
         gaps = []
         for _ in range(10):
-            before, started_ms = len(run.script.requests), run.time_ms[0]
-            while len(run.script.requests) == before:
+            before, started_ms = len(run.requests), run.time_ms[0]
+            while len(run.requests) == before:
                 run.time_ms[0] += 5
                 await run.client.get("a")
             gaps.append(run.time_ms[0] - started_ms)
