--- a/packages/wisteriactl/src/wisteriactl/status.py
+++ b/packages/wisteriactl/src/wisteriactl/status.py
@@ -5,11 +5,11 @@
 from typing import Any, NamedTuple
 
 from aiosonic import HTTPClient, TCPConnector
-from aiosonic.exceptions import AiosonicError
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 from returns.result import Failure, Result, Success
 from wisteriarock.codec.decode import decode
+from wisteriarock.platform.client import EXCHANGE_ERRORS
 
 from .const import CALL_TIMEOUT_MS, MAX_REPLY_BYTES, SILENT_MS, ExitCode
 from .models import InstanceAddress, MemberStatus, Outcome, StatusReply
@@ -55,7 +55,7 @@
                         body += chunk
                         if len(body) > MAX_REPLY_BYTES:
                             return Failure("an over-long reply")
-        except (AiosonicError, OSError, EOFError, ValueError, TimeoutError) as error:
+        except EXCHANGE_ERRORS as error:
             return Failure(type(error).__name__)
         finally:
             await client.aclose()
--- a/packages/wisteriarock/src/wisteriarock/platform/client.py
+++ b/packages/wisteriarock/src/wisteriarock/platform/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, TypedDict, TypeVar
 from urllib.parse import quote
@@ -29,6 +30,17 @@
 
 T = TypeVar("T")
 
+# What aiosonic lets through when a connection fails or a reply is malformed.
+EXCHANGE_ERRORS = (
+    AiosonicError,
+    OSError,
+    EOFError,
+    ValueError,
+    TimeoutError,
+    asyncio.LimitOverrunError,
+    zlib.error,
+)
+
 
 class _ValueReply(TypedDict):
     value: str
@@ -167,7 +179,7 @@
             reply = await _exchange(connection, method, url, body, (timeout_ms + wait_ms) / 1000)
         except (ConnectTimeout, ConnectionPoolAcquireTimeout, ConnectionRefusedError):
             return Failure(PlatformError.UNAVAILABLE)
-        except (AiosonicError, OSError, EOFError, ValueError, TimeoutError):
+        except EXCHANGE_ERRORS:
             return Failure(PlatformError.UNKNOWN)
         finally:
             # Also runs when the caller is cancelled. Without its whole reply read, the connection
