--- a/packages/wisteriarock/src/wisteriarock/bundle/checks.py
+++ b/packages/wisteriarock/src/wisteriarock/bundle/checks.py
@@ -77,7 +77,9 @@
     try:
         msgspec.convert(value, kind)
     except msgspec.ValidationError as error:
-        yield ContentError(path, _shown(value), str(error))
+        # A credential may have been put here by mistake.
+        secret = path.endswith(".credential_sha256")
+        yield ContentError(path, "another type" if secret else _shown(value), str(error))
 
 
 def _range_errors(
@@ -249,11 +251,14 @@
             yield
         else:
             errors.append(error)
+    if errors:
+        return Failure(tuple(errors))
     yield
+    # Only now: a text that is not valid Unicode cannot be encoded, and the rules refuse it.
     size_bytes = len(canonical_bytes(content))
     if size_bytes > MAX_CONTENT_BYTES:
-        errors.append(ContentError("$", f"{size_bytes} bytes", f"{MAX_CONTENT_BYTES} bytes"))
-    return Failure(tuple(errors)) if errors else Success(content)
+        return Failure((ContentError("$", f"{size_bytes} bytes", f"{MAX_CONTENT_BYTES} bytes"),))
+    return Success(content)
 
 
 def check_content(raw: Any) -> Result[BundleContent, tuple[ContentError, ...]]:
--- a/tests/wisteriarock/bundle/test_checks.py
+++ b/tests/wisteriarock/bundle/test_checks.py
@@ -27,6 +27,8 @@
     first, second = (f"$.services.sorting.endpoints.sorting-{n}" for n in (0, 1))
     cases: list[tuple[str, str, Any]] = [
         (f"{caller}.organisation", f"{caller}.organisation", "nobody"),
+        (f"{caller}.organisation", f"{caller}.organisation", "\ud800"),
+        ("$.organisations.\ud800", "$.organisations", ["cascade", "\ud800"]),
         (f"{caller}.kinds[1]", f"{caller}.kinds", ["find", "unknown"]),
         (f"{caller}.kinds[1]", f"{caller}.kinds", ["find", "find"]),
         (f"{caller}.shards[0]", f"{caller}.shards", ["mill-99"]),
