--- a/packages/wisteriarock/src/wisteriarock/bundle/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/bundle/controller.py
@@ -41,7 +41,6 @@
 from .spread import (
     adopt,
     backoff_ms,
-    is_current,
     is_watcher,
     live_heads,
     source_order,
@@ -338,7 +337,7 @@
         return state.was_ready
 
     def is_ready_now() -> bool:
-        if not is_current(board.bundle, claims(), state.refused):
+        if board.bundle is None or wanted():
             return False
         if state.platform_read:
             return True
--- a/packages/wisteriarock/src/wisteriarock/bundle/spread.py
+++ b/packages/wisteriarock/src/wisteriarock/bundle/spread.py
@@ -113,15 +113,6 @@
     return Success(candidate)
 
 
-def is_current(
-    current: ActiveBundle | None, claims: Iterable[HeadClaim], refused: Collection[str]
-) -> bool:
-    """Tell whether the bundle in force is at least as new as every head that is not refused."""
-    if current is None:
-        return False
-    return all(c.revision <= current.revision for c in claims if c.digest not in refused)
-
-
 def source_order(
     claim: HeadClaim,
     peer_claims: Mapping[str, HeadClaim],
