--- a/tests/wisteriactl/test_flow.py
+++ b/tests/wisteriactl/test_flow.py
@@ -113,11 +113,12 @@
 async def test_of_two_racing_bundles_one_wins_and_the_other_operator_is_told() -> None:
     """Guards against two heads of one revision, and a conflict that does not name both bundles."""
     for fault in (Fault.NONE, Fault.LOST_REPLY, Fault.LOST_REQUEST):
-        await _race(fault)
+        for later_bundles in (0, 2):
+            await _race(fault, later_bundles)
 
 
-async def _race(fault: Fault) -> None:
-    """Let cy move the head just before ann's write, which then suffers a fault."""
+async def _race(fault: Fault, later_bundles: int) -> None:
+    """Let cy move the head, perhaps further, just before ann's write, which suffers a fault."""
     fake = FakePlatform()
     for proposer, cost in (("ann", 1), ("cy", 2)):
         assert (await do_propose(session(proposer, fake), cost, "bob")).code is ExitCode.OK
@@ -130,6 +131,8 @@
         fake.before_write = None
         assert key == KEY_HEAD and key not in fake.values
         assert _drive(roll_forward(session("cy", fake), "cy", "")).code is ExitCode.OK
+        for cost in range(3, 3 + later_bundles):
+            _drive(accept(fake, cost, "cy"))
         fake.faults = [fault]
 
     fake.before_write = let_cy_win
@@ -138,7 +141,8 @@
     assert "another's did" in outcome.message
     assert "proposed by cy" in outcome.message and "proposed by ann" in outcome.message
     assert head_of(fake)["operation_id"].startswith("cy:")
-    assert fake.writes.count(KEY_HEAD) == 1
+    assert outcome.data["theirs"]["revision"] == 1
+    assert fake.writes.count(KEY_HEAD) == 1 + later_bundles
 
 
 def _drive(work: Awaitable[Any]) -> Any:
