--- a/packages/wisteriarock/src/wisteriarock/bundle/const.py
+++ b/packages/wisteriarock/src/wisteriarock/bundle/const.py
@@ -27,12 +27,17 @@
 # default time-out of 1 s that is half of the 8 s in which a bundle must be in force.
 WATCH_WAIT_MS = 3_000
 BACKOFF_FIRST_MS = 100
-# Keeps the first call after an outage within the 8 s in which a bundle must be in force.
-BACKOFF_MAX_MS = 3_000
+# After an outage this wait may pass twice, as the platform client holds back calls for up to 2 s
+# as well. Both together leave time for the fetch and a heartbeat within the 8 s of a roll-out.
+BACKOFF_MAX_MS = 2_000
 # The platform and the peers get this long before the bundle file is used.
 FILE_WAIT_MS = 1_500
 # Peers of each kind (own zone, other zones) that are asked before the next attempt.
 MAX_PEERS_PER_ROUND = 2
+# A peer that has been silent for this long is forgotten when a new one is heard.
+FORGET_PEER_MS = 600_000
+# Time of verification after which other work on the loop may run.
+SLICE_MS = 1
 # Digests that failed verification and are not fetched again.
 MAX_REFUSED = 64
 
--- a/packages/wisteriarock/src/wisteriarock/bundle/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/bundle/controller.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from returns.result import Success
+from returns.result import Result, Success
 
 from wisteriarock.blackboard.models import Blackboard
 from wisteriarock.codec.decode import decode
@@ -16,7 +16,15 @@
 from wisteriarock.platform.client import PlatformClient
 from wisteriarock.platform.models import PlatformError
 
-from .const import FILE_WAIT_MS, KEY_HEAD, MAX_BODY_BYTES, MAX_REFUSED, WATCH_WAIT_MS
+from .const import (
+    FILE_WAIT_MS,
+    FORGET_PEER_MS,
+    KEY_HEAD,
+    MAX_BODY_BYTES,
+    MAX_REFUSED,
+    SLICE_MS,
+    WATCH_WAIT_MS,
+)
 from .diagnostics import describe_bundle, describe_distribution
 from .fetch import FetchFromPeer, body_from_platform, read_bundle_file
 from .models import (
@@ -33,13 +41,12 @@
 from .spread import (
     adopt,
     backoff_ms,
-    is_current,
     is_watcher,
     live_heads,
     source_order,
     wanted_heads,
 )
-from .verify import encode_body, verify_body
+from .verify import encode_body, verify_steps
 
 OnBundle = Callable[[ActiveBundle], None]
 
@@ -142,16 +149,22 @@
         return wanted_heads(board.bundle, provisional(), claims(), state.refused)
 
     def note_head(claim: HeadClaim, operation_id: str) -> None:
-        if board.head_seen is None or claim.revision > board.head_seen["revision"]:
+        seen = board.head_seen["revision"] if board.head_seen else 0
+        # Only the platform tells the operation id; its word replaces a peer's.
+        if claim.revision > seen or (operation_id and claim.revision == seen):
             board.head_seen = Head(
                 revision=claim.revision, digest=claim.digest, operation_id=operation_id
             )
-        if wanted():
+        if board.bundle is None or provisional() or claim.revision > board.bundle.revision:
             wake.set()
 
     def on_peer_head(instance: str, revision: int, digest: str) -> None:
-        claim = HeadClaim(revision, digest)
-        state.peers[instance] = PeerHead(claim, now_ms())
+        claim, now = HeadClaim(revision, digest), now_ms()
+        if instance not in state.peers:
+            # Names of instances that were replaced must not pile up.
+            oldest_ms = now - FORGET_PEER_MS
+            state.peers = {n: p for n, p in state.peers.items() if p.heard_at_ms >= oldest_ms}
+        state.peers[instance] = PeerHead(claim, now)
         if revision > 0:
             note_head(claim, "")
 
@@ -183,10 +196,28 @@
         state.last_refusal = f"{digest[:12]}: {detail}"
         log_event("bundle_refused", digest=digest, reason=detail)
 
-    def take_body(claim: HeadClaim, body: bytes, source: BundleSource, name: str) -> bool:
+    async def verify(body: bytes, digest: str) -> Result[ActiveBundle, BundleRefusal]:
+        """Verify a body and let queries run in between."""
+        steps = verify_steps(body, settings.operator_keys, digest)
+        started_ms = now_ms()
+        while True:
+            try:
+                next(steps)
+            except StopIteration as done:
+                result: Result[ActiveBundle, BundleRefusal] = done.value
+                return result
+            if now_ms() - started_ms >= SLICE_MS:
+                await asyncio.sleep(0)
+                started_ms = now_ms()
+
+    async def take_body(claim: HeadClaim, body: bytes, source: BundleSource, name: str) -> bool:
         """Verify a body and adopt it; tell whether the claim is settled either way."""
         machine.dispatch("verify")
-        verified = verify_body(body, settings.operator_keys, claim.digest)
+        try:
+            verified = await verify(body, claim.digest)
+        except BaseException:
+            machine.dispatch("abandon")
+            raise
         if isinstance(verified, Success):
             adopted = put_in_force(verified.unwrap(), source)
             machine.dispatch("adopt" if adopted else "abandon")
@@ -218,7 +249,7 @@
                 note_refusal(claim.digest, body.failure())
                 continue
             source = BundleSource.PEER if name else BundleSource.PLATFORM
-            if take_body(claim, body.unwrap(), source, name or "platform"):
+            if await take_body(claim, body.unwrap(), source, name or "platform"):
                 return True
         return False
 
@@ -306,7 +337,7 @@
         return state.was_ready
 
     def is_ready_now() -> bool:
-        if not is_current(board.bundle, claims(), state.refused):
+        if board.bundle is None or wanted():
             return False
         if state.platform_read:
             return True
--- a/packages/wisteriarock/src/wisteriarock/platform/client.py
+++ b/packages/wisteriarock/src/wisteriarock/platform/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, TypedDict, TypeVar
 from urllib.parse import quote
@@ -13,7 +14,6 @@
 from aiosonic.timeout import Timeouts
 from returns.result import Failure, Result, Success
 
-from wisteriarock.codec.decode import decode
 from wisteriarock.limits.token_bucket import create_bucket, take
 from wisteriarock.observability.metrics import Metrics
 
@@ -30,6 +30,17 @@
 
 T = TypeVar("T")
 
+# What aiosonic lets through when a connection fails or a reply is malformed.
+EXCHANGE_ERRORS = (
+    AiosonicError,
+    OSError,
+    EOFError,
+    ValueError,
+    TimeoutError,
+    asyncio.LimitOverrunError,
+    zlib.error,
+)
+
 
 class _ValueReply(TypedDict):
     value: str
@@ -168,7 +179,7 @@
             reply = await _exchange(connection, method, url, body, (timeout_ms + wait_ms) / 1000)
         except (ConnectTimeout, ConnectionPoolAcquireTimeout, ConnectionRefusedError):
             return Failure(PlatformError.UNAVAILABLE)
-        except (AiosonicError, OSError, EOFError, ValueError, TimeoutError):
+        except EXCHANGE_ERRORS:
             return Failure(PlatformError.UNKNOWN)
         finally:
             # Also runs when the caller is cancelled. Without its whole reply read, the connection
@@ -214,8 +225,12 @@
 
     def reader(kind: type[T], bad: PlatformError) -> Callable[[_Reply], Result[T, PlatformError]]:
         def read(reply: _Reply) -> Result[T, PlatformError]:
-            decoded = decode(reply.body, kind, MAX_REPLY_BYTES)
-            return Success(decoded.unwrap()) if isinstance(decoded, Success) else Failure(bad)
+            # Fields that a later platform adds are ignored. Looking for them in the list of
+            # instances would also cost much of the time that a poll may take.
+            try:
+                return Success(msgspec.json.decode(reply.body, type=kind))
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+                return Failure(bad)
 
         return read
 
