--- a/packages/wisteriarock/src/wisteriarock/endpoints/connection.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/connection.py
@@ -5,17 +5,22 @@
 from dataclasses import dataclass
 
 import msgspec
-from aiosonic import HTTPClient
 from returns.result import Failure, Result, Success
 
 from wisteriarock.query.models import LegOutcome, LegRequest
-from wisteriarock.wire.connection import StaleConnectionError, WireConnection, create_wire
+from wisteriarock.wire.connection import (
+    StaleConnectionError,
+    Wire,
+    WireConnection,
+    close_wire,
+    create_wire,
+    request,
+)
 
 from .const import MIN_LEG_MS, PATH_LEG, PATH_REPORT
 from .lifecycle import ConnectionState, next_connection_state
 from .models import EndpointReport, LegAnswer, LegRefusal, LegResult
 
-_JSON_HEADERS = {"Content-Type": "application/json"}
 _ANSWER = msgspec.json.Decoder(LegAnswer)
 _REFUSAL = msgspec.json.Decoder(LegRefusal)
 _REPORT = msgspec.json.Decoder(EndpointReport)
@@ -42,9 +47,8 @@
 class EndpointConnection:
     """A connection and its state; `opened_ms` is when it was asked for."""
 
-    client: HTTPClient
+    channel: Wire
     wire: WireConnection
-    base_url: str
     opened_ms: float
     on_event: Callable[[str], None]
     state: ConnectionState = ConnectionState.CONNECTING
@@ -71,8 +75,8 @@
     on_event : callable
         Called with `opened`, `closed`, `refused` or `silent`.
     """
-    wire = create_wire(host, port, connect_timeout_ms)
-    return EndpointConnection(wire.client, wire.connection, wire.base_url, opened_ms, on_event)
+    channel = create_wire(host, port, connect_timeout_ms)
+    return EndpointConnection(channel, channel.connection, opened_ms, on_event)
 
 
 def change_state(connection: EndpointConnection, trigger: str) -> None:
@@ -85,8 +89,7 @@
     if connection.state is ConnectionState.CLOSED:
         return
     change_state(connection, "close")
-    connection.wire.keep = False
-    connection.wire.close()
+    close_wire(connection.channel)
     connection.on_event("closed")
 
 
@@ -111,7 +114,6 @@
         Whatever the library raises; the connection is closed then, so that a late reply can't
         be taken for that of the next request.
     """
-    wire = connection.wire
     connecting = connection.state is ConnectionState.CONNECTING
 
     def before_write() -> None:
@@ -121,14 +123,11 @@
             if connection.state is ConnectionState.CONNECTING:
                 change_state(connection, "connected")
 
-    wire.begin(bool(body), before_write)
     connection.requests += 1
     if not connecting:
         change_state(connection, "use")
     try:
-        response = await connection.client.request(
-            connection.base_url + path, method, _JSON_HEADERS if body else None, data=body
-        )
+        response = await request(connection.channel, method, path, body, before_write=before_write)
         content: bytes = await response.content()
         status: int = response.status_code
     except BaseException:
--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -21,7 +21,7 @@
     OnLegReply,
     SendLegs,
 )
-from wisteriarock.wire.connection import Wire, close_wire
+from wisteriarock.wire.connection import Wire, close_wire, request
 
 from .auth import sign
 from .const import PATH_LEGS, PATH_QUERY, SILENCE_STEP_MS, STREAM_SILENCE_MS
@@ -115,13 +115,11 @@
     control_received = metrics.peer_bytes.labels("control", "received")
     tasks: set[asyncio.Task[None]] = set()
 
-    def signed(method: str, path: str, body: bytes) -> dict[str, str]:
+    def signed(method: str, path: str, body: bytes) -> bytes:
         nonce = f"{run_id}-{next(numbers)}"
         key = settings.peer_keys[0]
         headers = sign(key, method, path, settings.instance, int(wall_ms()), nonce, body)
-        if body:
-            headers["Content-Type"] = "application/json"
-        return headers
+        return "".join(f"{name}: {value}\r\n" for name, value in headers.items()).encode()
 
     def pool_of(instance: str) -> PeerPool | None:
         address = peer_address(board, instance)
@@ -139,9 +137,7 @@
         return member is None or not is_live(member, now_ms(), tunables.suspect_after_ms)
 
     async def exchange(wire: Wire, method: str, path: str, body: bytes) -> tuple[int, bytes]:
-        wire.connection.begin(bool(body))
-        headers = signed(method, path, body)
-        response = await wire.client.request(wire.base_url + path, method, headers, data=body)
+        response = await request(wire, method, path, body, signed(method, path, body))
         control_sent.inc(len(body))
         content: bytes = await response.content()
         control_received.inc(len(content))
@@ -185,13 +181,10 @@
     async def stream(wire: Wire, legs: list[LegRequest], on_line: Callable[[bytes], None]) -> bool:
         """Send legs and pass on each line of the answer; tell whether the peer took them."""
         body = _ENCODER.encode({"legs": legs})
-        wire.connection.begin(True)
         headers = signed("POST", PATH_LEGS, body)
         async with asyncio.timeout(STREAM_SILENCE_MS / 1000) as silence:
             loop = asyncio.get_running_loop()
-            response = await wire.client.request(
-                wire.base_url + PATH_LEGS, "POST", headers, data=body, stream=True
-            )
+            response = await request(wire, "POST", PATH_LEGS, body, headers, stream=True)
             legs_sent.inc(len(body))
             if response.status_code != 200:
                 await response.content()
--- a/packages/wisteriarock/src/wisteriarock/wire/connection.py
+++ b/packages/wisteriarock/src/wisteriarock/wire/connection.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from aiosonic import HTTPClient, TCPConnector
+from aiosonic import HTTPClient, HttpResponse, TCPConnector
 from aiosonic.connection import Connection
 from aiosonic.pools import PoolConfig
 from aiosonic.resolver import AbstractResolver
@@ -29,43 +29,40 @@
 class WireConnection(Connection):
     """aiosonic's connection, which the pool requires to be a class, with what we must know of it.
 
+    It adds headers and body to a request that the library takes for one without any. The head is
+    then one that the library caches; building it anew took a seventh of the time of a leg. Head
+    and body leave in one segment.
+
     Attributes
     ----------
-    has_body : bool
-        The head is then held back and written together with the body, in one segment.
     written : bool
         Something of the present request was written.
     answered : bool
         The status line of the present reply has been read.
-    before_write : callable
-        Raises to stop the request; called just before the first byte is written.
     """
 
     def __init__(self, pool: Any) -> None:
         super().__init__(pool)
-        self.has_body = False
         self.written = False
         self.answered = False
-        self.before_write: Callable[[], None] = lambda: None
-        self._head = b""
+        self._before_write: Callable[[], None] = lambda: None
+        self._tail = b""
 
-    def begin(self, has_body: bool, before_write: Callable[[], None] = lambda: None) -> None:
-        """Prepare for one request."""
-        self.has_body, self.before_write = has_body, before_write
+    def begin(self, headers: bytes, body: bytes, before_write: Callable[[], None]) -> None:
+        """Prepare for one request; `before_write` raises to stop it before its first byte."""
         self.written = self.answered = False
-        self._head = b""
+        self._before_write = before_write
+        if body:
+            headers += b"Content-Type: application/json\r\nContent-Length: %d\r\n" % len(body)
+        self._tail = headers + b"\r\n" + body
 
     def write(self, data: bytes) -> None:
-        """Write, after the last check when this is the first byte."""
-        if self.has_body and not self._head:
-            self._head = data
-            return
-        if not self.written:
-            if self.is_stale():
-                raise StaleConnectionError
-            self.before_write()
-            self.written = True
-        super().write(self._head + data if self.has_body else data)
+        """Write the request, of which `data` is the head, after the last check."""
+        if self.is_stale():
+            raise StaleConnectionError
+        self._before_write()
+        self.written = True
+        super().write(data[:-2] + self._tail)
 
     async def readuntil(self, separator: bytes = b"\n") -> bytes:
         """Read the status line."""
@@ -120,6 +117,41 @@
     return Wire(HTTPClient(connector), made[0], f"http://{bracketed}:{port}")
 
 
+async def request(
+    wire: Wire,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: bytes = b"",
+    before_write: Callable[[], None] = lambda: None,
+    stream: bool = False,
+) -> HttpResponse:
+    """Send a request and read the head of the reply, and the body unless it is streamed.
+
+    Parameters
+    ----------
+    wire : Wire
+        One that has no request in flight.
+    method, path : str
+        As in the request line.
+    body : bytes
+        JSON text, or empty.
+    headers : bytes
+        More header lines, each with its line end.
+    before_write : callable
+        Called just before the first byte is written; raises to stop the request.
+    stream : bool
+        Leave the body to be read by `read_chunks`.
+
+    Raises
+    ------
+    Exception
+        Whatever the library raises; the wire must then be closed.
+    """
+    wire.connection.begin(headers, body, before_write)
+    return await wire.client.request(wire.base_url + path, method, stream=stream)
+
+
 def close_wire(wire: Wire) -> None:
     """Close the connection at once. A wire that did not read a whole reply must be closed."""
     wire.connection.keep = False
