--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -12,6 +12,7 @@
 
 from wisteriarock.blackboard.models import Blackboard
 from wisteriarock.membership.decide import is_live
+from wisteriarock.observability.logs import log_event
 from wisteriarock.observability.metrics import Metrics
 from wisteriarock.query.models import (
     Cancel,
@@ -129,6 +130,8 @@
         if pool is None or pool.address != address:
             if pool is not None:
                 close_pool(pool)
+            for name in [name for name in pools if peer_address(board, name) is None]:
+                close_pool(pools.pop(name))
             pool = pools[instance] = create_pool(address, tunables.connect_timeout_ms)
         return pool
 
@@ -162,12 +165,12 @@
                 close_older(pool, now_ms() - timeout_ms)
             return Failure(PeerError.LOST if written else PeerError.NOT_SENT)
         else:
-            give_back(pool, wire)
+            give_back(pool, wire, now_ms())
             wire = None
         finally:
             if wire is not None:
                 close_wire(wire)
-                give_back(pool, wire)
+                give_back(pool, wire, now_ms())
         return Success(content) if status == 200 else Failure(PeerError.REFUSED)
 
     async def post(
@@ -214,8 +217,14 @@
             if open_legs.pop(reply["leg_id"], None) is None:
                 metrics.dropped_replies.labels("duplicate").inc()
                 return
-            on_reply(reply)
+            try:
+                on_reply(reply)
+            except Exception as error:
+                # A fault of the taker must not pass for a fault of the stream.
+                faults.append(error)
+                raise
 
+        faults: list[Exception] = []
         wire: Wire | None = None
         may_have_run = True
         try:
@@ -231,16 +240,25 @@
             if isinstance(error, TimeoutError):
                 close_older(pool, now_ms() - STREAM_SILENCE_MS)
         else:
-            give_back(pool, wire)
+            give_back(pool, wire, now_ms())
             wire = None
         finally:
             if wire is not None:
                 close_wire(wire)
-                give_back(pool, wire)
+                give_back(pool, wire, now_ms())
+        if faults:
+            raise faults[0]
         while open_legs:
             _, leg = open_legs.popitem()
             on_reply(lost_reply(leg, may_have_run))
 
+    def on_done(task: asyncio.Task[None]) -> None:
+        tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log_event("invariant_broken", part="peers", error=repr(error))
+            context = {"message": "a taker of leg replies failed", "exception": error}
+            asyncio.get_running_loop().call_exception_handler(context)
+
     def send_legs(instance: str, legs: list[LegRequest], on_reply: OnLegReply) -> Cancel:
         open_legs = {leg["leg_id"]: leg for leg in legs}
         pool = None if suspected(instance) else pool_of(instance)
@@ -254,7 +272,7 @@
             return asyncio.get_running_loop().call_soon(fail).cancel
         task = asyncio.create_task(run_legs(pool, open_legs, on_reply, now_ms()))
         tasks.add(task)
-        task.add_done_callback(tasks.discard)
+        task.add_done_callback(on_done)
 
         def cancel() -> None:
             open_legs.clear()
--- a/packages/wisteriarock/src/wisteriarock/peers/const.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/const.py
@@ -1,10 +1,11 @@
 """Names and numbers of the traffic between instances."""
 
-HEADER_INSTANCE = "X-Peer-Instance"
-HEADER_TIME = "X-Peer-Time-Ms"
-HEADER_NONCE = "X-Peer-Nonce"
-HEADER_KEY_ID = "X-Peer-Key-Id"
-HEADER_DIGEST = "X-Peer-Digest"
+# In lower case, as a server hands them on; names of headers have no case.
+HEADER_INSTANCE = "x-peer-instance"
+HEADER_TIME = "x-peer-time-ms"
+HEADER_NONCE = "x-peer-nonce"
+HEADER_KEY_ID = "x-peer-key-id"
+HEADER_DIGEST = "x-peer-digest"
 
 PATH_HEARTBEAT = "/peer/v1/heartbeat"
 PATH_LEGS = "/peer/v1/legs"
@@ -23,6 +24,8 @@
 # Connections to one peer: those kept idle, and the most that are open.
 MAX_IDLE_CONNECTIONS = 8
 MAX_CONNECTIONS = 64
+# Below the 5 s after which uvicorn closes an idle connection, so that no request meets the close.
+MAX_IDLE_MS = 3_000.0
 # While legs run, the holder writes an empty line at this interval, so that a silent connection
 # can be told from a slow leg.
 KEEPALIVE_MS = 150.0
--- a/packages/wisteriarock/src/wisteriarock/peers/pool.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/pool.py
@@ -5,17 +5,21 @@
 
 from wisteriarock.wire.connection import Wire, close_wire, create_wire
 
-from .const import MAX_CONNECTIONS, MAX_IDLE_CONNECTIONS
+from .const import MAX_CONNECTIONS, MAX_IDLE_CONNECTIONS, MAX_IDLE_MS
 
 
 @dataclass(eq=False)
 class PeerPool:
-    """Connections to one address. `opened_ms` holds when each open one was asked for."""
+    """Connections to one address.
+
+    `idle` holds each idle connection with the time when it became so, `opened_ms` when each open
+    one was asked for.
+    """
 
     address: tuple[str, int]
     connect_timeout_ms: float
     free: asyncio.Semaphore
-    idle: list[Wire] = field(default_factory=list)
+    idle: list[tuple[float, Wire]] = field(default_factory=list)
     opened_ms: dict[int, float] = field(default_factory=dict)
     closed: bool = False
 
@@ -29,8 +33,8 @@
     """Return an idle connection, or a new one; waits while too many are in use."""
     await pool.free.acquire()
     while pool.idle:
-        wire = pool.idle.pop()
-        if not wire.connection.is_stale():
+        since_ms, wire = pool.idle.pop()
+        if now_ms - since_ms < MAX_IDLE_MS and not wire.connection.is_stale():
             return wire
         _forget(pool, wire)
     wire = create_wire(*pool.address, pool.connect_timeout_ms)
@@ -38,27 +42,31 @@
     return wire
 
 
-def give_back(pool: PeerPool, wire: Wire) -> None:
+def give_back(pool: PeerPool, wire: Wire, now_ms: float) -> None:
     """Return a connection; it is kept when its reply was read whole and few are idle."""
     pool.free.release()
     reusable = not wire.connection.blocked and not wire.connection.is_stale()
     if reusable and not pool.closed and len(pool.idle) < MAX_IDLE_CONNECTIONS:
-        pool.idle.append(wire)
+        pool.idle.append((now_ms, wire))
         return
     _forget(pool, wire)
 
 
 def close_older(pool: PeerPool, time_ms: float) -> None:
     """Close the idle connections that were opened before a time: one of them went silent."""
-    for wire in [w for w in pool.idle if pool.opened_ms[id(w.connection)] < time_ms]:
-        pool.idle.remove(wire)
-        _forget(pool, wire)
+    kept = []
+    for since_ms, wire in pool.idle:
+        if pool.opened_ms[id(wire.connection)] < time_ms:
+            _forget(pool, wire)
+        else:
+            kept.append((since_ms, wire))
+    pool.idle = kept
 
 
 def close_pool(pool: PeerPool) -> None:
     """Close the idle connections; those in use are closed when they come back."""
     pool.closed = True
-    for wire in pool.idle:
+    for _, wire in pool.idle:
         _forget(pool, wire)
     pool.idle.clear()
 
--- a/packages/wisteriarock/src/wisteriarock/peers/server.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/server.py
@@ -73,14 +73,15 @@
     sent = {p: metrics.peer_bytes.labels(p, "sent") for p in ("control", "legs")}
 
     async def authenticated(request: Request, purpose: str) -> Result[tuple[str, bytes], Response]:
-        length = request.headers.get("content-length", "0")
+        headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in request.scope["headers"]}
+        length = headers.get("content-length", "0")
         if not length.isdigit() or int(length) > MAX_BODY_BYTES:
             return Failure(_error(413, "too_long", f"The body is over {MAX_BODY_BYTES} bytes."))
         body = await request.body()
         received[purpose].inc(len(body))
         path = request.scope["path"]
         checked = verify(
-            board.settings.peer_keys, request.method, path, request.headers, body, wall_ms(), nonces
+            board.settings.peer_keys, request.method, path, headers, body, wall_ms(), nonces
         )
         if isinstance(checked, Success):
             return Success((checked.unwrap(), body))
