--- a/packages/wisteriarock/src/wisteriarock/endpoints/const.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/const.py
@@ -37,4 +37,4 @@
 # A leg is sent again after a silent connection at most this often.
 MAX_RESENDS = 2
 # Resolution of report polls and of time-driven changes of state.
-TICK_MS = 50.0
+TICK_MS = 100.0
--- a/packages/wisteriarock/src/wisteriarock/endpoints/views.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/views.py
@@ -61,8 +61,16 @@
         board.held_views.pop(name, None)
         board.held_sequence += 1
 
+    def differs(held: HeldEndpoint) -> bool:
+        view = board.held_views.get(held.name)
+        if view is None:
+            return False
+        return view["busy"] != len(held.queue.running) or view["queued"] != queued(held.queue)
+
     def load_changed(held: HeldEndpoint) -> None:
         nonlocal timer
+        if not differs(held):
+            return
         changed[held.name] = held
         if timer is None:
             delay_ms = max(0.0, last_flush_ms + LOAD_VIEW_INTERVAL_MS - now_ms())
@@ -73,10 +81,8 @@
         timer = None
         last_flush_ms = now_ms()
         written = False
-        for name, held in changed.items():
-            view = board.held_views.get(name)
-            load = (len(held.queue.running), queued(held.queue))
-            if view is not None and (view["busy"], view["queued"]) != load:
+        for held in changed.values():
+            if differs(held):
                 publish(held)
                 written = True
         changed.clear()
--- a/packages/wisteriarock/src/wisteriarock/peers/server.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/server.py
@@ -74,6 +74,9 @@
 
     async def authenticated(request: Request, purpose: str) -> Result[tuple[str, bytes], Response]:
         headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in request.scope["headers"]}
+        if "transfer-encoding" in headers:
+            # The length is checked before the body is read, as nothing is authentic before.
+            return Failure(_error(411, "no_length", "The request has no content length."))
         length = headers.get("content-length", "0")
         if not length.isdigit() or int(length) > MAX_BODY_BYTES:
             return Failure(_error(413, "too_long", f"The body is over {MAX_BODY_BYTES} bytes."))
--- a/tests/wisteriarock/peers/test_traffic.py
+++ b/tests/wisteriarock/peers/test_traffic.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any, NamedTuple
 
 import msgspec
@@ -190,6 +190,19 @@
         assert missing == Failure(PeerError.REFUSED)
 
 
+async def test_bodies_of_unknown_or_too_great_length_are_not_read() -> None:
+    """Guards against memory that anybody can use up before a request is found not authentic."""
+    async with pair() as p:
+        cases = (("transfer-encoding: chunked", 411), ("content-length: 9999999", 413))
+        for header, status in cases:
+            port = p.board.members["e2"].port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            head = f"POST {PATH_HEARTBEAT} HTTP/1.1\r\nhost: e2\r\n{header}\r\n\r\n"
+            writer.write(head.encode())
+            assert int((await reader.readline()).split()[1]) == status
+            writer.close()
+
+
 @asynccontextmanager
 async def raw_peer(serve: Callable[..., Any]) -> AsyncIterator[tuple[PeerClient, Any]]:
     """Run a client whose peer `e2` is a scripted TCP server."""
@@ -244,7 +257,8 @@
     """Guards against legs that wait for their deadline on a connection that went silent."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.read()
+        with suppress(asyncio.CancelledError):
+            await reader.read()
         writer.close()
 
     async with raw_peer(serve) as (client, _):
