--- a/packages/wisteriarock/src/wisteriarock/endpoints/connection.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/connection.py
@@ -1,6 +1,5 @@
 """A connection to an endpoint: one aiosonic client with a pool of one."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -16,6 +15,7 @@
     create_wire,
     request,
 )
+from wisteriarock.wire.silence import silence_limit
 
 from .const import MIN_LEG_MS, PATH_LEG, PATH_REPORT
 from .lifecycle import ConnectionState, next_connection_state
@@ -239,7 +239,7 @@
         The report, or `silent` when nothing came in time, or `failed`.
     """
     try:
-        async with asyncio.timeout(timeout_ms / 1000):
+        async with silence_limit(timeout_ms / 1000):
             status, content = await _request(connection, "GET", PATH_REPORT, b"", lambda: None)
     except TimeoutError:
         return Failure("silent")
--- a/packages/wisteriarock/src/wisteriarock/endpoints/const.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/const.py
@@ -27,6 +27,8 @@
 UNTRUSTED_WAIT_MS = 600.0
 # Failed probes in a row after which the silent legs are given up.
 PROBE_ATTEMPTS = 2
+# A report that failed this much later than its limits allow was not late: this process was.
+OWN_LAG_MS = 100.0
 # Share of the report interval by which polls of different endpoints are spread.
 POLL_JITTER = 0.2
 # Weight of a new sample in the usual time of a leg, and the deviations added to the mean.
--- a/packages/wisteriarock/src/wisteriarock/endpoints/reports.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/reports.py
@@ -10,7 +10,7 @@
 
 from . import lifecycle
 from .connection import EndpointConnection, close_connection, fetch_report
-from .const import PROBE_ATTEMPTS, PROBE_GRACE_MS, PROBE_REPEAT_MAX_MS, PROBE_REPEAT_MS
+from .const import OWN_LAG_MS, PROBE_ATTEMPTS, PROBE_GRACE_MS, PROBE_REPEAT_MAX_MS, PROBE_REPEAT_MS
 from .held import ActiveLeg, Env, HeldEndpoint, close_idle_before, count, make_room, open_new
 from .lifecycle import ConnectionState
 from .models import EndpointReport
@@ -100,9 +100,14 @@
             keep_reporter(held, connection)
             take(held, fresh.unwrap(), asked_ms)
             return
-        if lifecycle.on_report_failure(held.life, env.now_ms()):
+        if not lagged(asked_ms) and lifecycle.on_report_failure(held.life, env.now_ms()):
             events.state_changed(held)
 
+    def lagged(asked_ms: float) -> bool:
+        """Tell whether this process itself was late, so that a failure proves nothing."""
+        limit_ms = 2 * tunables.report_timeout_ms + tunables.connect_timeout_ms
+        return env.now_ms() - asked_ms > limit_ms + OWN_LAG_MS
+
     def silent_legs(held: HeldEndpoint) -> list[ActiveLeg]:
         return [leg for leg in held.legs.values() if leg.silent_since_ms is not None]
 
@@ -174,7 +179,7 @@
                     replace_lost(held, lost, asked_ms)
                     wait_ms = PROBE_REPEAT_MS
             elif result is not None:
-                failures += 1
+                failures += 0 if lagged(asked_ms) else 1
                 if failures >= PROBE_ATTEMPTS:
                     give_up(held)
                     if lifecycle.on_report_failure(held.life, answered_ms):
--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -23,9 +23,10 @@
     SendLegs,
 )
 from wisteriarock.wire.connection import Wire, close_wire, request
+from wisteriarock.wire.silence import silence_limit
 
 from .auth import sign
-from .const import PATH_LEGS, PATH_QUERY, SILENCE_STEP_MS, STREAM_SILENCE_MS
+from .const import PATH_LEGS, PATH_QUERY
 from .models import PeerError
 from .pool import PeerPool, acquire, close_older, close_pool, create_pool, give_back
 
@@ -185,27 +186,24 @@
         """Send legs and pass on each line of the answer; tell whether the peer took them."""
         body = _ENCODER.encode({"legs": legs})
         headers = signed("POST", PATH_LEGS, body)
-        async with asyncio.timeout(STREAM_SILENCE_MS / 1000) as silence:
-            loop = asyncio.get_running_loop()
-            response = await request(wire, "POST", PATH_LEGS, body, headers, stream=True)
-            legs_sent.inc(len(body))
-            if response.status_code != 200:
-                await response.content()
-                return False
-            rest = b""
-            received_bytes = 0
-            moved_s = loop.time()
+        received_bytes = 0
+        async with silence_limit(tunables.peer_timeout_ms / 1000) as heard:
             try:
+                response = await request(wire, "POST", PATH_LEGS, body, headers, stream=True)
+                heard()
+                if response.status_code != 200:
+                    await response.content()
+                    return False
+                rest = b""
                 async for chunk in response.read_chunks():
-                    if loop.time() - moved_s > SILENCE_STEP_MS / 1000:
-                        moved_s = loop.time()
-                        silence.reschedule(moved_s + STREAM_SILENCE_MS / 1000)
+                    heard()
                     received_bytes += len(chunk)
                     *lines, rest = (rest + chunk).split(b"\n")
                     for line in lines:
                         if line:
                             on_line(line)
             finally:
+                legs_sent.inc(len(body) if wire.connection.written else 0)
                 legs_received.inc(received_bytes)
         return True
 
@@ -238,7 +236,7 @@
         except Exception as error:
             may_have_run = wire is not None and wire.connection.written
             if isinstance(error, TimeoutError):
-                close_older(pool, now_ms() - STREAM_SILENCE_MS)
+                close_older(pool, now_ms() - tunables.peer_timeout_ms)
         else:
             give_back(pool, wire, now_ms())
             wire = None
--- a/packages/wisteriarock/src/wisteriarock/peers/const.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/const.py
@@ -29,10 +29,6 @@
 # While legs run, the holder writes an empty line at this interval, so that a silent connection
 # can be told from a slow leg.
 KEEPALIVE_MS = 150.0
-# Over four keepalives: one retransmission on a lossy link takes 200 ms or more.
-STREAM_SILENCE_MS = 700.0
 # A stream writes at most once in this time, unless every leg has been answered: a write and its
 # read cost about as much processor time as the rest of a leg's way over the peer hop.
 FLUSH_INTERVAL_MS = 1.0
-# The silence bound of a stream is moved on at most this often, as moving it costs a timer.
-SILENCE_STEP_MS = 100.0
