--- a/packages/wisteriarock/src/wisteriarock/peers/leg_stream.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/leg_stream.py
@@ -112,17 +112,21 @@
         try:
             for number, leg in enumerate(legs):
                 start(number, leg)
-            await send(_START)
-            while cancels and not gone:
-                await waiter
-                waiter = loop.create_future()
-                if not cancels:
-                    break
+            # The head leaves with the first line, which spares the reader a wake-up.
+            started = False
+            while not gone:
+                if cancels:
+                    await waiter
+                    waiter = loop.create_future()
+                if not started:
+                    started = True
+                    await send(_START)
                 # Without a line this writes an empty one, which shows that the stream lives.
-                await write(send, lines, True)
+                more = bool(cancels)
+                await write(send, lines, more)
+                if not more:
+                    break
                 not_before_s = loop.time() + FLUSH_INTERVAL_MS / 1000
-            if not gone:
-                await write(send, lines, False)
         finally:
             watch.cancel()
             keepalive_timer.cancel()
--- a/packages/wisteriarock/src/wisteriarock/peers/server.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/server.py
@@ -149,8 +149,8 @@
         return leg_stream(decoded.unwrap(), sender, running, execute_leg, sent["legs"].inc)
 
     return [
-        Route(PATH_HEARTBEAT, heartbeat, methods=["POST"]),
         Route(PATH_LEGS, legs, methods=["POST"]),
+        Route(PATH_HEARTBEAT, heartbeat, methods=["POST"]),
         Route(PATH_CANCEL, cancel, methods=["POST"]),
         Route(PATH_QUERY, query, methods=["POST"]),
         Route(PATH_BUNDLE, bundle, methods=["GET"]),
