--- a/packages/wisteriarock/src/wisteriarock/endpoints/held.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/held.py
@@ -142,6 +142,14 @@
     return None
 
 
+def close_stale(held: HeldEndpoint) -> None:
+    """Close the idle connections that the endpoint has closed, which would count for the cap."""
+    stale = [connection for connection in held.idle if connection.wire.is_stale()]
+    for connection in stale:
+        held.idle.remove(connection)
+        close_connection(connection)
+
+
 def give_back(held: HeldEndpoint, connection: EndpointConnection) -> None:
     """Keep a connection for the next leg if its reply was read whole."""
     if connection.state is not ConnectionState.IDLE:
--- a/packages/wisteriarock/src/wisteriarock/endpoints/lifecycle.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/lifecycle.py
@@ -211,8 +211,8 @@
 
 
 def on_success(life: EndpointLife) -> None:
-    """Note that the endpoint answered a leg."""
-    life.failures = 0
+    """Note that the endpoint answered a leg, which it does not when it is gone."""
+    life.failures = life.report_failures = 0
 
 
 def on_failure(life: EndpointLife, now_ms: float, tunables: Tunables) -> bool:
--- a/packages/wisteriarock/src/wisteriarock/endpoints/reports.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/reports.py
@@ -11,7 +11,16 @@
 from . import lifecycle
 from .connection import EndpointConnection, close_connection, fetch_report
 from .const import OWN_LAG_MS, PROBE_ATTEMPTS, PROBE_GRACE_MS, PROBE_REPEAT_MAX_MS, PROBE_REPEAT_MS
-from .held import ActiveLeg, Env, HeldEndpoint, close_idle_before, count, make_room, open_new
+from .held import (
+    ActiveLeg,
+    Env,
+    HeldEndpoint,
+    close_idle_before,
+    close_stale,
+    count,
+    make_room,
+    open_new,
+)
 from .lifecycle import ConnectionState
 from .models import EndpointReport
 from .suspicion import OpenLeg, check_report, is_settled, is_trusted, lost_legs
@@ -190,6 +199,7 @@
             wait_ms = min(2 * wait_ms, PROBE_REPEAT_MAX_MS)
 
     def poll(held: HeldEndpoint) -> None:
+        close_stale(held)
         if held.poll is None or held.poll.done():
             held.poll = env.spawn(poll_once(held))
 
--- a/packages/wisteriarock/src/wisteriarock/peers/pool.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/pool.py
@@ -45,6 +45,8 @@
 def give_back(pool: PeerPool, wire: Wire, now_ms: float) -> None:
     """Return a connection; it is kept when its reply was read whole and few are idle."""
     pool.free.release()
+    while pool.idle and now_ms - pool.idle[0][0] >= MAX_IDLE_MS:
+        _forget(pool, pool.idle.pop(0)[1])
     reusable = not wire.connection.blocked and not wire.connection.is_stale()
     if reusable and not pool.closed and len(pool.idle) < MAX_IDLE_CONNECTIONS:
         pool.idle.append((now_ms, wire))
--- a/tests/wisteriarock/endpoints/test_lifecycle.py
+++ b/tests/wisteriarock/endpoints/test_lifecycle.py
@@ -85,8 +85,11 @@
 
 
 def test_an_endpoint_that_does_not_report_is_gone_until_it_does() -> None:
-    """Guards against a dead endpoint that stays ready for the rest of the instances."""
+    """Guards against a dead endpoint that stays ready, and a live one lost with its reports."""
     life = _ready()
+    for _ in range(2 * GONE_AFTER_REPORTS):
+        assert not lifecycle.on_report_failure(life, 0.0)
+        lifecycle.on_success(life)
     for _ in range(GONE_AFTER_REPORTS):
         lifecycle.on_report_failure(life, 0.0)
     assert life.state is EndpointState.GONE
