--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -26,7 +26,7 @@
 from wisteriarock.wire.silence import silence_limit
 
 from .auth import sign
-from .const import PATH_LEGS, PATH_QUERY
+from .const import PATH_LEGS, PATH_QUERY, PURPOSE_CONTROL, PURPOSE_LEGS, PURPOSE_QUERY
 from .models import PeerError
 from .pool import PeerPool, acquire, close_older, close_pool, create_pool, give_back
 
@@ -110,11 +110,11 @@
     tunables = settings.tunables
     run_id = secrets.token_hex(8)
     numbers = itertools.count()
-    pools: dict[str, PeerPool] = {}
-    legs_sent = metrics.peer_bytes.labels("legs", "sent")
-    legs_received = metrics.peer_bytes.labels("legs", "received")
-    control_sent = metrics.peer_bytes.labels("control", "sent")
-    control_received = metrics.peer_bytes.labels("control", "received")
+    pools: dict[tuple[str, str], PeerPool] = {}
+    legs_sent = metrics.peer_bytes.labels(PURPOSE_LEGS, "sent")
+    legs_received = metrics.peer_bytes.labels(PURPOSE_LEGS, "received")
+    control_sent = metrics.peer_bytes.labels(PURPOSE_CONTROL, "sent")
+    control_received = metrics.peer_bytes.labels(PURPOSE_CONTROL, "received")
     tasks: set[asyncio.Task[None]] = set()
 
     def signed(method: str, path: str, body: bytes) -> bytes:
@@ -123,17 +123,18 @@
         headers = sign(key, method, path, settings.instance, int(wall_ms()), nonce, body)
         return "".join(f"{name}: {value}\r\n" for name, value in headers.items()).encode()
 
-    def pool_of(instance: str) -> PeerPool | None:
+    def pool_of(instance: str, purpose: str) -> PeerPool | None:
         address = peer_address(board, instance)
         if address is None:
             return None
-        pool = pools.get(instance)
+        pool = pools.get((instance, purpose))
         if pool is None or pool.address != address:
             if pool is not None:
                 close_pool(pool)
-            for name in [name for name in pools if peer_address(board, name) is None]:
-                close_pool(pools.pop(name))
-            pool = pools[instance] = create_pool(address, tunables.connect_timeout_ms)
+            for key in [key for key in pools if peer_address(board, key[0]) is None]:
+                close_pool(pools.pop(key))
+            pool = create_pool(address, tunables.connect_timeout_ms)
+            pools[instance, purpose] = pool
         return pool
 
     def suspected(instance: str) -> bool:
@@ -150,7 +151,7 @@
     async def call(
         method: str, instance: str, path: str, body: bytes, timeout_ms: float
     ) -> Result[bytes, PeerError]:
-        pool = pool_of(instance)
+        pool = pool_of(instance, PURPOSE_QUERY if path == PATH_QUERY else PURPOSE_CONTROL)
         if pool is None:
             return Failure(PeerError.UNKNOWN_PEER)
         if path == PATH_QUERY and suspected(instance):
@@ -259,7 +260,7 @@
 
     def send_legs(instance: str, legs: list[LegRequest], on_reply: OnLegReply) -> Cancel:
         open_legs = {leg["leg_id"]: leg for leg in legs}
-        pool = None if suspected(instance) else pool_of(instance)
+        pool = None if suspected(instance) else pool_of(instance, PURPOSE_LEGS)
         if pool is None:
 
             def fail() -> None:
--- a/packages/wisteriarock/src/wisteriarock/peers/const.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/const.py
@@ -21,9 +21,13 @@
 MAX_NONCES = 200_000
 MAX_NONCE_LENGTH = 64
 
-# Connections to one peer: those kept idle, and the most that are open.
+# Connections to one peer for one purpose: those kept idle, and the most that are in use.
 MAX_IDLE_CONNECTIONS = 8
-MAX_CONNECTIONS = 64
+MAX_CONNECTIONS = 128
+# Purposes have connections of their own, so that heartbeats never wait for legs or queries.
+PURPOSE_CONTROL = "control"
+PURPOSE_LEGS = "legs"
+PURPOSE_QUERY = "query"
 # Below the 5 s after which uvicorn closes an idle connection, so that no request meets the close.
 MAX_IDLE_MS = 3_000.0
 # While legs run, the holder writes an empty line at this interval, so that a silent connection
