--- a/packages/wisteriarock/src/wisteriarock/endpoints/const.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/const.py
@@ -8,6 +8,10 @@
 
 # No endpoint answers in less than this, so a leg with less time left is not sent.
 MIN_LEG_MS = 1.0
+# Share of the usual time of a kind that no leg of it falls below, while the usual time is fresh.
+# Service times spread: fewer than 1 in 1,000 lie below it if they are log-normal with sigma 0.4.
+LEAST_SHARE = 0.25
+USUAL_TIME_FRESH_MS = 5_000.0
 # Changes of load alone are told to the other instances at most this often.
 LOAD_VIEW_INTERVAL_MS = 250.0
 # Reports in a row that fail on a new connection before an endpoint counts as gone.
--- a/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
@@ -25,6 +25,7 @@
 from .held import ActiveLeg, Env, HeldEndpoint, effective_slots, reply_without_rows
 from .legs import LegEvents, create_leg_runner
 from .reports import ReportEvents, create_reporter
+from .suspicion import least_time_ms
 from .views import create_views
 
 
@@ -164,7 +165,12 @@
     def pump(held: HeldEndpoint) -> None:
         """Start waiting legs while slots are free, and end a release when nothing runs."""
         if not paused and now_ms() >= held.ready_at_ms:
-            started, dropped = queue.take(held.queue, now_ms(), effective_slots(held))
+            time_ms = now_ms()
+
+            def least_ms(kind: str) -> float:
+                return least_time_ms(held.usual.get(kind), time_ms)
+
+            started, dropped = queue.take(held.queue, time_ms, effective_slots(held), least_ms)
             for entry in started:
                 metrics.queued_legs.dec()
                 runner.start(held, held.legs[entry.number])
--- a/packages/wisteriarock/src/wisteriarock/endpoints/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/legs.py
@@ -150,7 +150,7 @@
         if result.outcome is LegOutcome.OK:
             leg_seconds.observe(service_ms / 1000)
             kind = active.entry.leg["kind"]
-            add_sample(held.usual.setdefault(kind, UsualTime()), service_ms)
+            add_sample(held.usual.setdefault(kind, UsualTime()), service_ms, now_ms)
         if result.answered:
             lifecycle.on_success(held.life)
             if active.check is not None:
--- a/packages/wisteriarock/src/wisteriarock/endpoints/queue.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/queue.py
@@ -1,5 +1,6 @@
 """Priority queue of an endpoint: decides which legs run, wait, or are dropped."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
@@ -107,9 +108,25 @@
     return dropped
 
 
-def take(queue: LegQueue, now_ms: float, slots: int) -> tuple[list[QueuedLeg], list[Dropped]]:
+def take(
+    queue: LegQueue,
+    now_ms: float,
+    slots: int,
+    least_ms: Callable[[str], float] = lambda _: MIN_LEG_MS,
+) -> tuple[list[QueuedLeg], list[Dropped]]:
     """Move legs from waiting to running while a slot is free.
 
+    Parameters
+    ----------
+    queue : LegQueue
+        Changed in place.
+    now_ms : float
+        Monotonic time.
+    slots : int
+        Most legs that may run.
+    least_ms : callable
+        Kind to the time below which no leg of this kind is answered.
+
     Returns
     -------
     tuple
@@ -120,7 +137,7 @@
     for legs in queue.waiting:
         while legs and len(queue.running) < slots:
             entry = legs.pop(next(iter(legs)))
-            if entry.deadline_at_ms - now_ms < MIN_LEG_MS:
+            if entry.deadline_at_ms - now_ms < least_ms(entry.leg["kind"]):
                 dropped.append(Dropped(entry, LegOutcome.DEADLINE_PASSED))
                 continue
             queue.running[entry.number] = entry
--- a/packages/wisteriarock/src/wisteriarock/endpoints/suspicion.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/suspicion.py
@@ -5,10 +5,13 @@
 
 from .const import (
     DISTRUST_MS,
+    LEAST_SHARE,
+    MIN_LEG_MS,
     REPORT_IDLE_MS,
     REPORT_SETTLED_MS,
     UNTRUSTED_WAIT_MS,
     USUAL_TIME_DEVIATIONS,
+    USUAL_TIME_FRESH_MS,
     USUAL_TIME_WEIGHT,
 )
 
@@ -19,10 +22,12 @@
 
     mean_ms: float = 0.0
     deviation_ms: float = 0.0
+    sampled_ms: float = float("-inf")
 
 
-def add_sample(usual: UsualTime, service_ms: float) -> None:
+def add_sample(usual: UsualTime, service_ms: float, now_ms: float) -> None:
     """Take the time of a leg that was answered."""
+    usual.sampled_ms = now_ms
     if usual.mean_ms == 0.0:
         usual.mean_ms, usual.deviation_ms = service_ms, service_ms / 2
         return
@@ -31,6 +36,17 @@
     usual.deviation_ms += USUAL_TIME_WEIGHT * (abs(error_ms) - usual.deviation_ms)
 
 
+def least_time_ms(usual: UsualTime | None, now_ms: float) -> float:
+    """Return the time below which no leg of a kind is answered.
+
+    It is forgotten when no leg was answered for a while: legs that are dropped because of it give
+    no samples that could correct it.
+    """
+    if usual is None or now_ms - usual.sampled_ms > USUAL_TIME_FRESH_MS:
+        return MIN_LEG_MS
+    return max(MIN_LEG_MS, LEAST_SHARE * usual.mean_ms)
+
+
 def silence_bound_ms(usual: UsualTime | None, silence_suspect_ms: float) -> float:
     """Return how long a leg may go without a reply byte before its connection is suspect."""
     if usual is None:
--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -27,6 +27,7 @@
 
 from .auth import sign
 from .const import PATH_LEGS, PATH_QUERY, PURPOSE_CONTROL, PURPOSE_LEGS, PURPOSE_QUERY
+from .diagnostics import dump_pools
 from .models import PeerError
 from .pool import PeerPool, acquire, close_older, close_pool, create_pool, give_back
 
@@ -98,7 +99,7 @@
     Parameters
     ----------
     board : Blackboard
-        Read: settings and members.
+        Read: settings and members. The diagnostics are registered there.
     metrics : Metrics
         Counted into.
     now_ms : callable
@@ -285,4 +286,5 @@
         for pool in pools.values():
             close_pool(pool)
 
+    board.diagnostics["peers"] = lambda: dump_pools(pools, len(tasks))
     return PeerClient(send_legs, post, get, close)
--- a/tests/wisteriarock/endpoints/test_queue.py
+++ b/tests/wisteriarock/endpoints/test_queue.py
@@ -68,6 +68,8 @@
     assert drop_expired(queue, 98.9) == []
     started, dropped = take(queue, 99.5, 1)
     assert (started, len(dropped), queue.running) == ([], 2, {})
+    _fill(queue, "normal")
+    assert take(queue, 60.0, 1, lambda kind: 50.0 if kind == "blend" else 0.0)[0] == []
     assert next_expiry_ms(queue) is None
 
 
--- a/tests/wisteriarock/endpoints/test_suspicion.py
+++ b/tests/wisteriarock/endpoints/test_suspicion.py
@@ -7,6 +7,7 @@
     add_sample,
     check_report,
     is_trusted,
+    least_time_ms,
     lost_legs,
     note_answer,
     silence_bound_ms,
@@ -19,13 +20,21 @@
     """Guards against probes for legs that always take long, and late ones for fast legs."""
     fast, slow = UsualTime(), UsualTime()
     for number in range(100):
-        add_sample(fast, 10.0 + number % 3)
-        add_sample(slow, 900.0 + 50 * (number % 3))
+        add_sample(fast, 10.0 + number % 3, 0.0)
+        add_sample(slow, 900.0 + 50 * (number % 3), 0.0)
     assert silence_bound_ms(None, 400.0) == 400.0
     assert silence_bound_ms(fast, 400.0) == 400.0
     assert 1_000.0 < silence_bound_ms(slow, 400.0) < 1_500.0
 
 
+def test_the_least_time_is_forgotten_without_new_samples() -> None:
+    """Guards against a queue that drops every leg of a kind because it was slow once."""
+    usual = UsualTime()
+    add_sample(usual, 400.0, 0.0)
+    assert least_time_ms(usual, 5_000.0) == 100.0
+    assert least_time_ms(usual, 5_001.0) == least_time_ms(None, 0.0) == 1.0
+
+
 def test_as_many_legs_are_lost_as_the_endpoint_does_not_work_on() -> None:
     """Guards against doubling a leg that runs, and against waiting for one that does not."""
     legs = [OpenLeg(1, 0.0, 100.0), OpenLeg(2, 100.0, 100.0)]
--- a/tests/wisteriarock/peers/test_traffic.py
+++ b/tests/wisteriarock/peers/test_traffic.py
@@ -114,6 +114,9 @@
             await until(lambda: replies and replies[-1]["leg_id"] == leg["leg_id"])  # noqa: B023
         assert [reply["leg_id"] for reply in replies] == ["r.2", "r.1"]
         assert p.cancelled == []
+        await until(lambda: p.board.diagnostics["peers"]()["open_streams"] == 0)
+        counts = p.board.diagnostics["peers"]()["connections"]
+        assert counts == {"e2": {"legs": {"open": 1, "idle": 1}}}
 
 
 async def test_a_cancel_reaches_the_holder_and_nothing_is_reported_after_it() -> None:
