--- a/packages/standins/src/wisteriastandins/measure/commands.py
+++ b/packages/standins/src/wisteriastandins/measure/commands.py
@@ -21,6 +21,7 @@
 _FOLDER = Path("docs/measurements")
 
 app = App(name="measure", help="Measure the deployments and write docs/measurements.")
+app.command("wisteriastandins.slopes.command:slopes", help="Measure how costs grow.")
 
 
 def _run(
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/slopes/servers.py
@@ -0,0 +1,175 @@
+"""Servers on 127.0.0.1 in this process: a peer, an endpoint, and a relay that counts bytes."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from starlette.applications import Starlette
+from wisteriarock.membership.models import Heartbeat
+from wisteriarock.observability.metrics import create_metrics
+from wisteriarock.peers.client import PeerClient, create_peer_client
+from wisteriarock.peers.models import PeerHandlers
+from wisteriarock.peers.server import peer_routes
+from wisteriarock.query.models import Cancel, LegRequest, OnLegReply
+from wisteriarock.servers import bind, create_server
+
+from . import samples
+from .decisions import reply_of
+
+HOST = "127.0.0.1"
+PEER_NUMBER = 1
+PEER = samples.instance_of(PEER_NUMBER)
+_START_POLL_S = 0.005
+_START_POLLS = 1_000
+
+
+def now_ms() -> float:
+    """Return the monotonic time in milliseconds."""
+    return time.monotonic() * 1000
+
+
+@dataclass
+class Traffic:
+    """Bytes that a relay has passed on, in both directions."""
+
+    size_bytes: int = 0
+
+
+@asynccontextmanager
+async def counting_relay(port: int) -> AsyncIterator[tuple[int, Traffic]]:
+    """Relay connections to a port and count what passes; yield the relay's port."""
+    traffic = Traffic()
+    tasks: set[asyncio.Task[Any]] = set()
+
+    async def pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65_536):
+                traffic.size_bytes += len(data)
+                writer.write(data)
+                await writer.drain()
+        finally:
+            writer.close()
+
+    async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        far_reader, far_writer = await asyncio.open_connection(HOST, port)
+        for pair in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(pump(*pair))
+            tasks.add(task)
+
+    server = await asyncio.start_server(accept, HOST, 0)
+    try:
+        yield server.sockets[0].getsockname()[1], traffic
+    finally:
+        server.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@asynccontextmanager
+async def serve_peer(answer: Heartbeat, bundle: bytes = b"") -> AsyncIterator[int]:
+    """Serve the peers' routes of an instance whose legs are answered at once; yield its port."""
+
+    def execute_leg(leg: LegRequest, on_reply: OnLegReply) -> Cancel:
+        return asyncio.get_running_loop().call_soon(on_reply, reply_of(leg)).cancel
+
+    async def on_heartbeat(_: Heartbeat) -> Heartbeat:
+        return answer
+
+    async def on_query(_: Any) -> Any:
+        raise NotImplementedError
+
+    async def bundle_body(_: str) -> bytes | None:
+        return bundle
+
+    handlers = PeerHandlers(on_heartbeat, on_query, bundle_body)
+    routes = peer_routes(samples.board_of(PEER), create_metrics(), now_ms, execute_leg, handlers)
+    server = create_server(Starlette(routes=routes), None, 1.0)
+    listener = bind(HOST, 0)
+    port: int = listener.getsockname()[1]
+    task = asyncio.create_task(server.serve(sockets=[listener]))
+    for _ in range(_START_POLLS):
+        if server.started:
+            break
+        await asyncio.sleep(_START_POLL_S)
+    try:
+        yield port
+    finally:
+        server.should_exit = True
+        await task
+
+
+@asynccontextmanager
+async def connect_peer(port: int, names: tuple[str, ...] = (PEER,)) -> AsyncIterator[PeerClient]:
+    """Provide the client of an instance whose peers all have the same address."""
+    zone = samples.zone_of(PEER_NUMBER)
+    peers = [{"instance": name, "zone": zone, "host": HOST, "port": port} for name in names]
+    board = samples.board_of(peers=peers)
+    # Always heard just now, however long a measurement takes.
+    board.members[PEER] = samples.member_of(PEER_NUMBER, port, float("inf"))
+    client = create_peer_client(board, create_metrics(), now_ms)
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
+def leg_answer(leg: dict[str, Any]) -> bytes:
+    """Return the HTTP response of an endpoint to a leg."""
+    fields = {name: leg[name] for name in ("leg_id", "shard", "part", "parts", "snapshot")}
+    rows = [
+        {"lot": f"{leg['shard']}-{n:04}", "shard": leg["shard"], "snapshot": leg["snapshot"]}
+        for n in range(leg["params"]["limit"])
+    ]
+    body = msgspec.json.encode({**fields, "rows": rows})
+    return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+
+
+class EndpointProtocol(asyncio.Protocol):
+    """An endpoint that answers each leg at once, with as little work as can be.
+
+    It relies on requests that arrive one at a time, each in one or more whole segments.
+    """
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.received = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        if isinstance(transport, asyncio.Transport):
+            self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer when a body is complete, which is when it decodes."""
+        self.received += data
+        body = self.received.partition(b"\r\n\r\n")[2]
+        if not body.endswith(b"}}") or self.transport is None:
+            return
+        self.received = b""
+        self.transport.write(leg_answer(msgspec.json.decode(body)))
+
+
+class BareClient(asyncio.Protocol):
+    """The least client: writes a request and counts the replies, one segment each."""
+
+    def __init__(self) -> None:
+        self.on_reply: Callable[[], None] = lambda: None
+
+    def data_received(self, data: bytes) -> None:
+        """Take a reply."""
+        self.on_reply()
+
+
+@asynccontextmanager
+async def serve_endpoint() -> AsyncIterator[int]:
+    """Run an endpoint and yield its port."""
+    server = await asyncio.get_running_loop().create_server(EndpointProtocol, HOST, 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
