--- a/tests/wisteriarock/query/test_controller.py
+++ b/tests/wisteriarock/query/test_controller.py
@@ -130,9 +130,7 @@
         calls.holders["n"] = calls.holders["m"] = None
         task = await _start(controller, "a")
         calls.now_ms = 1_000
-        while not task.done():
-            calls.timers[-1][1]()
-            await asyncio.sleep(0)
+        calls.timers[-1][1]()
         answer = await task
         assert (answer["outcome"], answer["stats"]["legs"] > 0) == ("not_run", True)
         assert answer["coverage"]["missing"] == [{"shard": "a", "reason": LegOutcome.NOT_SENT}]
--- a/tests/wisteriarock/query/test_decide.py
+++ b/tests/wisteriarock/query/test_decide.py
@@ -140,6 +140,17 @@
     assert done["coverage"]["missing"] == [{"shard": "b", "reason": "snapshot_gone"}]
 
 
+def test_a_request_that_may_not_repeat_is_not_restarted() -> None:
+    """Guards against a second run of what other legs have run already."""
+    made = tier([view("x", {7: [A, B]})], ACTIVE)
+    state, actions = begin(made, request("ab", "booking"), ACTIVE)
+    first, second = sent(actions)
+    see(made, [view("x", {8: [A, B]})], 2)
+    assert not sent(on_reply(made, state, reply_to(second, LegOutcome.SNAPSHOT_GONE), 2))
+    done = answer(on_reply(made, state, reply_to(first), 3))
+    assert (done["outcome"], done["snapshot"]) == ("partial", 7)
+
+
 def test_early_coverage_answers_when_enough_shards_have() -> None:
     """Guards against a visitor who waits for the last shard, and against too little coverage."""
     made = tier(VIEWS, ACTIVE)
