--- a/tests/wisteriarock/query/test_controller.py
+++ b/tests/wisteriarock/query/test_controller.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from wisteriarock.blackboard.models import Blackboard
-from wisteriarock.membership.models import Member, Phase
+from wisteriarock.membership.models import EndpointState, EndpointView, Member, Phase
 from wisteriarock.observability.metrics import Metrics, create_metrics
 from wisteriarock.query.controller import QueryController, create_query_controller
 from wisteriarock.query.models import LegOutcome, LegRequest, OnLegReply, QueryAnswer
@@ -31,6 +31,7 @@
     cancelled: list[str] = field(default_factory=list)
     timers: list[tuple[float, Callable[[], None]]] = field(default_factory=list)
     holders: dict[str, str | None] = field(default_factory=dict)
+    views: dict[str, EndpointView] = field(default_factory=dict)
 
 
 @asynccontextmanager
@@ -41,6 +42,7 @@
     board = Blackboard(settings, "1")
     board.members["e1"] = Member("e1", "1", "east", "", 0, Phase.READY, float("inf"), 1, "")
     calls = Calls(create_metrics(), holders={"n": "e0", "m": "e0", "e": "e1", "f": "e1"})
+    calls.views = board.endpoint_views
     held = {"n": SHARDS[:1], "m": SHARDS[:1], "e": SHARDS[1:], "f": SHARDS[1:]}
     for name, triples in held.items():
         board.endpoint_views[name] = view(name, {7: triples}, holder=calls.holders[name] or "")
@@ -124,6 +126,22 @@
         assert (await task)["outcome"] == "complete"
 
 
+async def test_a_changed_view_is_seen_by_the_next_query() -> None:
+    """Guards against legs for endpoints that have said that they are leaving."""
+    async with _controller() as (controller, calls):
+        for name in ("n", "m"):
+            task = await _start(controller, "a")
+            _, [leg], sink = calls.batches[-1]
+            sink(reply_to(leg))
+            assert (await task)["outcome"] == "complete"
+            calls.views[name] = view(name, {}, state=EndpointState.DRAINING, holder="e0")
+            calls.now_ms += 10
+        answer = await (await _start(controller, "a"))
+        assert (answer["outcome"], len(calls.batches)) == ("not_run", 2)
+        assert answer["error"] is not None
+        assert answer["error"]["code"] == "no_usable_snapshot"
+
+
 async def test_a_leg_without_a_holder_was_not_sent() -> None:
     """Guards against a request that waits for a reply which nobody will send."""
     async with _controller() as (controller, calls):
--- a/tests/wisteriarock/query/test_decide.py
+++ b/tests/wisteriarock/query/test_decide.py
@@ -71,6 +71,18 @@
     assert made.dropped == {"late": 1}
 
 
+def test_a_hedge_that_straggles_is_hedged_too_and_a_third_leg_never() -> None:
+    """Guards against stragglers among hedges, and against ever more legs for a partition."""
+    made = tier(VIEWS, ACTIVE)
+    state, actions = begin(made, request("a"), ACTIVE)
+    tried = {leg["endpoint"] for leg in sent(actions)}
+    for now_ms in (100, 200):
+        [leg] = sent(on_timer(made, state, now_ms))
+        tried.add(leg["endpoint"])
+    assert tried == {"x", "y", "z"}
+    assert not sent(on_timer(made, state, 300))
+
+
 def test_a_leg_that_may_have_run_is_not_sent_again_unless_it_may_be() -> None:
     """Guards against a booking that is run twice."""
     made = tier(VIEWS, ACTIVE)
