--- a/packages/wisteriarock/src/wisteriarock/query/hedging.py
+++ b/packages/wisteriarock/src/wisteriarock/query/hedging.py
@@ -30,6 +30,8 @@
         Decaying histogram with logarithmic buckets.
     samples : int
         Samples seen since the start.
+    highest : int
+        Highest bucket that was ever used.
     delay_ms : float
         How long a leg may take before it is hedged, as of the last calculation.
     """
@@ -38,6 +40,7 @@
     counts: list[float] = field(default_factory=lambda: [0.0] * BUCKET_COUNT)
     weight: float = 0.0
     samples: int = 0
+    highest: int = 0
 
 
 @dataclass
@@ -74,7 +77,7 @@
     above = 1.0 - quantile
     above += QUANTILE_ERRORS * math.sqrt(above * quantile / latency.weight)
     remaining = latency.weight * above
-    for position in range(BUCKET_COUNT - 1, -1, -1):
+    for position in range(latency.highest, -1, -1):
         remaining -= latency.counts[position]
         if remaining < 0:
             return BUCKET_LOW_MS * BUCKET_GROWTH ** (position + 1)
@@ -89,6 +92,8 @@
     position = 0
     if elapsed_ms > BUCKET_LOW_MS:
         position = min(BUCKET_COUNT - 1, int((math.log(elapsed_ms) - _LOG_LOW) / _LOG_GROWTH))
+    if position > latency.highest:
+        latency.highest = position
     latency.counts[position] += 1.0
     latency.weight += 1.0
     latency.samples += 1
--- a/tests/scenarios/fakes.py
+++ b/tests/scenarios/fakes.py
@@ -59,6 +59,7 @@
     incarnation: int = 1
     vanished_at_ms: float | None = None
     is_silent: bool = False
+    slower: float = 1.0
     is_shedding: bool = False
     running: list[FakeLeg] = field(default_factory=list)
     queue: deque[FakeLeg] = field(default_factory=deque)
@@ -194,7 +195,8 @@
     partition = asked["shard"], asked["part"]
     earlier = sum(1 for ran in world.ran[asked["request_id"]] if ran[:2] == partition)
     rng = Random(f"{world.seed}/{asked['request_id']}/{partition}/{earlier}")
-    time_ms = world.service_ms * world.slower * rng.lognormvariate(0, world.spread)
+    slower = world.slower * endpoint.slower
+    time_ms = world.service_ms * slower * rng.lognormvariate(0, world.spread)
     share, factor = world.straggle
     return time_ms * factor if rng.random() < share else time_ms
 
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -142,6 +142,10 @@
     world.endpoints[name].is_shedding = True
 
 
+def _slow_endpoint(world: World, name: str, times: float) -> None:
+    world.endpoints[name].slower = times
+
+
 def _split(world: World, shard: str, parts: int, snapshot: int) -> None:
     world.splits[shard] = (parts, snapshot)
 
@@ -172,6 +176,7 @@
     "returns": _returns,
     "drains": _drains,
     "sheds": _sheds,
+    "slow_endpoint": _slow_endpoint,
     "split": _split,
     "arrives": _one_by_one(load_snapshot),
     "leaves": _one_by_one(_leave),
--- a/tests/wisteriarock/query/fixtures.py
+++ b/tests/wisteriarock/query/fixtures.py
@@ -72,7 +72,7 @@
         "format": 1,
         "organisations": ["o"],
         "callers": {},
-        "kinds": KINDS,
+        "kinds": dict(KINDS),
         "services": {
             "s": {
                 "shards": list(shards),
