--- a/tests/wisteriarock/query/test_decide.py
+++ b/tests/wisteriarock/query/test_decide.py
@@ -71,6 +71,18 @@
     assert made.dropped == {"late": 1}
 
 
+def test_a_hedge_that_straggles_is_hedged_too_and_a_third_leg_never() -> None:
+    """Guards against stragglers among hedges, and against ever more legs for a partition."""
+    made = tier(VIEWS, ACTIVE)
+    state, actions = begin(made, request("a"), ACTIVE)
+    tried = {leg["endpoint"] for leg in sent(actions)}
+    for now_ms in (100, 200):
+        [leg] = sent(on_timer(made, state, now_ms))
+        tried.add(leg["endpoint"])
+    assert tried == {"x", "y", "z"}
+    assert not sent(on_timer(made, state, 300))
+
+
 def test_a_leg_that_may_have_run_is_not_sent_again_unless_it_may_be() -> None:
     """Guards against a booking that is run twice."""
     made = tier(VIEWS, ACTIVE)
@@ -140,6 +152,17 @@
     assert done["coverage"]["missing"] == [{"shard": "b", "reason": "snapshot_gone"}]
 
 
+def test_a_request_that_may_not_repeat_is_not_restarted() -> None:
+    """Guards against a second run of what other legs have run already."""
+    made = tier([view("x", {7: [A, B]})], ACTIVE)
+    state, actions = begin(made, request("ab", "booking"), ACTIVE)
+    first, second = sent(actions)
+    see(made, [view("x", {8: [A, B]})], 2)
+    assert not sent(on_reply(made, state, reply_to(second, LegOutcome.SNAPSHOT_GONE), 2))
+    done = answer(on_reply(made, state, reply_to(first), 3))
+    assert (done["outcome"], done["snapshot"]) == ("partial", 7)
+
+
 def test_early_coverage_answers_when_enough_shards_have() -> None:
     """Guards against a visitor who waits for the last shard, and against too little coverage."""
     made = tier(VIEWS, ACTIVE)
