--- a/packages/standins/src/wisteriastandins/launcher.py
+++ b/packages/standins/src/wisteriastandins/launcher.py
@@ -152,12 +152,14 @@
         for command in commands:
             start(running, command)
         yield running
-        await stop_run(running)
     finally:
-        # Left by an error, a second interrupt or a failed start.
-        for process in running.processes.values():
-            _signal(process, signal.SIGKILL)
-            process.wait()
+        try:
+            await stop_run(running)
+        finally:
+            # Reached with live processes when a second interrupt ends the wait.
+            for process in running.processes.values():
+                _signal(process, signal.SIGKILL)
+                process.wait()
 
 
 def log_tail(running: Running, names: tuple[str, ...], lines: int = _TAIL_LINES) -> str:
--- a/packages/standins/src/wisteriastandins/load/models.py
+++ b/packages/standins/src/wisteriastandins/load/models.py
@@ -94,9 +94,20 @@
 class LoadResult(TypedDict):
     """Figures of a run.
 
-    `late_starts` counts requests that the load tool started over 5 ms late, and `tool_cpu_pct` is
-    its use of one processor: near 100, latency is that of the load tool. `failed_checks` counts
-    all failed checks by name; `failures` shows the first of them.
+    Attributes
+    ----------
+    late_starts : int
+        Requests that the load tool started over 5 ms late.
+    tool_cpu_pct : float
+        The load tool's use of one processor; near 100, latency is that of the load tool.
+    record_checked : bool
+        The record of executions of every stand-in could be read.
+    endpoints : dict
+        The fields of `record.EndpointCounts` for the run.
+    failed_checks : dict
+        Name of a check to how often it failed.
+    failures : list of dict
+        The first failed checks.
     """
 
     customer: str
@@ -107,5 +118,6 @@
     late_starts: int
     tool_cpu_pct: float
     record_checked: bool
+    endpoints: dict[str, int]
     failed_checks: dict[str, int]
     failures: list[dict[str, str]]
--- a/packages/standins/src/wisteriastandins/load/record.py
+++ b/packages/standins/src/wisteriastandins/load/record.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import Counter, defaultdict
 from collections.abc import Iterable
-from typing import Any, TypedDict
+from typing import Any, NamedTuple, TypedDict
 
 import aiosonic
 import msgspec
@@ -12,6 +12,8 @@
 from .client import create_client
 
 _READ_TIMEOUT_S = 20.0
+# Within this time every instance must have stopped sending work to a leaving endpoint.
+DRAIN_LIMIT_MS = 3_000
 
 
 class ExecutedLeg(TypedDict):
@@ -34,6 +36,27 @@
     executed: dict[str, int] | list[ExecutedLeg]
 
 
+class EndpointCounts(NamedTuple):
+    """Counts over endpoints.
+
+    Attributes
+    ----------
+    received, shed : int
+        Legs that arrived, and those refused because slots and queue were full.
+    connections_refused : int
+        Connections over the cap of an endpoint.
+    legs_after_drain, legs_late_after_drain : int
+        Legs that arrived at a draining endpoint, and those that came over `DRAIN_LIMIT_MS` after
+        the drain began.
+    """
+
+    received: int
+    shed: int
+    connections_refused: int
+    legs_after_drain: int
+    legs_late_after_drain: int
+
+
 class Record(TypedDict):
     """Body of `GET /record` of an `endpoints` stand-in."""
 
@@ -86,10 +109,19 @@
     return dict(whole)
 
 
-def legs_received(records: Iterable[Record]) -> int:
-    """Return the legs that reached the endpoints, by their counter `received`."""
-    return sum(
-        int(endpoint["counters"].get("received", 0))
-        for record in records
-        for endpoint in record["endpoints"].values()
-    )
+def count(records: Iterable[Record]) -> EndpointCounts:
+    """Return the counts of all endpoints together, since their start."""
+    total = EndpointCounts(0, 0, 0, 0, 0)
+    for record in records:
+        for endpoint in record["endpoints"].values():
+            counters = endpoint["counters"]
+            delays_ms = counters.get("drain_delays_ms", [])
+            counts = EndpointCounts(
+                received=int(counters.get("received", 0)),
+                shed=int(counters.get("shed", 0)),
+                connections_refused=int(counters.get("connections_refused", 0)),
+                legs_after_drain=int(counters.get("legs_after_drain", 0)),
+                legs_late_after_drain=sum(delay > DRAIN_LIMIT_MS for delay in delays_ms),
+            )
+            total = EndpointCounts(*map(sum, zip(total, counts, strict=True)))
+    return total
--- a/packages/standins/src/wisteriastandins/load/report.py
+++ b/packages/standins/src/wisteriastandins/load/report.py
@@ -61,6 +61,8 @@
         f"load tool: {result['late_starts']} late starts, {result['tool_cpu_pct']:.0f} % of a core"
     )
     lines = [head, format_rows([_HEAD, *(_row(item) for item in result["classes"])])]
+    counts = ", ".join(f"{name} {number}" for name, number in result["endpoints"].items())
+    lines.append(f"at the endpoints: {counts}")
     for item in result["classes"]:
         reasons = sorted(item["missing_reasons"].items())
         if reasons:
--- a/packages/standins/src/wisteriastandins/load/run.py
+++ b/packages/standins/src/wisteriastandins/load/run.py
@@ -24,7 +24,14 @@
     RowsOf,
     SendError,
 )
-from .record import read_records, times_executed
+from .record import (
+    DRAIN_LIMIT_MS,
+    EndpointCounts,
+    Record,
+    count,
+    read_records,
+    times_executed,
+)
 from .stats import ClassStats, add_answer, add_error, result_of
 from .tickets import TicketPool, fill, take
 
@@ -190,6 +197,12 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def _read_all(plan: LoadPlan) -> list[Record]:
+    """Return the records that can be read."""
+    records = await read_records(plan["endpoint_controls"])
+    return [record for record in records if record is not None]
+
+
 async def run_load(
     plan: LoadPlan, options: LoadOptions, rows_of: RowsOf, run_id: str
 ) -> LoadResult:
@@ -212,13 +225,18 @@
         Figures by class, and the failed checks.
     """
     state = create_state(plan, options, rows_of)
+    before = await _read_all(plan)
     start_s, cpu_start_s = time.monotonic(), time.process_time()
     await _with_helpers(state, run_id)
     tool_cpu_pct = 100 * (time.process_time() - cpu_start_s) / (time.monotonic() - start_s)
-    records = await read_records(plan["endpoint_controls"])
-    read = [record for record in records if record is not None]
-    complete = len(read) == len(records)
-    state.failures += check_record(times_executed(read), state.observed, complete)
+    records = await _read_all(plan)
+    complete = len(records) == len(plan["endpoint_controls"])
+    state.failures += check_record(times_executed(records), state.observed, complete)
+    pairs = zip(count(before), count(records), strict=True)
+    counts = EndpointCounts(*(after - earlier for earlier, after in pairs))
+    if counts.legs_late_after_drain:
+        detail = f"{counts.legs_late_after_drain} legs over {DRAIN_LIMIT_MS} ms after a drain began"
+        state.failures.append(Failed("", "late_after_drain", detail))
     checks = Counter(failed.check for failed in state.failures)
     shown = [failed._asdict() for failed in state.failures[:_MAX_REPORTED_FAILURES]]
     return LoadResult(
@@ -230,6 +248,7 @@
         late_starts=state.late_starts,
         tool_cpu_pct=tool_cpu_pct,
         record_checked=complete,
+        endpoints=counts._asdict(),
         failed_checks=dict(checks),
         failures=shown,
     )
--- a/packages/standins/src/wisteriastandins/measure/leg_cost.py
+++ b/packages/standins/src/wisteriastandins/measure/leg_cost.py
@@ -3,7 +3,7 @@
 from statistics import median
 
 from wisteriastandins.launcher import RunError
-from wisteriastandins.load.record import legs_received, read_records
+from wisteriastandins.load.record import count, read_records
 from wisteriastandins.load.report import format_result, is_correct
 from wisteriastandins.load.rows import load_rows_of
 from wisteriastandins.load.run import run_load
@@ -39,7 +39,7 @@
 
 async def _legs_so_far(ready: Session) -> int:
     records = await read_records(ready.plan["endpoint_controls"])
-    return legs_received(record for record in records if record is not None)
+    return count(record for record in records if record is not None).received
 
 
 async def _measure(ready: Session) -> LegCost:
--- a/tests/wisteriastandins/load/test_check.py
+++ b/tests/wisteriastandins/load/test_check.py
@@ -5,7 +5,7 @@
 from wisteriarock.query.models import Outcome, QueryAnswer
 from wisteriastandins.load.check import Observed, check_answer, check_record
 from wisteriastandins.load.models import Arrival
-from wisteriastandins.load.record import ExecutedLeg, Record, times_executed
+from wisteriastandins.load.record import ExecutedLeg, Record, count, times_executed
 
 from tests.common import function_suite
 from tests.wisteriastandins.fakes import SNAPSHOT, complete_answer, rows_of
@@ -150,4 +150,17 @@
     assert executed == {"split": 1, "again": 2, "renumbered": 2, "counted": 1}
 
 
+def test_counts_are_sums_over_endpoints() -> None:
+    """Guards against work for a leaving endpoint that is not seen."""
+    delays_ms = [10, 3001, 9000]
+    counters = {"received": 5, "shed": 1, "legs_after_drain": 3, "drain_delays_ms": delays_ms}
+    record = Record(
+        endpoints={
+            "a": {"counters": counters, "executed": []},
+            "b": {"counters": {"received": 2, "connections_refused": 4}, "executed": []},
+        }
+    )
+    assert count([record, record]) == (14, 2, 8, 6, 4)
+
+
 load_tests = function_suite(globals())
--- a/tests/wisteriastandins/results.py
+++ b/tests/wisteriastandins/results.py
@@ -35,6 +35,7 @@
         late_starts=0,
         tool_cpu_pct=20.0,
         record_checked=True,
+        endpoints={"received": 10},
         failed_checks=failed,
         failures=[],
     )
--- a/tests/wisteriastandins/test_launcher.py
+++ b/tests/wisteriastandins/test_launcher.py
@@ -50,7 +50,7 @@
         with suppress(KeyError):
             async with started([_command("plain", SLEEP)], Path(folder)) as running:
                 raise KeyError
-        assert running.processes["plain"].poll() == -9
+        assert running.processes["plain"].poll() == -15
 
 
 async def test_restart_gives_a_new_process() -> None:
