--- a/packages/wisteriarock/src/wisteriarock/endpoints/held.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/held.py
@@ -80,6 +80,7 @@
     trust: ReportTrust = field(default_factory=ReportTrust)
     room: asyncio.Event = field(default_factory=asyncio.Event)
     probe: asyncio.Task[None] | None = None
+    suspicion: asyncio.Event = field(default_factory=asyncio.Event)
     poll: asyncio.Task[None] | None = None
     next_poll_ms: float = 0.0
     expiry_timer: asyncio.TimerHandle | None = None
--- a/packages/wisteriarock/src/wisteriarock/endpoints/reports.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/reports.py
@@ -10,7 +10,14 @@
 
 from . import lifecycle
 from .connection import EndpointConnection, close_connection, fetch_report
-from .const import OWN_LAG_MS, PROBE_ATTEMPTS, PROBE_GRACE_MS, PROBE_REPEAT_MAX_MS, PROBE_REPEAT_MS
+from .const import (
+    ONCE_WAIT_MS,
+    OWN_LAG_MS,
+    PROBE_ATTEMPTS,
+    PROBE_GRACE_MS,
+    PROBE_REPEAT_MAX_MS,
+    PROBE_REPEAT_MS,
+)
 from .held import (
     ActiveLeg,
     Env,
@@ -131,24 +138,31 @@
             if leg.written_ms and not leg.done
         ]
 
-    def give_up(held: HeldEndpoint) -> None:
-        """End the silent legs as lost: the endpoint answers on new connections no more."""
-        for leg in silent_legs(held):
-            if leg.connection is not None:
-                close_connection(leg.connection)
-
-    def replace_lost(held: HeldEndpoint, lost: list[int], suspected_ms: float) -> None:
-        """Close the connections of lost legs, which sends the idempotent ones again."""
-        closed = close_idle_before(held, suspected_ms)
-        for number in lost:
-            leg = held.legs[number]
-            leg.resend = leg.entry.leg["idempotent"]
-            leg.abandoned = True
+    def may_end(leg: ActiveLeg, now_ms: float) -> bool:
+        """Tell whether a lost leg may lose its connection, on which an answer may yet come."""
+        if leg.entry.leg["idempotent"]:
+            return True
+        return leg.silent_since_ms is not None and now_ms - leg.silent_since_ms > ONCE_WAIT_MS
+
+    def end_lost(held: HeldEndpoint, lost: list[ActiveLeg], blamed: bool) -> None:
+        """Close the connections of lost legs.
+
+        If the endpoint is not blamed, it answered a probe: idempotent legs are sent again, and
+        idle connections from before the suspicion are closed too.
+        """
+        now_ms = env.now_ms()
+        ended = [leg for leg in lost if may_end(leg, now_ms)]
+        closed = len(ended)
+        if lost and not blamed:
+            closed += close_idle_before(held, min(leg.silent_since_ms or now_ms for leg in lost))
+        for leg in ended:
+            leg.abandoned = not blamed
+            leg.resend = not blamed and leg.entry.leg["idempotent"]
             if leg.connection is not None:
                 close_connection(leg.connection)
-        count(held, "replaced")
-        closed += len(lost)
-        log_event("silent_connections_closed", endpoint=held.name, closed=closed)
+        if closed:
+            count(held, "given_up" if blamed else "replaced")
+            log_event("silent_connections_closed", endpoint=held.name, closed=closed)
 
     async def probe_once(
         held: HeldEndpoint, suspected_ms: float
@@ -162,6 +176,18 @@
                 return result, proven
         return await fetch_on_new(held)
 
+    async def find_lost(
+        held: HeldEndpoint, report: EndpointReport, asked_ms: float
+    ) -> list[ActiveLeg]:
+        """Return the silent legs on which the endpoint does not work."""
+        answered_ms = env.now_ms()
+        # Replies in flight when the probe was answered must not count as lost.
+        await asyncio.sleep((PROBE_GRACE_MS + answered_ms - asked_ms) / 1000)
+        now_ms = env.now_ms()
+        busy = report["busy"] if is_trusted(held.trust, now_ms) else None
+        numbers = lost_legs(open_legs(held, now_ms), asked_ms, answered_ms, busy)
+        return [held.legs[number] for number in numbers]
+
     async def probe_until_quiet(held: HeldEndpoint) -> None:
         """Probe while a leg is silent and the endpoint may be working on it."""
         failures = 0
@@ -169,34 +195,30 @@
         wait_ms = PROBE_REPEAT_MS
         while silent_legs(held):
             asked_ms = env.now_ms()
+            held.suspicion.clear()
             result, connection = await probe_once(held, suspected_ms)
-            answered_ms = env.now_ms()
             if isinstance(result, Success) and connection is not None:
                 failures = 0
                 keep_reporter(held, connection)
-                report = result.unwrap()
-                take(held, report, asked_ms)
-                # Replies in flight when the probe was answered must not count as lost.
-                await asyncio.sleep((PROBE_GRACE_MS + answered_ms - asked_ms) / 1000)
-                now_ms = env.now_ms()
-                busy = report["busy"] if is_trusted(held.trust, now_ms) else None
-                lost = lost_legs(open_legs(held, now_ms), asked_ms, answered_ms, busy)
-                if busy is None:
-                    # Without a proof a leg that may run only once is left alone.
-                    lost = [n for n in lost if held.legs[n].entry.leg["idempotent"]]
-                if lost:
-                    replace_lost(held, lost, asked_ms)
-                    wait_ms = PROBE_REPEAT_MS
+                take(held, result.unwrap(), asked_ms)
+                end_lost(held, await find_lost(held, result.unwrap(), asked_ms), blamed=False)
             elif result is not None:
                 failures += 0 if lagged(asked_ms) else 1
-                if failures >= PROBE_ATTEMPTS:
-                    give_up(held)
-                    if lifecycle.on_report_failure(held.life, answered_ms):
-                        events.state_changed(held)
-                    return
-                continue
-            await asyncio.sleep(wait_ms / 1000)
-            wait_ms = min(2 * wait_ms, PROBE_REPEAT_MAX_MS)
+                if failures < PROBE_ATTEMPTS:
+                    continue
+                end_lost(held, silent_legs(held), blamed=True)
+                if lifecycle.on_report_failure(held.life, env.now_ms()):
+                    events.state_changed(held)
+            wait_ms = await pause(held, wait_ms)
+
+    async def pause(held: HeldEndpoint, wait_ms: float) -> float:
+        """Wait until the next probe, or until another leg is silent; return the next wait."""
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                await held.suspicion.wait()
+        except TimeoutError:
+            return min(2 * wait_ms, PROBE_REPEAT_MAX_MS)
+        return PROBE_REPEAT_MS
 
     def poll(held: HeldEndpoint) -> None:
         close_stale(held)
@@ -204,6 +226,7 @@
             held.poll = env.spawn(poll_once(held))
 
     def probe(held: HeldEndpoint) -> None:
+        held.suspicion.set()
         if held.probe is None or held.probe.done():
             held.probe = env.spawn(probe_until_quiet(held))
 
--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -159,7 +159,7 @@
             return Failure(PeerError.SUSPECTED)
         wire: Wire | None = None
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with silence_limit(timeout_ms / 1000):
                 wire = await acquire(pool, now_ms())
                 status, content = await exchange(wire, method, path, body)
         except Exception as error:
