--- a/tests/wisteriarock/wire/__init__.py
+++ b/tests/wisteriarock/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of `wisteriarock.peers`."""
+"""Tests of `wisteriarock.wire`."""
