--- a/packages/wisteriarock/src/wisteriarock/query/const.py
+++ b/packages/wisteriarock/src/wisteriarock/query/const.py
@@ -9,6 +9,7 @@
 ERROR_OVERLOADED = "overloaded"
 ERROR_UNAVAILABLE = "endpoints_unavailable"
 ERROR_UNKNOWN = "outcome_unknown"
+ERROR_DEADLINE = "deadline_passed"
 RETRY_AFTER_MS = 500
 
 # Why a reply was dropped.
--- a/packages/wisteriarock/src/wisteriarock/query/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/query/decide.py
@@ -58,8 +58,9 @@
     )
     actions: list[Action] = []
     pinned = pin(tier.index, request.shards)
-    if pinned.snapshot is None or now_ms >= request.deadline_at_ms:
-        state.missing = {s: pinned.missing.get(s, REASON_DEADLINE) for s in request.shards}
+    expired = now_ms >= request.deadline_at_ms
+    if expired or pinned.snapshot is None:
+        state.missing = dict.fromkeys(request.shards, REASON_DEADLINE) if expired else pinned.missing
         _finish(tier, state, now_ms, REASON_DEADLINE, actions)
         return state, actions
     dispatch(tier, state, pinned, now_ms, actions)
--- a/packages/wisteriarock/src/wisteriarock/query/merge.py
+++ b/packages/wisteriarock/src/wisteriarock/query/merge.py
@@ -4,10 +4,12 @@
     DROP_DUPLICATE,
     DROP_LATE,
     DROP_MISMATCHED,
+    ERROR_DEADLINE,
     ERROR_NO_SNAPSHOT,
     ERROR_OVERLOADED,
     ERROR_UNAVAILABLE,
     ERROR_UNKNOWN,
+    REASON_DEADLINE,
     RETRY_AFTER_MS,
     ROLE_HEDGE,
     ROLE_RETRY,
@@ -72,6 +74,10 @@
         )
     if outcome is not Outcome.NOT_RUN:
         return None
+    if REASON_DEADLINE in state.missing.values():
+        return ErrorBody(
+            code=ERROR_DEADLINE, message="The deadline passed before any leg was sent.", path=""
+        )
     if state.snapshot is None:
         return ErrorBody(
             code=ERROR_NO_SNAPSHOT, message="No snapshot has any of the shards.", path="$.shards"
--- a/tests/wisteriarock/query/test_decide.py
+++ b/tests/wisteriarock/query/test_decide.py
@@ -123,6 +123,16 @@
         assert len(done["coverage"]["missing"]) == 2
 
 
+def test_a_request_that_can_not_start_says_why() -> None:
+    """Guards against legs sent after the deadline, and against a misleading error."""
+    for deadline_ms, views, code in ((0, VIEWS, "deadline_passed"), (9, [], "no_usable_snapshot")):
+        _, actions = begin(tier(views, ACTIVE), request("a", deadline_ms=deadline_ms), ACTIVE)
+        done = answer(actions)
+        assert not sent(actions)
+        assert (done["outcome"], done["error"]["code"]) == ("not_run", code)
+        assert done["retry_after_ms"] is not None
+
+
 def test_a_lost_snapshot_restarts_the_query_and_never_mixes() -> None:
     """Guards against an answer with rows of two snapshots."""
     made = tier([view("x", {7: [A, B]})], ACTIVE)
