--- a/packages/wisteriarock/src/wisteriarock/query/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/query/decide.py
@@ -60,7 +60,9 @@
     pinned = pin(tier.index, request.shards)
     expired = now_ms >= request.deadline_at_ms
     if expired or pinned.snapshot is None:
-        state.missing = dict.fromkeys(request.shards, REASON_DEADLINE) if expired else pinned.missing
+        state.missing = pinned.missing
+        if expired:
+            state.missing = dict.fromkeys(request.shards, REASON_DEADLINE)
         _finish(tier, state, now_ms, REASON_DEADLINE, actions)
         return state, actions
     dispatch(tier, state, pinned, now_ms, actions)
