--- a/tests/wisteriastandins/test_launcher.py
+++ b/tests/wisteriastandins/test_launcher.py
@@ -94,6 +94,7 @@
         assert len(commands) == 1 + 3 + 3 + 9
         assert all(Path(command.arguments[-1]).exists() for command in commands)
         assert read_plan(Path(folder)).unwrap() == run.plan
+        assert "load.json" in read_plan(Path(folder) / "absent").failure()
 
 
 load_tests = function_suite(globals())
