--- a/packages/standins/src/wisteriastandins/faults/models.py
+++ b/packages/standins/src/wisteriastandins/faults/models.py
@@ -22,7 +22,7 @@
 class Fault(NamedTuple):
     """A fault or a planned change: what begins it during the load, and what ends it later.
 
-    A planned change may harm no request: neither an error nor an unknown outcome is accepted.
+    A planned change may harm no request: no error, refusal or unknown outcome is accepted.
     """
 
     name: str
--- a/packages/standins/src/wisteriastandins/faults/run.py
+++ b/packages/standins/src/wisteriastandins/faults/run.py
@@ -38,9 +38,11 @@
 
 
 def harmed(result: LoadResult) -> int:
-    """Return the requests without an answer or with an unknown outcome."""
+    """Return the requests without an answer, refused, or with an unknown outcome."""
     return sum(
-        sum(item["errors"].values()) + item["outcomes"].get("unknown", 0)
+        sum(item["errors"].values())
+        + item["outcomes"].get("unknown", 0)
+        + item["outcomes"].get("not_run", 0)
         for item in result["classes"]
     )
 
--- a/packages/standins/src/wisteriastandins/load/models.py
+++ b/packages/standins/src/wisteriastandins/load/models.py
@@ -74,6 +74,10 @@
         Mean of an answer.
     missing_reasons : dict
         Reason that an answer gave for a missing shard to the number of such shards.
+    answer_errors : dict
+        Error code of an answer to the number of such answers.
+    errors : dict
+        Why there was no answer to the number of such requests.
     """
 
     kind: str
@@ -87,6 +91,7 @@
     extra_load_pct: float
     cross_zone_legs: float
     missing_reasons: dict[str, int]
+    answer_errors: dict[str, int]
     errors: dict[str, int]
     check_failures: int
 
--- a/packages/standins/src/wisteriastandins/load/report.py
+++ b/packages/standins/src/wisteriastandins/load/report.py
@@ -64,10 +64,13 @@
     counts = ", ".join(f"{name} {number}" for name, number in result["endpoints"].items())
     lines.append(f"at the endpoints: {counts}")
     for item in result["classes"]:
-        reasons = sorted(item["missing_reasons"].items())
-        if reasons:
-            text = ", ".join(f"{reason} {count}" for reason, count in reasons)
-            lines.append(f"missing shards of {item['kind']}: {text}")
+        for title, counted in (
+            ("missing shards", item["missing_reasons"]),
+            ("answers with an error", item["answer_errors"]),
+        ):
+            if counted:
+                text = ", ".join(f"{name} {number}" for name, number in sorted(counted.items()))
+                lines.append(f"{title}, {item['kind']}: {text}")
     if not result["record_checked"]:
         lines.append("the record of executions could not be read from every stand-in")
     for check, count in sorted(result["failed_checks"].items()):
--- a/packages/standins/src/wisteriastandins/load/stats.py
+++ b/packages/standins/src/wisteriastandins/load/stats.py
@@ -34,6 +34,7 @@
     outcomes: Counter[str] = field(default_factory=Counter)
     errors: Counter[str] = field(default_factory=Counter)
     missing_reasons: Counter[str] = field(default_factory=Counter)
+    answer_errors: Counter[str] = field(default_factory=Counter)
     coverage_sum: float = 0.0
     primary_legs: int = 0
     extra_legs: int = 0
@@ -65,6 +66,8 @@
         stats.latency_us.record_value(latency_us)
     stats.coverage_sum += len(answer["coverage"]["answered"]) / wanted
     stats.missing_reasons.update(item["reason"] for item in answer["coverage"]["missing"])
+    if answer["error"] is not None:
+        stats.answer_errors[answer["error"]["code"]] += 1
     cost = answer["stats"]
     stats.primary_legs += primary_legs(cost)
     stats.extra_legs += cost["hedges"] + cost["retries"]
@@ -87,6 +90,7 @@
         extra_load_pct=100 * stats.extra_legs / max(1, stats.primary_legs),
         cross_zone_legs=stats.cross_zone_legs / answers,
         missing_reasons=dict(stats.missing_reasons),
+        answer_errors=dict(stats.answer_errors),
         errors=dict(stats.errors),
         check_failures=stats.check_failures,
     )
--- a/tests/wisteriastandins/results.py
+++ b/tests/wisteriastandins/results.py
@@ -23,6 +23,7 @@
         extra_load_pct=1.5,
         cross_zone_legs=12.0,
         missing_reasons={},
+        answer_errors={},
         errors=errors or {},
         check_failures=sum(failed.values()),
     )
--- a/tests/wisteriastandins/test_faults.py
+++ b/tests/wisteriastandins/test_faults.py
@@ -66,6 +66,8 @@
     assert find_problems(planned, clean, {"entry-a1": 0}) == []
     assert find_problems(planned, unknown, {}) == ["a planned change harmed 1 requests"]
     assert find_problems(fault, unknown, {}) == []
+    refused = load_result(outcomes={"complete": 9, "not_run": 1})
+    assert find_problems(planned, refused, {}) == ["a planned change harmed 1 requests"]
     timed_out = load_result(errors={"timeout": 2})
     assert find_problems(planned, timed_out, {}) == ["a planned change harmed 2 requests"]
     wrong: LoadResult = {**clean, "failed_checks": {"doubles": 1}, "record_checked": False}
