--- a/packages/wisteriarock/src/wisteriarock/endpoints/const.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/const.py
@@ -18,8 +18,10 @@
 GONE_AFTER_REPORTS = 6
 # Time for replies in flight to arrive after a probe, added to the probe's round trip.
 PROBE_GRACE_MS = 20.0
-# Pauses between probes while the endpoint says that it works on every leg; they double.
-PROBE_REPEAT_MS = 150.0
+# A reply that left before a report arrives this long after the report at the latest.
+REPLY_JITTER_MS = 5.0
+# Pauses between probes while the endpoint may be working on every leg; they double.
+PROBE_REPEAT_MS = 50.0
 PROBE_REPEAT_MAX_MS = 1_000.0
 # How long reports of an endpoint are not trusted after one that was wrong about its slots.
 DISTRUST_MS = 60_000.0
--- a/packages/wisteriarock/src/wisteriarock/endpoints/held.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/held.py
@@ -49,6 +49,7 @@
     task: asyncio.Task[None] | None = None
     connection: EndpointConnection | None = None
     written_ms: float = 0.0
+    answered_ms: float = 0.0
     received_bytes: int = 0
     silent_since_ms: float | None = None
     check: ReportCheck | None = None
--- a/packages/wisteriarock/src/wisteriarock/endpoints/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/legs.py
@@ -152,6 +152,7 @@
             kind = active.entry.leg["kind"]
             add_sample(held.usual.setdefault(kind, UsualTime()), service_ms, now_ms)
         if result.answered:
+            active.answered_ms = now_ms
             lifecycle.on_success(held.life)
             if active.check is not None:
                 note_answer(held.trust, active.check, now_ms)
--- a/packages/wisteriarock/src/wisteriarock/endpoints/reports.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/reports.py
@@ -30,7 +30,15 @@
 )
 from .lifecycle import ConnectionState
 from .models import EndpointReport
-from .suspicion import OpenLeg, check_report, is_settled, is_trusted, lost_legs
+from .suspicion import (
+    OpenLeg,
+    Probe,
+    check_report,
+    is_settled,
+    is_trusted,
+    lost_legs,
+    ran_at_probe,
+)
 
 
 class Reporter(NamedTuple):
@@ -177,7 +185,7 @@
         return await fetch_on_new(held)
 
     async def find_lost(
-        held: HeldEndpoint, report: EndpointReport, asked_ms: float
+        held: HeldEndpoint, report: EndpointReport, asked_ms: float, present: list[ActiveLeg]
     ) -> list[ActiveLeg]:
         """Return the silent legs on which the endpoint does not work."""
         answered_ms = env.now_ms()
@@ -185,8 +193,9 @@
         await asyncio.sleep((PROBE_GRACE_MS + answered_ms - asked_ms) / 1000)
         now_ms = env.now_ms()
         busy = report["busy"] if is_trusted(held.trust, now_ms) else None
-        numbers = lost_legs(open_legs(held, now_ms), asked_ms, answered_ms, busy)
-        return [held.legs[number] for number in numbers]
+        probe = Probe(asked_ms, answered_ms, busy)
+        ran = sum(ran_at_probe(probe, leg.written_ms, leg.answered_ms) for leg in present)
+        return [held.legs[number] for number in lost_legs(open_legs(held, now_ms), probe, ran)]
 
     async def probe_until_quiet(held: HeldEndpoint) -> None:
         """Probe while a leg is silent and the endpoint may be working on it."""
@@ -196,12 +205,15 @@
         while silent_legs(held):
             asked_ms = env.now_ms()
             held.suspicion.clear()
+            present = [leg for leg in held.legs.values() if leg.written_ms and not leg.done]
             result, connection = await probe_once(held, suspected_ms)
             if isinstance(result, Success) and connection is not None:
                 failures = 0
                 keep_reporter(held, connection)
-                take(held, result.unwrap(), asked_ms)
-                end_lost(held, await find_lost(held, result.unwrap(), asked_ms), blamed=False)
+                report = result.unwrap()
+                take(held, report, asked_ms)
+                lost = await find_lost(held, report, asked_ms, present)
+                end_lost(held, lost, blamed=False)
             elif result is not None:
                 failures += 0 if lagged(asked_ms) else 1
                 if failures < PROBE_ATTEMPTS:
--- a/packages/wisteriarock/src/wisteriarock/endpoints/suspicion.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/suspicion.py
@@ -7,6 +7,7 @@
     DISTRUST_MS,
     LEAST_SHARE,
     MIN_LEG_MS,
+    REPLY_JITTER_MS,
     REPORT_IDLE_MS,
     REPORT_SETTLED_MS,
     UNTRUSTED_WAIT_MS,
@@ -64,31 +65,50 @@
     silent_ms: float
 
 
-def lost_legs(
-    legs: Iterable[OpenLeg], asked_ms: float, answered_ms: float, busy: int | None
-) -> list[int]:
+@dataclass(slots=True, frozen=True)
+class Probe:
+    """A report asked for on a healthy connection.
+
+    `busy` is the number of slots in use at the endpoint, None if its reports are not trusted.
+    """
+
+    asked_ms: float
+    answered_ms: float
+    busy: int | None
+
+
+def settled_before(probe: Probe) -> float:
+    """Return the time up to which a leg was written that had reached the endpoint at the probe."""
+    return probe.asked_ms - max(REPLY_JITTER_MS, probe.answered_ms - probe.asked_ms)
+
+
+def ran_at_probe(probe: Probe, written_ms: float, answered_ms: float) -> bool:
+    """Tell whether a leg that has been answered since had a slot when the report was made."""
+    was_there = written_ms <= settled_before(probe)
+    return was_there and answered_ms > probe.answered_ms + REPLY_JITTER_MS
+
+
+def lost_legs(legs: Iterable[OpenLeg], probe: Probe, ran: int) -> list[int]:
     """Return the numbers of the silent legs that the endpoint is not working on.
 
-    The holder is the only sender of an endpoint, so `busy` below the number of legs that are still
-    open some time after the probe means that the difference was lost on the way to or from it.
+    The holder is the only sender of an endpoint. Of the slots in use, some had legs that have been
+    answered since; if fewer are left than legs are open, the difference was lost on the way.
 
     Parameters
     ----------
     legs : iterable of OpenLeg
-        Open when the probe was sent, and still open when replies in flight have had time to come.
-    asked_ms, answered_ms : float
-        When the probe was written and answered.
-    busy : int or None
-        Slots in use at the endpoint, from the probe; None when its reports are not trusted. Then
-        a leg is lost once it has been silent for long.
+        Still open when replies in flight at the probe have had time to come.
+    probe : Probe
+        Without a trusted report, a leg is lost once it has been silent for long.
+    ran : int
+        Legs answered since for which `ran_at_probe` holds.
     """
-    if busy is None:
+    if probe.busy is None:
         return [leg.number for leg in legs if leg.silent_ms >= UNTRUSTED_WAIT_MS]
-    # A leg written within the probe's round trip may not have reached the endpoint yet.
-    sure_ms = asked_ms - (answered_ms - asked_ms)
+    sure_ms = settled_before(probe)
     known = sorted((e for e in legs if e.written_ms <= sure_ms), key=lambda e: e.written_ms)
-    lost = max(0, len(known) - busy)
-    return [e.number for e in known if e.silent_ms > 0][:lost]
+    lost = len(known) - max(0, probe.busy - ran)
+    return [e.number for e in known if e.silent_ms > 0][: max(0, lost)]
 
 
 @dataclass(slots=True)
--- a/tests/wisteriarock/endpoints/test_suspicion.py
+++ b/tests/wisteriarock/endpoints/test_suspicion.py
@@ -2,6 +2,7 @@
 
 from wisteriarock.endpoints.suspicion import (
     OpenLeg,
+    Probe,
     ReportTrust,
     UsualTime,
     add_sample,
@@ -10,6 +11,7 @@
     least_time_ms,
     lost_legs,
     note_answer,
+    ran_at_probe,
     silence_bound_ms,
 )
 
@@ -35,31 +37,42 @@
     assert least_time_ms(usual, 5_001.0) == least_time_ms(None, 0.0) == 1.0
 
 
+def _lost(legs: list[OpenLeg], busy: int | None, ran: int = 0) -> list[int]:
+    return lost_legs(legs, Probe(500.0, 510.0, busy), ran)
+
+
 def test_as_many_legs_are_lost_as_the_endpoint_does_not_work_on() -> None:
     """Guards against doubling a leg that runs, and against waiting for one that does not."""
     legs = [OpenLeg(1, 0.0, 100.0), OpenLeg(2, 100.0, 100.0)]
-    assert lost_legs(legs, 500.0, 510.0, busy=2) == []
-    assert lost_legs(legs, 500.0, 510.0, busy=1) == [1]
-    assert lost_legs(legs, 500.0, 510.0, busy=0) == [1, 2]
-    assert lost_legs(legs, 500.0, 510.0, busy=9) == []
+    assert [_lost(legs, busy) for busy in (2, 1, 0, 9)] == [[], [1], [1, 2], []]
 
 
 def test_a_leg_that_was_just_written_does_not_count() -> None:
     """Guards against a running leg that is doubled because another has not arrived yet."""
     legs = [OpenLeg(1, 0.0, 100.0), OpenLeg(2, 495.0, 0.0)]
-    assert lost_legs(legs, 500.0, 510.0, busy=1) == []
-    assert lost_legs(legs, 500.0, 510.0, busy=0) == [1]
+    assert _lost(legs, 1) == []
+    assert _lost(legs, 0) == [1]
+
+
+def test_a_slot_whose_leg_was_answered_since_hides_no_lost_leg() -> None:
+    """Guards against a lost leg that is never found while other legs keep one slot busy."""
+    probe = Probe(500.0, 510.0, 1)
+    assert ran_at_probe(probe, 480.0, 516.0)
+    # The reply may have been on its way when the report was made, or the leg came after it.
+    assert not ran_at_probe(probe, 480.0, 512.0)
+    assert not ran_at_probe(probe, 495.0, 530.0)
+    assert _lost([OpenLeg(1, 0.0, 100.0)], 1, ran=1) == [1]
+    assert _lost([OpenLeg(1, 0.0, 100.0)], 1, ran=0) == []
 
 
 def test_a_leg_within_its_bound_is_left_alone() -> None:
     """Guards against closing a connection on which nothing is late."""
-    assert lost_legs([OpenLeg(1, 0.0, 0.0)], 500.0, 510.0, busy=0) == []
+    assert _lost([OpenLeg(1, 0.0, 0.0)], 0) == []
 
 
 def test_without_trust_only_long_silence_counts() -> None:
     """Guards against a report that misleads and hides, or invents, a lost leg."""
-    legs = [OpenLeg(1, 0.0, 599.0), OpenLeg(2, 0.0, 600.0)]
-    assert lost_legs(legs, 500.0, 510.0, busy=None) == [2]
+    assert _lost([OpenLeg(1, 0.0, 599.0), OpenLeg(2, 0.0, 600.0)], None) == [2]
 
 
 def test_reports_that_disagree_with_the_legs_are_not_trusted_for_a_time() -> None:
