--- a/packages/standins/src/wisteriastandins/slopes/decisions.py
+++ b/packages/standins/src/wisteriastandins/slopes/decisions.py
@@ -217,6 +217,8 @@
     }
 
     def work() -> None:
+        # Leg ids contain the number of the query; the prepared replies are to the first one.
+        tier.next_query = 0
         state, actions = start(tier, request, bundle, routes, 0.0)
         sent = [action.leg for action in actions if isinstance(action, SendLeg)]
         for leg in sent:
--- a/packages/standins/src/wisteriastandins/slopes/memory.py
+++ b/packages/standins/src/wisteriastandins/slopes/memory.py
@@ -83,10 +83,10 @@
 
 
 def _tickets(count: int, _: Effort) -> float:
-    book = TicketBook(samples.OWN, "a1b2c3d4e5f60718", b"s" * 32)
+    book = TicketBook(samples.OWN, "a1b2c3d4e5f60718")
 
     def build() -> TicketBook:
-        issue(book, "recall-desk-00001", count, 60_000.0, count, 0.0)
+        issue(book, "recall-desk-00001", count, 60_000.0, count, lambda: "0" * 32, 0.0)
         return book
 
     return allocated_bytes(build)
--- a/packages/standins/src/wisteriastandins/slopes/samples.py
+++ b/packages/standins/src/wisteriastandins/slopes/samples.py
@@ -175,6 +175,7 @@
         "endpoints": changed,
         "holding": holding,
         "callers": {f"recall-desk-{n:05}": 123.45 for n in range(callers)},
+        "ticket_successor": "",
     }
 
 
@@ -182,7 +183,7 @@
     """Return the leg of a query to a replica of its shard, the `number`-th of all."""
     endpoint = number * REPLICAS + replica
     return {
-        "leg_id": f"0123456789abcdef.{number}",
+        "leg_id": f"0123456789abcdef.0.{number}",
         "request_id": "0123456789abcdef",
         "endpoint": endpoint_of(endpoint),
         "kind": KIND,
--- a/packages/standins/src/wisteriastandins/slopes/servers.py
+++ b/packages/standins/src/wisteriastandins/slopes/servers.py
@@ -13,7 +13,7 @@
 from wisteriarock.observability.metrics import create_metrics
 from wisteriarock.peers.client import PeerClient, create_peer_client
 from wisteriarock.peers.models import PeerHandlers
-from wisteriarock.peers.server import peer_routes
+from wisteriarock.peers.server import bypass_for_legs, create_peer_app
 from wisteriarock.query.models import Cancel, LegRequest, OnLegReply
 from wisteriarock.servers import bind, create_server
 
@@ -86,9 +86,12 @@
     async def bundle_body(_: str) -> bytes | None:
         return bundle
 
-    handlers = PeerHandlers(on_heartbeat, on_query, bundle_body)
-    routes = peer_routes(samples.board_of(PEER), create_metrics(), now_ms, execute_leg, handlers)
-    server = create_server(Starlette(routes=routes), None, 1.0)
+    handlers = PeerHandlers(on_heartbeat, on_query, lambda _: False, bundle_body)
+    peer_app = create_peer_app(
+        samples.board_of(PEER), create_metrics(), now_ms, execute_leg, handlers
+    )
+    app = bypass_for_legs(Starlette(routes=peer_app.routes), peer_app.legs)
+    server = create_server(app, None, 1.0)
     listener = bind(HOST, 0)
     port: int = listener.getsockname()[1]
     task = asyncio.create_task(server.serve(sockets=[listener]))
--- a/packages/wisteriarock/src/wisteriarock/app.py
+++ b/packages/wisteriarock/src/wisteriarock/app.py
@@ -40,12 +40,11 @@
 from wisteriarock.peers.client import PeerClient, create_peer_client
 from wisteriarock.peers.const import PATH_CANCEL
 from wisteriarock.peers.models import CancelBody, PeerHandlers
-from wisteriarock.peers.server import peer_routes
+from wisteriarock.peers.server import bypass_for_legs, create_peer_app
 from wisteriarock.platform.client import PlatformClient, create_platform_client
 from wisteriarock.query.controller import QueryController, create_query_controller
 from wisteriarock.requests.controller import RequestController, create_requests
 from wisteriarock.settings.models import Settings
-from wisteriarock.tickets.models import TicketBook
 
 from .const import (
     DRAIN_ACCEPT_MS,
@@ -53,6 +52,7 @@
     EVENT_PHASE,
     EVENT_START,
     EVENT_STOP,
+    EVENT_UNHANDLED,
     EXIT_BROKEN_INVARIANT,
     EXIT_OK,
     GC_THRESHOLDS,
@@ -62,8 +62,6 @@
 )
 from .servers import Server, bind, create_server
 
-TICKET_SECRET_BYTES = 32
-
 
 class Parts(NamedTuple):
     """The controllers of the process."""
@@ -148,10 +146,7 @@
         rng,
         call_later,
     )
-    book = TicketBook(
-        settings.instance, board.incarnation, secrets.token_bytes(TICKET_SECRET_BYTES)
-    )
-    requests = create_requests(board, book, query.run_query, peers.post, metrics, monotonic_ms)
+    requests = create_requests(board, query.run_query, peers.post, metrics, monotonic_ms)
     return Parts(platform, peers, endpoints, bundle, membership, query, requests)
 
 
@@ -211,19 +206,21 @@
 
     handlers = PeerHandlers(
         on_heartbeat=parts.membership.on_heartbeat,
-        on_query=parts.requests.handle_forwarded,
+        on_query=parts.requests.tickets.on_forwarded,
+        on_handover=parts.requests.tickets.on_handover,
         bundle_body=bundle_body,
     )
-    routes = peer_routes(board, metrics, monotonic_ms, parts.endpoints.execute_leg, handlers)
-    internal = create_internal_app(
+    peer_app = create_peer_app(board, metrics, monotonic_ms, parts.endpoints.execute_leg, handlers)
+    control = create_internal_app(
         InternalHandlers(
             settings.operator_token,
             lambda: _dump(board, parts),
             lambda: _status(board),
             metrics.registry,
         ),
-        routes,
+        peer_app.routes,
     )
+    internal = bypass_for_legs(control, peer_app.legs)
     grace_s = settings.tunables.drain_grace_ms / 1000
     return create_server(public, settings.public_tls, grace_s), create_server(internal, None, 1.0)
 
@@ -252,6 +249,13 @@
         await asyncio.sleep(HOUSEKEEPING_INTERVAL_MS / 1000)
 
 
+def _log_unhandled(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Log what a callback or a forgotten task raised; the loop would write it without a format."""
+    error = context.get("exception")
+    trace = "".join(traceback.format_exception(error)) if error else ""
+    log_event(EVENT_UNHANDLED, message=context.get("message", ""), error=repr(error), trace=trace)
+
+
 async def _drain(parts: Parts, lifecycle: Lifecycle, grace_ms: float) -> None:
     """Hand over the endpoints and let running requests finish."""
     lifecycle.fire(TRIGGER_DRAIN)
@@ -321,8 +325,10 @@
         await server.serve(sockets=[listener])
 
     log_event(EVENT_START, incarnation=board.incarnation)
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(_log_unhandled)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(signal_number, stop.set)
+        loop.add_signal_handler(signal_number, stop.set)
     internal_task = spawn("internal server", serve(internal, internal_socket))
     public_task = spawn("public server", serve(public, public_socket))
     spawn("bundle", parts.bundle.run())
@@ -338,6 +344,7 @@
         await _drain(parts, lifecycle, settings.tunables.drain_grace_ms)
     public.should_exit = True
     await asyncio.wait({public_task})
+    await parts.requests.tickets.hand_over()
     await parts.endpoints.close()
     lifecycle.fire(TRIGGER_STOP)
     await asyncio.sleep(2 * READINESS_INTERVAL_MS / 1000)
--- a/packages/wisteriarock/src/wisteriarock/blackboard/models.py
+++ b/packages/wisteriarock/src/wisteriarock/blackboard/models.py
@@ -40,6 +40,11 @@
         Grows with each change of `held_views`. Owner: endpoints controller.
     loop_lag_ms : float
         Recent delay of the event loop. Owner: lifecycle.
+    ticket_successor : str
+        Peer that took over the unused tickets at the stop; else empty. Owner: tickets.
+    ticket_successors : dict
+        Instance and incarnation that stopped to the peer that keeps its unused tickets. Owner:
+        membership, and tickets for the own ones.
     demand : dict
         Caller to recent demand here, in cost units a second. Owner: admission.
     peer_demand : dict
@@ -60,6 +65,8 @@
     held_views: dict[str, EndpointView] = field(default_factory=dict)
     held_sequence: int = 0
     loop_lag_ms: float = 0.0
+    ticket_successor: str = ""
+    ticket_successors: dict[tuple[str, str], str] = field(default_factory=dict)
     demand: dict[str, float] = field(default_factory=dict)
     peer_demand: dict[str, dict[str, float]] = field(default_factory=dict)
     diagnostics: dict[str, Callable[[], Any]] = field(default_factory=dict)
--- a/packages/wisteriarock/src/wisteriarock/const.py
+++ b/packages/wisteriarock/src/wisteriarock/const.py
@@ -6,6 +6,7 @@
 EVENT_START = "start"
 EVENT_PHASE = "phase_changed"
 EVENT_STOP = "stop"
+EVENT_UNHANDLED = "unhandled_error"
 EVENT_BROKEN_INVARIANT = "broken_invariant"
 # The balancer may send requests for this long after readiness has been withdrawn.
 DRAIN_ACCEPT_MS = 2_000.0
--- a/packages/wisteriarock/src/wisteriarock/membership/const.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/const.py
@@ -5,6 +5,8 @@
 # Bound on the wait for a former holder that stays silent about an endpoint: holding is an
 # optimisation, so two instances that disagree must not leave an endpoint unused for long.
 MAX_HANDOVER_FACTOR = 2.0
+# Stopped runs of instances whose tickets another one keeps; tickets end after minutes.
+MAX_TICKET_SUCCESSORS = 1_000
 CLOCK_WATCH_INTERVAL_MS = 100.0
 HEARTBEAT_PATH = "/peer/v1/heartbeat"
 MAX_HEARTBEAT_BYTES = 1_000_000
--- a/packages/wisteriarock/src/wisteriarock/membership/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/controller.py
@@ -26,6 +26,7 @@
     HEARTBEAT_PATH,
     MAX_HANDOVER_FACTOR,
     MAX_HEARTBEAT_BYTES,
+    MAX_TICKET_SUCCESSORS,
     MIN_ANNOUNCE_INTERVAL_MS,
 )
 from .decide import (
@@ -39,6 +40,7 @@
 from .exchange import (
     assign,
     forget_member,
+    note_successor,
     ready_at_ms,
     routed_view,
     sequence_views,
@@ -150,6 +152,7 @@
             "endpoints": views_for(state, peer),
             "holding": links.held_names(),
             "callers": {name: round(rate, 2) for name, rate in board.demand.items() if rate > 0.01},
+            "ticket_successor": board.ticket_successor,
         }
 
     def listed_state(name: str) -> str | None:
@@ -244,6 +247,7 @@
         if known is None or known.incarnation != member.incarnation or known.phase != member.phase:
             log_event(EVENT_MEMBER, member=name, change=member.phase.value, zone=member.zone)
         board.members[name] = member
+        note_successor(board.ticket_successors, beat, MAX_TICKET_SUCCESSORS)
         board.peer_demand[name] = beat["callers"]
         if member.bundle_digest:
             links.on_peer_head(name, member.bundle_revision, member.bundle_digest)
--- a/packages/wisteriarock/src/wisteriarock/membership/exchange.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/exchange.py
@@ -91,6 +91,19 @@
     )
 
 
+def note_successor(successors: dict[tuple[str, str], str], beat: Heartbeat, most: int) -> None:
+    """Record to whom a stopping peer handed its tickets, and those that it kept for others."""
+    successor = beat["ticket_successor"]
+    if not successor:
+        return
+    for key, keeper in successors.items():
+        if keeper == beat["instance"]:
+            successors[key] = successor
+    successors[(beat["instance"], beat["incarnation"])] = successor
+    while len(successors) > most:
+        del successors[next(iter(successors))]
+
+
 def forget_member(state: MembershipState, peer: str) -> None:
     """Drop everything kept about a peer."""
     for table in (state.acknowledged, state.taken, state.remote_views, state.holding):
--- a/packages/wisteriarock/src/wisteriarock/membership/models.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/models.py
@@ -50,7 +50,8 @@
     `sequence` is that of the sender's endpoint views; `acknowledged` the highest sequence of the
     receiver's views that the sender has taken. `holding` names every endpoint on which the sender
     has legs or may start some; a new holder waits until the name is gone from it. `callers` maps a
-    caller to its recent demand at the sender, in cost units a second.
+    caller to its recent demand at the sender, in cost units a second. `ticket_successor` is the
+    peer to which a stopping sender handed its unused tickets, else empty.
     """
 
     instance: str
@@ -66,6 +67,7 @@
     endpoints: list[EndpointView]
     holding: list[str]
     callers: dict[str, float]
+    ticket_successor: str
 
 
 class Member(NamedTuple):
--- a/packages/wisteriarock/src/wisteriarock/peers/const.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/const.py
@@ -11,6 +11,7 @@
 PATH_LEGS = "/peer/v1/legs"
 PATH_CANCEL = "/peer/v1/cancel"
 PATH_QUERY = "/peer/v1/query"
+PATH_TICKETS = "/peer/v1/tickets"
 PATH_BUNDLE = "/peer/v1/bundle/{digest}"
 
 MAX_BODY_BYTES = 1_000_000
--- a/packages/wisteriarock/src/wisteriarock/peers/models.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/models.py
@@ -7,6 +7,7 @@
 from wisteriarock.membership.models import Heartbeat
 from wisteriarock.query.models import LegRequest, QueryAnswer
 from wisteriarock.requests.models import ForwardedQuery
+from wisteriarock.tickets.models import HandoverBody
 
 
 class PeerAuthError(StrEnum):
@@ -55,10 +56,13 @@
         Takes a peer's heartbeat and returns this instance's.
     on_query : callable
         Runs a forwarded request and returns its answer.
+    on_handover : callable
+        Takes over the tickets of a peer that stops and tells whether it does.
     bundle_body : callable
         Returns the body with envelope and content of a digest, or None.
     """
 
     on_heartbeat: Callable[[Heartbeat], Awaitable[Heartbeat]]
     on_query: Callable[[ForwardedQuery], Awaitable[QueryAnswer]]
+    on_handover: Callable[[HandoverBody], bool]
     bundle_body: Callable[[str], Awaitable[bytes | None]]
--- a/packages/wisteriarock/src/wisteriarock/peers/server.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/server.py
@@ -2,13 +2,14 @@
 
 import time
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
+from starlette.types import ASGIApp, Receive, Scope, Send
 
 from wisteriarock.blackboard.models import Blackboard
 from wisteriarock.codec.decode import decode
@@ -17,6 +18,7 @@
 from wisteriarock.observability.metrics import Metrics
 from wisteriarock.query.models import ExecuteLeg
 from wisteriarock.requests.models import ForwardedQuery
+from wisteriarock.tickets.models import HandoverBody
 
 from .auth import NonceStore, verify
 from .const import (
@@ -26,6 +28,7 @@
     PATH_HEARTBEAT,
     PATH_LEGS,
     PATH_QUERY,
+    PATH_TICKETS,
 )
 from .leg_stream import RunningLegs, leg_stream
 from .legs_body import decode_legs
@@ -43,15 +46,35 @@
     return _json({"error": {"code": code, "message": message, "path": path}}, status)
 
 
-def peer_routes(
+class PeerApp(NamedTuple):
+    """Routes for control traffic, and the application that answers legs."""
+
+    routes: list[Route]
+    legs: ASGIApp
+
+
+def bypass_for_legs(app: ASGIApp, legs: ASGIApp) -> ASGIApp:
+    """Return an application that answers legs without the routing and middleware of `app`.
+
+    These wrap each call and each write of a stream.
+    """
+
+    async def dispatch(scope: Scope, receive: Receive, send: Send) -> None:
+        is_leg = scope["type"] == "http" and scope["path"] == PATH_LEGS
+        await (legs if is_leg else app)(scope, receive, send)
+
+    return dispatch
+
+
+def create_peer_app(
     board: Blackboard,
     metrics: Metrics,
     now_ms: Callable[[], float],
     execute_leg: ExecuteLeg,
     handlers: PeerHandlers,
     wall_ms: Callable[[], float] = lambda: time.time() * 1000,
-) -> list[Route]:
-    """Return the routes that other instances use.
+) -> PeerApp:
+    """Return what other instances use.
 
     Parameters
     ----------
@@ -119,6 +142,14 @@
             return accepted.failure()
         return answer(await handlers.on_query(accepted.unwrap()[1]))
 
+    async def tickets(request: Request) -> Response:
+        accepted = await accept(request, HandoverBody)
+        if not isinstance(accepted, Success):
+            return accepted.failure()
+        if not handlers.on_handover(accepted.unwrap()[1]):
+            return _error(409, "not_ready", "This instance takes over no tickets.")
+        return answer({})
+
     async def bundle(request: Request) -> Response:
         authentic = await authenticated(request, "control")
         if not isinstance(authentic, Success):
@@ -139,7 +170,7 @@
                 cancel_leg()
         return answer({})
 
-    async def legs(request: Request) -> Any:
+    async def answer_legs(request: Request) -> Any:
         authentic = await authenticated(request, "legs")
         if not isinstance(authentic, Success):
             return authentic.failure()
@@ -149,13 +180,21 @@
             return _refused(decoded.failure())
         return leg_stream(decoded.unwrap(), sender, running, execute_leg, sent["legs"].inc)
 
-    return [
-        Route(PATH_LEGS, legs, methods=["POST"]),
+    async def legs(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["method"] != "POST":
+            response: Any = _error(405, "wrong_method", "Legs are sent by POST.")
+        else:
+            response = await answer_legs(Request(scope, receive, send))
+        await response(scope, receive, send)
+
+    routes = [
         Route(PATH_HEARTBEAT, heartbeat, methods=["POST"]),
         Route(PATH_CANCEL, cancel, methods=["POST"]),
         Route(PATH_QUERY, query, methods=["POST"]),
+        Route(PATH_TICKETS, tickets, methods=["POST"]),
         Route(PATH_BUNDLE, bundle, methods=["GET"]),
     ]
+    return PeerApp(routes, legs)
 
 
 def _decoded(sender: str, body: bytes, kind: type[T]) -> Result[tuple[str, T], Response]:
--- a/packages/wisteriarock/src/wisteriarock/query/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/query/decide.py
@@ -53,9 +53,11 @@
         routes=routes,
         bundle_revision=bundle.revision,
         started_at_ms=now_ms,
+        leg_prefix=f"{request.request_id}.{tier.next_query}",
         early_at_ms=now_ms + kind["early_after_ms"] if early else NEVER_MS,
         idempotent=kind["idempotent"] and request.repeatable,
     )
+    tier.next_query += 1
     actions: list[Action] = []
     pinned = pin(tier.index, request.shards)
     expired = now_ms >= request.deadline_at_ms
--- a/packages/wisteriarock/src/wisteriarock/query/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/query/legs.py
@@ -51,7 +51,7 @@
 ) -> None:
     """Send a leg for a partition, and come back when it would have to be hedged."""
     request = state.request
-    leg_id = f"{request.request_id}.{state.next_leg}"
+    leg_id = f"{state.leg_prefix}.{state.next_leg}"
     state.next_leg += 1
     leg = Leg(leg_id, endpoint, role, now_ms, slot)
     state.legs[leg_id] = leg
--- a/packages/wisteriarock/src/wisteriarock/query/state.py
+++ b/packages/wisteriarock/src/wisteriarock/query/state.py
@@ -51,6 +51,9 @@
         Reason to the number of replies that were not merged.
     restarts : int
         Queries that started again on a newer snapshot.
+    next_query : int
+        Number of the next query; part of its leg ids, since two callers may use the same request
+        id at the same time.
     """
 
     index: HoldingIndex
@@ -59,6 +62,7 @@
     rng: Random
     dropped: dict[str, int] = field(default_factory=dict)
     restarts: int = 0
+    next_query: int = 0
 
 
 @dataclass(slots=True)
@@ -126,6 +130,8 @@
         Legs of which the endpoint or its holder said that they did not run.
     shed : bool
         An endpoint refused a leg because of its load.
+    leg_prefix : str
+        Start of this query's leg ids.
     next_leg : int
         Number of legs sent so far, and the number of the next one.
     legs : dict
@@ -153,6 +159,8 @@
     shed: bool = False
     finished: bool = False
     restarts: int = 0
+    next_query: int = 0
+    leg_prefix: str = ""
     next_leg: int = 0
     legs: dict[str, Leg] = field(default_factory=dict)
     retired: set[str] = field(default_factory=set)
--- a/packages/wisteriarock/src/wisteriarock/requests/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/requests/controller.py
@@ -1,10 +1,8 @@
 """Take a caller's request from its bytes to its answer."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from wisteriarock.admission.const import MAX_CALLER_BODY_BYTES
@@ -17,27 +15,15 @@
 from wisteriarock.membership.models import Phase
 from wisteriarock.observability.metrics import Metrics
 from wisteriarock.query.models import Outcome, QueryAnswer, QueryBody, QueryRequest
-from wisteriarock.tickets.decide import drop_old, issue, parse, settle, use
-from wisteriarock.tickets.diagnostics import ticket_diagnostics
-from wisteriarock.tickets.models import TicketBook, UseDecision
+from wisteriarock.tickets.controller import Post, TicketsController, create_tickets
 
-from .answers import (
-    NOT_READY_RETRY_AFTER_MS,
-    fingerprint,
-    rejected_answer,
-    status_of,
-    unknown_answer,
-)
-from .models import ForwardedQuery, Reply, TicketAnswer, TicketBody
+from .answers import NOT_READY_RETRY_AFTER_MS, rejected_answer, status_of, unknown_answer
+from .models import Reply, TicketAnswer, TicketBody
 
 MAX_TICKETS_PER_CALL = 100
-MAX_ANSWER_BYTES = 16_000_000
-# The issuer ends by the deadline it was sent; this much more covers the way back.
-FORWARD_MARGIN_MS = 250.0
-QUERY_PATH = "/peer/v1/query"
+NOT_READY_STATUS = 503
 
 RunQuery = Callable[[QueryRequest, ActiveBundle], Awaitable[QueryAnswer]]
-Forward = Callable[[str, str, bytes, float], Awaitable[Result[bytes, Any]]]
 
 
 class RequestController(NamedTuple):
@@ -49,8 +35,8 @@
         Body and `Authorization` header to status and answer.
     handle_tickets : callable
         Body and `Authorization` header to tickets or a rejection.
-    handle_forwarded : callable
-        A request that a peer forwards because this process issued its ticket.
+    tickets : TicketsController
+        What peers' requests with tickets go to.
     in_flight : callable
         Number of requests that run here.
     publish_demand : callable
@@ -61,7 +47,7 @@
 
     handle_query: Callable[[bytes, str], Awaitable[Reply]]
     handle_tickets: Callable[[bytes, str], Result[TicketAnswer, Rejection]]
-    handle_forwarded: Callable[[ForwardedQuery], Awaitable[QueryAnswer]]
+    tickets: TicketsController
     in_flight: Callable[[], int]
     publish_demand: Callable[[], None]
     diagnostics: Callable[[], dict[str, Any]]
@@ -71,24 +57,32 @@
     return Rejection(400, code, message, path)
 
 
+def _ticketed(raw: bytes) -> QueryBody | None:
+    """Return the body of a request that carries a ticket, else None."""
+    decoded = decode(raw, QueryBody, MAX_CALLER_BODY_BYTES)
+    if not isinstance(decoded, Success):
+        return None
+    body: QueryBody = decoded.unwrap()
+    return body if body.get("ticket") else None
+
+
 def create_requests(
     board: Blackboard,
-    book: TicketBook,
     run_query: RunQuery,
-    forward: Forward,
+    post: Post,
     metrics: Metrics,
     now_ms: Callable[[], float],
 ) -> RequestController:
     """Return the request controller of this process."""
     state = AdmissionState()
     tunables = board.settings.tunables
-    ticket_runs: dict[int, asyncio.Task[QueryAnswer]] = {}
     running = 0
 
     def active_bundle() -> Result[ActiveBundle, Rejection]:
         if board.bundle is None or board.phase not in (Phase.READY, Phase.DRAINING):
             message = "The instance is not ready."
-            return Failure(Rejection(503, "not_ready", message, "$", NOT_READY_RETRY_AFTER_MS))
+            retry_ms = NOT_READY_RETRY_AFTER_MS
+            return Failure(Rejection(NOT_READY_STATUS, "not_ready", message, "$", retry_ms))
         return Success(board.bundle)
 
     def identify(authorization: str) -> Result[tuple[ActiveBundle, str], Rejection]:
@@ -121,60 +115,7 @@
         finally:
             running -= 1
 
-    async def run_ticket(
-        serial: int, caller: str, body: QueryBody, bundle: ActiveBundle
-    ) -> QueryAnswer:
-        answer = await run(caller, body, bundle)
-        settle(book, serial, answer)
-        ticket_runs.pop(serial, None)
-        return answer
-
-    async def use_ticket(caller: str, body: QueryBody, bundle: ActiveBundle) -> Reply:
-        """Run a request under a ticket of this process, or give the answer of its first run."""
-        decision = use(book, body["ticket"], caller, fingerprint(body), now_ms())
-        if decision.decision is UseDecision.REFUSE:
-            rejection = _refused(decision.code, decision.message, "$.ticket")
-            return Reply(400, rejected_answer(body["request_id"], rejection, bundle.revision))
-        if decision.decision is UseDecision.UNKNOWN:
-            return Reply(
-                200, unknown_answer(body, decision.code, decision.message, bundle.revision)
-            )
-        if decision.decision is UseDecision.REPLAY:
-            answer = book.records[decision.serial].answer
-        else:
-            if decision.decision is UseDecision.RUN:
-                run_once = run_ticket(decision.serial, caller, body, bundle)
-                ticket_runs[decision.serial] = asyncio.create_task(run_once)
-            # A caller that goes away must not cut off the run: its resend needs the answer.
-            answer = await asyncio.shield(ticket_runs[decision.serial])
-        answer = answer.copy()
-        answer["request_id"] = body["request_id"]
-        return Reply(status_of(answer), answer)
-
-    async def forward_ticket(caller: str, body: QueryBody, bundle: ActiveBundle) -> Reply:
-        """Send a request to the process that issued its ticket.
-
-        When that process does not answer, the request may have run there, now or on an earlier try.
-        """
-        claims = parse(body["ticket"])
-        if claims is None:
-            rejection = _refused("invalid_ticket", "The ticket is not valid.", "$.ticket")
-            return Reply(400, rejected_answer(body["request_id"], rejection, bundle.revision))
-        member = board.members.get(claims.instance)
-        if member is None or member.incarnation != claims.incarnation:
-            message = "The instance that issued the ticket is gone."
-            return Reply(200, unknown_answer(body, "issuer_gone", message, bundle.revision))
-        payload = msgspec.json.encode(ForwardedQuery(caller=caller, query=body))
-        time_limit_ms = body["deadline_ms"] + FORWARD_MARGIN_MS
-        result = await forward(claims.instance, QUERY_PATH, payload, time_limit_ms)
-        if isinstance(result, Success):
-            decoded = decode(result.unwrap(), QueryAnswer, MAX_ANSWER_BYTES)
-            if isinstance(decoded, Success):
-                answer = decoded.unwrap()
-                rejected = answer["error"] is not None and answer["error"]["path"] == "$.ticket"
-                return Reply(400 if rejected else status_of(answer), answer)
-        message = "The instance that issued the ticket did not answer."
-        return Reply(200, unknown_answer(body, "issuer_silent", message, bundle.revision))
+    tickets = create_tickets(board, run, post, now_ms)
 
     async def handle_query(raw: bytes, authorization: str) -> Reply:
         reply = await answer_query(raw, authorization)
@@ -188,6 +129,11 @@
         revision = board.bundle.revision if board.bundle else 0
         if not isinstance(identified, Success):
             rejection = identified.failure()
+            body = _ticketed(raw) if rejection.status == NOT_READY_STATUS else None
+            if body is not None:
+                # Another copy of the request may run, and this instance cannot ask its keeper.
+                answer = unknown_answer(body, rejection.code, rejection.message, revision)
+                return Reply(200, answer)
             return Reply(rejection.status, rejected_answer("", rejection, revision))
         bundle, caller = identified.unwrap()
         decoded = decode(raw, QueryBody, MAX_CALLER_BODY_BYTES)
@@ -197,6 +143,8 @@
             rejection = Rejection(status, error.code, error.message, error.path)
             return Reply(status, rejected_answer("", rejection, revision))
         body = decoded.unwrap()
+        # Only the keeper of a ticket can tell that no other copy of the request runs.
+        has_ticket = not body["repeatable"] and bool(body.get("ticket"))
         admitted = admit(
             state,
             bundle,
@@ -206,25 +154,18 @@
             others_per_s(caller),
             now_ms(),
         )
-        if not isinstance(admitted, Success):
-            rejection = admitted.failure()
-            answer = rejected_answer(body["request_id"], rejection, bundle.revision)
-            return Reply(rejection.status, answer)
-        if body["repeatable"]:
+        if isinstance(admitted, Success):
+            if has_ticket:
+                return await tickets.run(caller, body, bundle, True)
             answer = await run(caller, body, bundle)
             return Reply(status_of(answer), answer)
-        claims = parse(body["ticket"])
-        if claims is not None and claims[:2] == (book.instance, book.incarnation):
-            return await use_ticket(caller, body, bundle)
-        return await forward_ticket(caller, body, bundle)
-
-    async def handle_forwarded(forwarded: ForwardedQuery) -> QueryAnswer:
-        body, caller = forwarded["query"], forwarded["caller"]
-        bundle = board.bundle
-        if bundle is None or caller not in bundle.content["callers"]:
-            message = "The issuer does not know the caller."
-            return unknown_answer(body, "unknown_caller", message, 0)
-        return (await use_ticket(caller, body, bundle)).answer
+        rejection = admitted.failure()
+        if has_ticket:
+            settled = await tickets.run(caller, body, bundle, False)
+            if settled.answer["outcome"] != Outcome.NOT_RUN:
+                return settled
+        answer = rejected_answer(body["request_id"], rejection, bundle.revision)
+        return Reply(rejection.status, answer)
 
     def handle_tickets(raw: bytes, authorization: str) -> Result[TicketAnswer, Rejection]:
         identified = identify(authorization)
@@ -242,30 +183,30 @@
             # A ticket of a process that is about to stop would only lead to unknown outcomes.
             message = "The instance is draining."
             return Failure(Rejection(503, "draining", message, "$", NOT_READY_RETRY_AFTER_MS))
-        lifetime = tunables.ticket_lifetime_ms
         _, caller = identified.unwrap()
-        tickets = issue(book, caller, count, lifetime, int(tunables.max_tickets), now_ms())
-        if not tickets:
+        issued = tickets.new_tickets(caller, count)
+        if not issued:
             message = "The instance keeps too many tickets."
             return Failure(Rejection(429, "too_many_tickets", message, "$", 1_000))
-        return Success(TicketAnswer(tickets=tickets, expires_in_ms=lifetime))
+        lifetime_ms = tunables.ticket_lifetime_ms
+        return Success(TicketAnswer(tickets=issued, expires_in_ms=lifetime_ms))
 
     def publish_demand() -> None:
         now = now_ms()
         board.demand = {name: current_demand(c, now) for name, c in state.callers.items()}
-        drop_old(book, tunables.ticket_retention_ms, now)
+        tickets.drop_old()
 
     def diagnostics() -> dict[str, Any]:
         return {
             "in_flight": running,
             "admission": admission_diagnostics(state),
-            "tickets": ticket_diagnostics(book),
+            "tickets": tickets.diagnostics(),
         }
 
     return RequestController(
         handle_query,
         handle_tickets,
-        handle_forwarded,
+        tickets,
         lambda: running,
         publish_demand,
         diagnostics,
--- a/packages/wisteriarock/src/wisteriarock/requests/models.py
+++ b/packages/wisteriarock/src/wisteriarock/requests/models.py
@@ -6,10 +6,14 @@
 
 
 class ForwardedQuery(TypedDict):
-    """Body of `POST /peer/v1/query`; the deadline in `query` is the time left when sent."""
+    """Body of `POST /peer/v1/query`; the deadline in `query` is the time left when sent.
+
+    With `may_run` False the request was refused, and its ticket is to be given up.
+    """
 
     caller: str
     query: QueryBody
+    may_run: bool
 
 
 class TicketBody(TypedDict):
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/tickets/controller.py
@@ -0,0 +1,220 @@
+"""Run requests that carry tickets, here or at the keeper of their book, and hand books over."""
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import msgspec
+from returns.result import Result, Success
+
+from wisteriarock.admission.models import Rejection
+from wisteriarock.blackboard.models import Blackboard
+from wisteriarock.bundle.models import ActiveBundle
+from wisteriarock.codec.decode import decode
+from wisteriarock.membership.decide import live_members, rank_instances
+from wisteriarock.membership.models import Member, Phase
+from wisteriarock.observability.logs import log_event
+from wisteriarock.query.models import QueryAnswer, QueryBody
+from wisteriarock.requests.answers import fingerprint, rejected_answer, status_of, unknown_answer
+from wisteriarock.requests.models import ForwardedQuery, Reply
+
+from .decide import adopt, drop_old, hand_over, issue, parse, settle, use
+from .diagnostics import ticket_diagnostics
+from .models import HandoverBody, TicketBook, TicketClaims, UseDecision
+
+MAX_ANSWER_BYTES = 16_000_000
+# The keeper ends by the deadline it was sent; this much more covers the way back.
+FORWARD_MARGIN_MS = 250.0
+QUERY_PATH = "/peer/v1/query"
+HANDOVER_PATH = "/peer/v1/tickets"
+NONCE_BYTES = 16
+EVENT_HANDOVER = "tickets_handed_over"
+EVENT_ADOPTED = "tickets_adopted"
+
+RunOnce = Callable[[str, QueryBody, ActiveBundle], Awaitable[QueryAnswer]]
+Post = Callable[[str, str, bytes, float], Awaitable[Result[bytes, Any]]]
+
+
+class TicketsController(NamedTuple):
+    """Closures of the tickets controller.
+
+    Attributes
+    ----------
+    new_tickets : callable
+        Issues tickets to a caller: name and count.
+    run : callable
+        Takes caller, body, bundle and whether the request may run, to its answer.
+    on_forwarded : callable
+        Takes a request that a peer forwards.
+    hand_over : callable
+        Hands the unused tickets to a peer at a graceful stop.
+    on_handover : callable
+        Takes the books of a peer that stops; False when this instance will stop as well.
+    drop_old : callable
+        Forgets tickets that expired long ago.
+    diagnostics : callable
+        Returns the dump part.
+    """
+
+    new_tickets: Callable[[str, int], list[str]]
+    run: Callable[[str, QueryBody, ActiveBundle, bool], Awaitable[Reply]]
+    on_forwarded: Callable[[ForwardedQuery], Awaitable[QueryAnswer]]
+    hand_over: Callable[[], Awaitable[None]]
+    on_handover: Callable[[HandoverBody], bool]
+    drop_old: Callable[[], None]
+    diagnostics: Callable[[], list[dict[str, Any]]]
+
+
+def successors_of(members: dict[str, Member], own_zone: str, own: str) -> list[str]:
+    """Return the instances that may take over tickets, those of the own zone first."""
+    ready = {name: m.zone for name, m in members.items() if m.phase is Phase.READY}
+    order = rank_instances(own, ready)
+    return sorted(order, key=lambda name: ready[name] != own_zone)
+
+
+def create_tickets(
+    board: Blackboard, run_once: RunOnce, post: Post, now_ms: Callable[[], float]
+) -> TicketsController:
+    """Return the tickets controller of this process."""
+    tunables = board.settings.tunables
+    own = TicketBook(board.settings.instance, board.incarnation)
+    books = {(own.instance, own.incarnation): own}
+    runs: dict[tuple[str, str, int], asyncio.Task[QueryAnswer]] = {}
+    handed_over: asyncio.Event | None = None
+
+    def new_tickets(caller: str, count: int) -> list[str]:
+        lifetime, most = tunables.ticket_lifetime_ms, int(tunables.max_tickets)
+        return issue(
+            own, caller, count, lifetime, most, lambda: secrets.token_hex(NONCE_BYTES), now_ms()
+        )
+
+    async def run_ticket(
+        book: TicketBook, serial: int, caller: str, body: QueryBody, bundle: ActiveBundle
+    ) -> QueryAnswer:
+        answer = await run_once(caller, body, bundle)
+        settle(book, serial, answer)
+        runs.pop((book.instance, book.incarnation, serial), None)
+        return answer
+
+    async def run_here(
+        book: TicketBook, caller: str, body: QueryBody, bundle: ActiveBundle, may_run: bool
+    ) -> Reply:
+        """Run a request under a ticket of a book kept here, or give the answer of its first run."""
+        used = use(book, body["ticket"], caller, fingerprint(body), now_ms(), may_run)
+        if used.decision is UseDecision.REFUSE:
+            rejection = Rejection(400, used.code, used.message, "$.ticket")
+            return Reply(400, rejected_answer(body["request_id"], rejection, bundle.revision))
+        if used.decision is UseDecision.UNKNOWN:
+            return Reply(200, unknown_answer(body, used.code, used.message, bundle.revision))
+        if used.decision is UseDecision.REPLAY:
+            answer = book.records[used.serial].answer
+        else:
+            key = (book.instance, book.incarnation, used.serial)
+            if used.decision is UseDecision.RUN:
+                work = run_ticket(book, used.serial, caller, body, bundle)
+                runs[key] = asyncio.create_task(work)
+            # A caller that goes away must not cut off the run: its resend needs the answer.
+            answer = await asyncio.shield(runs[key])
+        answer = answer.copy()
+        answer["request_id"] = body["request_id"]
+        return Reply(status_of(answer), answer)
+
+    def keeper_of(claims: TicketClaims) -> str | None:
+        """Return the instance that keeps the book of a ticket, None when it is gone."""
+        successor = board.ticket_successors.get(claims[:2])
+        if successor is not None:
+            return successor
+        member = board.members.get(claims.instance)
+        return claims.instance if member and member.incarnation == claims.incarnation else None
+
+    async def forward(
+        claims: TicketClaims, caller: str, body: QueryBody, bundle: ActiveBundle, may_run: bool
+    ) -> Reply:
+        """Send a request to the keeper of its ticket's book.
+
+        When the keeper does not answer, the request may have run there, now or on an earlier try.
+        """
+        keeper = keeper_of(claims)
+        if keeper is None or keeper == own.instance:
+            message = "The instance that issued the ticket is gone."
+            return Reply(200, unknown_answer(body, "issuer_gone", message, bundle.revision))
+        forwarded = ForwardedQuery(caller=caller, query=body, may_run=may_run)
+        payload = msgspec.json.encode(forwarded)
+        limit_ms = body["deadline_ms"] + FORWARD_MARGIN_MS
+        result = await post(keeper, QUERY_PATH, payload, limit_ms)
+        if isinstance(result, Success):
+            decoded = decode(result.unwrap(), QueryAnswer, MAX_ANSWER_BYTES)
+            if isinstance(decoded, Success):
+                answer = decoded.unwrap()
+                refused = answer["error"] is not None and answer["error"]["path"] == "$.ticket"
+                return Reply(400 if refused else status_of(answer), answer)
+        message = "The instance that keeps the ticket did not answer."
+        return Reply(200, unknown_answer(body, "issuer_silent", message, bundle.revision))
+
+    async def run(caller: str, body: QueryBody, bundle: ActiveBundle, may_run: bool) -> Reply:
+        claims = parse(body["ticket"])
+        if claims is None:
+            rejection = Rejection(400, "invalid_ticket", "The ticket is not valid.", "$.ticket")
+            return Reply(400, rejected_answer(body["request_id"], rejection, bundle.revision))
+        if handed_over is not None:
+            await handed_over.wait()
+        book = books.get(claims[:2])
+        if book is not None and (handed_over is None or claims.serial in book.records):
+            return await run_here(book, caller, body, bundle, may_run)
+        return await forward(claims, caller, body, bundle, may_run)
+
+    async def on_forwarded(forwarded: ForwardedQuery) -> QueryAnswer:
+        body, caller = forwarded["query"], forwarded["caller"]
+        bundle = board.bundle
+        if bundle is None or caller not in bundle.content["callers"]:
+            message = "The issuer does not know the caller."
+            return unknown_answer(body, "unknown_caller", message, 0)
+        return (await run(caller, body, bundle, forwarded["may_run"])).answer
+
+    async def hand_over_books() -> None:
+        """Give the unused tickets to one peer; after a lost reply no second peer is asked."""
+        nonlocal handed_over
+        handed_over = asyncio.Event()
+        now = now_ms()
+        handed = [hand_over(book, now) for book in books.values()]
+        body = msgspec.json.encode(HandoverBody(books=handed))
+        live = live_members(board.members, now, tunables.suspect_after_ms)
+        for peer in successors_of(live, board.settings.zone, own.instance):
+            result = await post(peer, HANDOVER_PATH, body, tunables.peer_timeout_ms)
+            if not isinstance(result, Success) and str(result.failure()) in ("refused", "not_sent"):
+                continue
+            board.ticket_successor = peer
+            board.ticket_successors.update(dict.fromkeys(books, peer))
+            break
+        log_event(
+            EVENT_HANDOVER,
+            successor=board.ticket_successor or "none",
+            tickets=sum(len(book["tickets"]) for book in handed),
+        )
+        handed_over.set()
+
+    def on_handover(body: HandoverBody) -> bool:
+        if board.phase is not Phase.READY:
+            return False
+        for handed in body["books"]:
+            books[(handed["instance"], handed["incarnation"])] = adopt(handed, now_ms())
+            log_event(EVENT_ADOPTED, issuer=handed["instance"], tickets=len(handed["tickets"]))
+        return True
+
+    def drop_old_tickets() -> None:
+        now = now_ms()
+        for key, book in list(books.items()):
+            drop_old(book, tunables.ticket_retention_ms, now)
+            if book is not own and not book.records:
+                del books[key]
+
+    return TicketsController(
+        new_tickets,
+        run,
+        on_forwarded,
+        hand_over_books,
+        on_handover,
+        drop_old_tickets,
+        lambda: ticket_diagnostics(books.values()),
+    )
--- a/packages/wisteriarock/src/wisteriarock/tickets/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/tickets/decide.py
@@ -1,7 +1,9 @@
 """Issue tickets and decide what a request that carries one may do.
 
-A ticket names the process that issued it. Only that process runs the request, and only once. No
-other process can, so neither a balancer that resends nor a process that wakes late runs it twice.
+A ticket names the run of the instance that issued it. One process keeps the book of that run: the
+issuer, or after its graceful stop the one peer to which it handed the unused tickets. Only the
+keeper runs a ticket, and once, so neither a balancer that resends nor a process that wakes late
+runs it twice.
 """
 
 import base64
@@ -9,16 +11,24 @@
 import hashlib
 import hmac
 import json
-
-from .models import TicketBook, TicketClaims, TicketRecord, TicketState, Use, UseDecision
+from collections.abc import Callable
+
+from .models import (
+    HandedBook,
+    HandedTicket,
+    TicketBook,
+    TicketClaims,
+    TicketRecord,
+    TicketState,
+    Use,
+    UseDecision,
+)
 
 MAX_TICKET_CHARS = 512
-_DIGEST_CHARS = 32
 
 
-def _digest(book: TicketBook, payload: str, caller: str) -> str:
-    text = f"{payload}\x00{caller}".encode()
-    return hmac.new(book.secret, text, hashlib.sha256).hexdigest()[:_DIGEST_CHARS]
+def _token_sha256(ticket: str) -> str:
+    return hashlib.sha256(ticket.encode()).hexdigest()
 
 
 def issue(
@@ -27,6 +37,7 @@
     count: int,
     lifetime_ms: float,
     max_tickets: int,
+    new_nonce: Callable[[], str],
     now_ms: float,
 ) -> list[str]:
     """Issue tickets to a caller.
@@ -43,6 +54,8 @@
         How long they may be used.
     max_tickets : int
         Most records that the process keeps.
+    new_nonce : callable
+        Returns a text that cannot be guessed.
     now_ms : float
         Monotonic time in milliseconds.
 
@@ -55,17 +68,18 @@
     for _ in range(min(count, max_tickets - len(book.records))):
         serial = book.next_serial
         book.next_serial += 1
-        book.records[serial] = TicketRecord(caller, now_ms + lifetime_ms)
         fields = json.dumps([book.instance, book.incarnation, serial], separators=(",", ":"))
         payload = base64.urlsafe_b64encode(fields.encode()).decode().rstrip("=")
-        tickets.append(f"{payload}.{_digest(book, payload, caller)}")
+        ticket = f"{payload}.{new_nonce()}"
+        book.records[serial] = TicketRecord(caller, _token_sha256(ticket), now_ms + lifetime_ms)
+        tickets.append(ticket)
     return tickets
 
 
 def parse(ticket: str) -> TicketClaims | None:
     """Return what a ticket says, or None when it has not the form of one."""
-    payload, _, digest = ticket.partition(".")
-    if len(ticket) > MAX_TICKET_CHARS or len(digest) != _DIGEST_CHARS:
+    payload, _, nonce = ticket.partition(".")
+    if len(ticket) > MAX_TICKET_CHARS or not nonce:
         return None
     try:
         padded = payload + "=" * (-len(payload) % 4)
@@ -77,20 +91,24 @@
     return TicketClaims(*fields)
 
 
-def _matches(book: TicketBook, ticket: str, claims: TicketClaims, caller: str) -> bool:
-    payload, _, digest = ticket.partition(".")
-    if not hmac.compare_digest(digest.encode(), _digest(book, payload, caller).encode()):
-        return False
-    return claims.instance == book.instance and claims.incarnation == book.incarnation
+def _refuse(serial: int, code: str, message: str) -> Use:
+    return Use(UseDecision.REFUSE, serial, code, message)
 
 
-def use(book: TicketBook, ticket: str, caller: str, fingerprint: str, now_ms: float) -> Use:
-    """Decide what a request that carries a ticket of this process may do.
+def use(
+    book: TicketBook,
+    ticket: str,
+    caller: str,
+    fingerprint: str,
+    now_ms: float,
+    may_run: bool = True,
+) -> Use:
+    """Decide what a request that carries a ticket of this book may do.
 
     Parameters
     ----------
     book : TicketBook
-        The tickets of this process; a ticket that may run is marked as running.
+        The book that the ticket names; a ticket that may run is marked as running.
     ticket : str
         The ticket.
     caller : str
@@ -99,29 +117,40 @@
         Digest of the request; a ticket is good for one request only.
     now_ms : float
         Monotonic time in milliseconds.
+    may_run : bool
+        False when the request was refused elsewhere. An unused ticket then becomes void, so that
+        "not run" stays true whatever copies of the request are still on their way.
 
     Returns
     -------
     Use
         `RUN` at most once for each ticket. `WAIT` and `REPLAY` give the answer of the first use.
-        `REFUSE` is given only when this request has not run under this ticket.
+        `REFUSE` is given only when this request has not run, and never will under this ticket.
     """
     claims = parse(ticket)
-    if claims is None or not _matches(book, ticket, claims, caller):
-        return Use(UseDecision.REFUSE, 0, "invalid_ticket", "The ticket is not valid.")
+    if claims is None or claims.serial >= book.next_serial:
+        return _refuse(0, "invalid_ticket", "The ticket is not valid.")
     record = book.records.get(claims.serial)
     if record is None:
         message = "The ticket's record has been dropped; the request may have run."
         return Use(UseDecision.UNKNOWN, claims.serial, "ticket_forgotten", message)
+    known = hmac.compare_digest(record.token_sha256, _token_sha256(ticket))
+    if not known or record.caller != caller:
+        return _refuse(claims.serial, "invalid_ticket", "The ticket is not valid.")
+    if record.state is TicketState.VOID:
+        return _refuse(claims.serial, "ticket_void", "The ticket was given up without a run.")
     if record.state is TicketState.ISSUED:
         if now_ms >= record.expires_at_ms:
-            return Use(UseDecision.REFUSE, claims.serial, "ticket_expired", "The ticket expired.")
+            record.state = TicketState.VOID
+            return _refuse(claims.serial, "ticket_expired", "The ticket expired.")
+        if not may_run:
+            record.state = TicketState.VOID
+            return _refuse(claims.serial, "ticket_void", "The ticket is given up without a run.")
         record.state = TicketState.RUNNING
         record.fingerprint = fingerprint
         return Use(UseDecision.RUN, claims.serial)
     if record.fingerprint != fingerprint:
-        message = "The ticket was used for another request."
-        return Use(UseDecision.REFUSE, claims.serial, "ticket_reused", message)
+        return _refuse(claims.serial, "ticket_reused", "The ticket was used for another request.")
     decision = UseDecision.WAIT if record.state is TicketState.RUNNING else UseDecision.REPLAY
     return Use(decision, claims.serial)
 
@@ -143,3 +172,36 @@
     for serial in old:
         del book.records[serial]
     return len(old)
+
+
+def hand_over(book: TicketBook, now_ms: float) -> HandedBook:
+    """Return the unused tickets for a successor, and drop them here, so that only it runs them."""
+    unused = {s: r for s, r in book.records.items() if r.state is TicketState.ISSUED}
+    for serial in unused:
+        del book.records[serial]
+    return HandedBook(
+        instance=book.instance,
+        incarnation=book.incarnation,
+        next_serial=book.next_serial,
+        tickets=[
+            HandedTicket(
+                serial=serial,
+                caller=record.caller,
+                token_sha256=record.token_sha256,
+                expires_in_ms=record.expires_at_ms - now_ms,
+            )
+            for serial, record in unused.items()
+            if record.expires_at_ms > now_ms
+        ],
+    )
+
+
+def adopt(handed: HandedBook, now_ms: float) -> TicketBook:
+    """Return the book of a process that stopped; what it lacks may have run there."""
+    records = {
+        ticket["serial"]: TicketRecord(
+            ticket["caller"], ticket["token_sha256"], now_ms + ticket["expires_in_ms"]
+        )
+        for ticket in handed["tickets"]
+    }
+    return TicketBook(handed["instance"], handed["incarnation"], handed["next_serial"], records)
--- a/packages/wisteriarock/src/wisteriarock/tickets/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/tickets/diagnostics.py
@@ -1,12 +1,20 @@
 """The tickets' part of the state dump."""
 
 from collections import Counter
+from collections.abc import Iterable
 from typing import Any
 
 from .models import TicketBook
 
 
-def ticket_diagnostics(book: TicketBook) -> dict[str, Any]:
-    """Return how many tickets there are in each state; the secret is left out."""
-    states = Counter(record.state.value for record in book.records.values())
-    return {"issued": book.next_serial - 1, "kept": dict(states)}
+def ticket_diagnostics(books: Iterable[TicketBook]) -> list[dict[str, Any]]:
+    """Return how many tickets of each book are in each state; the tickets are left out."""
+    return [
+        {
+            "instance": book.instance,
+            "incarnation": book.incarnation,
+            "issued": book.next_serial - 1,
+            "kept": dict(Counter(record.state.value for record in book.records.values())),
+        }
+        for book in books
+    ]
--- a/packages/wisteriarock/src/wisteriarock/tickets/models.py
+++ b/packages/wisteriarock/src/wisteriarock/tickets/models.py
@@ -2,22 +2,24 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypedDict
 
 
 class TicketState(StrEnum):
-    """What became of a ticket."""
+    """What became of a ticket. A void one never runs."""
 
     ISSUED = "issued"
     RUNNING = "running"
     DONE = "done"
+    VOID = "void"
 
 
 @dataclass
 class TicketRecord:
-    """A ticket of this process; `fingerprint` is set by its first use, `answer` by its end."""
+    """A ticket; `fingerprint` is set by its first use, `answer` by its end."""
 
     caller: str
+    token_sha256: str
     expires_at_ms: float
     state: TicketState = TicketState.ISSUED
     fingerprint: str = ""
@@ -26,17 +28,16 @@
 
 @dataclass
 class TicketBook:
-    """The tickets that this process issued. The secret never leaves the process."""
+    """The tickets that one run of an instance issued, kept by the one process that may run them."""
 
     instance: str
     incarnation: str
-    secret: bytes
     next_serial: int = 1
     records: dict[int, TicketRecord] = field(default_factory=dict)
 
 
 class TicketClaims(NamedTuple):
-    """What a ticket says; nothing of it is trusted before the issuer has verified it."""
+    """What a ticket says; nothing of it is trusted before its record has been compared."""
 
     instance: str
     incarnation: str
@@ -44,7 +45,7 @@
 
 
 class UseDecision(StrEnum):
-    """What the issuer does with a request that carries a ticket."""
+    """What the keeper of a book does with a request that carries a ticket."""
 
     RUN = "run"
     WAIT = "wait"
@@ -60,3 +61,27 @@
     serial: int
     code: str = ""
     message: str = ""
+
+
+class HandedTicket(TypedDict):
+    """An unused ticket that another process may run from now on."""
+
+    serial: int
+    caller: str
+    token_sha256: str
+    expires_in_ms: float
+
+
+class HandedBook(TypedDict):
+    """The unused tickets of a book."""
+
+    instance: str
+    incarnation: str
+    next_serial: int
+    tickets: list[HandedTicket]
+
+
+class HandoverBody(TypedDict):
+    """Body of `POST /peer/v1/tickets`: the books of a process that stops."""
+
+    books: list[HandedBook]
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -8,8 +8,7 @@
 from typing import Any
 
 import uvicorn
-from starlette.applications import Starlette
-from starlette.routing import Route
+from starlette.types import ASGIApp
 
 OnLeg = Callable[["EndpointServer", dict[str, Any]], Awaitable[tuple[int, dict[str, Any]]]]
 
@@ -143,10 +142,10 @@
 
 
 @asynccontextmanager
-async def app_server(routes: list[Route]) -> AsyncIterator[int]:
-    """Serve routes on a free port by uvicorn and yield the port."""
+async def app_server(app: ASGIApp) -> AsyncIterator[int]:
+    """Serve an application on a free port by uvicorn and yield the port."""
     config = uvicorn.Config(
-        Starlette(routes=routes),
+        app,
         host="127.0.0.1",
         port=0,
         lifespan="off",
--- a/tests/wisteriarock/membership/test_exchange.py
+++ b/tests/wisteriarock/membership/test_exchange.py
@@ -1,6 +1,7 @@
 """Tests of heartbeats and of the handover of endpoints."""
 
 from wisteriarock.membership.exchange import (
+    note_successor,
     ready_at_ms,
     routed_view,
     sequence_views,
@@ -51,6 +52,7 @@
         "endpoints": views_for(state, to),
         "holding": sorted(state.sequenced),
         "callers": {},
+        "ticket_successor": "",
     }
 
 
@@ -118,6 +120,19 @@
     assert ready(frozenset({"a"})) == 1_000
 
 
+def test_tickets_are_found_after_two_stops_in_a_row() -> None:
+    """Guards against a rolling restart after which nobody knows who keeps a ticket."""
+    successors: dict[tuple[str, str], str] = {}
+    for name, successor in (("a", "b"), ("b", "c")):
+        beat = _beat(MembershipState(), name, "e1")
+        beat["ticket_successor"] = successor
+        note_successor(successors, beat, 10)
+    note_successor(successors, _beat(MembershipState(), "c", "e1"), 10)
+    assert successors == {("a", "run-1"): "c", ("b", "run-1"): "c"}
+    note_successor(successors, beat, 1)
+    assert len(successors) == 1
+
+
 def test_requests_are_routed_to_the_assigned_holder() -> None:
     """Guards against legs that go to a former holder because its view is still known."""
     state = MembershipState(remote_views={"a": {"x": _view("x", "a", 7)}})
--- a/tests/wisteriarock/peers/test_traffic.py
+++ b/tests/wisteriarock/peers/test_traffic.py
@@ -8,14 +8,16 @@
 
 import msgspec
 from returns.result import Failure, Success
+from starlette.applications import Starlette
 from wisteriarock.membership.models import Heartbeat, Member, Phase
 from wisteriarock.observability.metrics import create_metrics
 from wisteriarock.peers.client import PeerClient, create_peer_client
-from wisteriarock.peers.const import PATH_CANCEL, PATH_HEARTBEAT, PATH_QUERY
+from wisteriarock.peers.const import PATH_CANCEL, PATH_HEARTBEAT, PATH_QUERY, PATH_TICKETS
 from wisteriarock.peers.models import PeerError, PeerHandlers
-from wisteriarock.peers.server import peer_routes
+from wisteriarock.peers.server import bypass_for_legs, create_peer_app
 from wisteriarock.query.models import Cancel, LegOutcome, LegReply, LegRequest, OnLegReply
 from wisteriarock.requests.models import ForwardedQuery
+from wisteriarock.tickets.models import HandoverBody
 
 from tests.boards import make_board, make_leg
 from tests.common import function_suite
@@ -67,12 +69,16 @@
     async def on_query(body: ForwardedQuery) -> Any:
         return {"echo": body}
 
+    def on_handover(body: HandoverBody) -> bool:
+        return len(body["books"]) == 1
+
     async def bundle_body(digest: str) -> bytes | None:
         return b"{}" if digest == "d1" else None
 
-    handlers = PeerHandlers(on_heartbeat, on_query, bundle_body)
-    routes = peer_routes(make_board(), create_metrics(), _now_ms, execute_leg, handlers)
-    async with app_server(routes) as port:
+    handlers = PeerHandlers(on_heartbeat, on_query, on_handover, bundle_body)
+    peer_app = create_peer_app(make_board(), create_metrics(), _now_ms, execute_leg, handlers)
+    app = bypass_for_legs(Starlette(routes=peer_app.routes), peer_app.legs)
+    async with app_server(app) as port:
         peer = {"instance": "e2", "zone": "north", "host": "127.0.0.1", "port": port}
         board = make_board(peers=[peer])
         board.members["e2"] = Member(
@@ -100,6 +106,7 @@
         "endpoints": [],
         "holding": [],
         "callers": {},
+        "ticket_successor": "",
     }
     return msgspec.json.encode(body)
 
@@ -190,12 +197,17 @@
             assert refused == Failure(PeerError.REFUSED)
         query = {"request_id": "r1", "kind": "k", "shards": ["s"], "deadline_ms": 1}
         forwarded = {"caller": "desk", "query": {**query, "repeatable": False, "ticket": "t"}}
+        forwarded["may_run"] = True
         sent = msgspec.json.encode(forwarded)
         answer = await p.client.post("e2", PATH_QUERY, sent, 1_000)
         assert msgspec.json.decode(answer.unwrap()) == {"echo": forwarded}
         for body in (b"{}", sent.replace(b'"caller"', b'"color"')):
             refused = await p.client.post("e2", PATH_QUERY, body, 1_000)
             assert refused == Failure(PeerError.REFUSED)
+        book = {"instance": "e1", "incarnation": "1", "next_serial": 1, "tickets": []}
+        for count, expected in ((1, Success(b"{}")), (0, Failure(PeerError.REFUSED))):
+            body = msgspec.json.encode({"books": [book] * count})
+            assert await p.client.post("e2", PATH_TICKETS, body, 1_000) == expected
         assert await p.client.get("e2", "/peer/v1/bundle/d1", 1_000) == Success(b"{}")
         missing = await p.client.get("e2", "/peer/v1/bundle/d2", 1_000)
         assert missing == Failure(PeerError.REFUSED)
--- a/tests/wisteriarock/query/test_controller.py
+++ b/tests/wisteriarock/query/test_controller.py
@@ -104,7 +104,7 @@
         sink(reply_to(legs[0]))
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        assert set(calls.cancelled) >= {"q.0", "q.2"}
+        assert set(calls.cancelled) >= {"q.0.0", "q.0.2"}
         assert (calls.timers, controller.in_flight()) == ([], 0)
         sink(reply_to(legs[1]))
         assert controller.diagnostics()["dropped_replies"] == {"late": 1}
@@ -121,7 +121,7 @@
         hedges = [leg for _, legs, _ in calls.batches[1:] for leg in legs]
         assert len(hedges) == 2
         calls.batches[1][2](reply_to(hedges[0]))
-        assert calls.cancelled == ["e1", "q.0"]
+        assert calls.cancelled == ["e1", "q.0.0"]
         calls.batches[1][2](reply_to(hedges[1]))
         assert (await task)["outcome"] == "complete"
 
--- a/tests/wisteriarock/requests/test_controller.py
+++ b/tests/wisteriarock/requests/test_controller.py
@@ -13,7 +13,7 @@
 from wisteriarock.requests.answers import empty_answer
 from wisteriarock.requests.controller import RequestController, create_requests
 from wisteriarock.requests.models import Reply
-from wisteriarock.tickets.models import TicketBook
+from wisteriarock.tickets.controller import HANDOVER_PATH
 
 from tests.common import function_suite
 from tests.wisteriarock.fixtures import CREDENTIAL, make_board
@@ -44,17 +44,19 @@
     ) -> Result[bytes, Any]:
         """Call the other controller; when cut, the request arrives but its reply is lost."""
         forwarded = msgspec.json.decode(body)
-        answer = await self.controllers[instance].handle_forwarded(forwarded)
+        controller = self.controllers[instance].tickets
+        if path == HANDOVER_PATH:
+            if not controller.on_handover(forwarded):
+                return Failure("refused")
+            return Failure("lost") if self.cut else Success(b"{}")
+        answer = await controller.on_forwarded(forwarded)
         return Failure("lost") if self.cut else Success(msgspec.json.encode(answer))
 
     def instance(self, name: str) -> tuple[RequestController, Blackboard]:
         """Return a ready instance of which the others know."""
         board = make_board(name)
-        book = TicketBook(name, board.incarnation, name.encode())
         metrics = create_metrics()
-        controller = create_requests(
-            board, book, self.run_query, self.forward, metrics, lambda: 1_000.0
-        )
+        controller = create_requests(board, self.run_query, self.forward, metrics, lambda: 1_000.0)
         self.controllers[name] = controller
         return controller, board
 
@@ -104,7 +106,9 @@
     for raw, header, expected in cases:
         assert _outline(await controller.handle_query(raw, header)) == expected
     board.phase = Phase.STARTING
-    assert _outline(await controller.handle_query(_body(), BEARER))[0] == 503
+    assert _outline(await controller.handle_query(_body(), BEARER))[:2] == (503, "not_run")
+    ticketed = await controller.handle_query(_body("t"), BEARER)
+    assert _outline(ticketed) == (200, "unknown", "not_ready")
     assert fakes.runs == []
 
 
@@ -153,6 +157,61 @@
     assert len(fakes.runs) == 1
 
 
+async def test_a_refusal_elsewhere_gives_the_ticket_up() -> None:
+    """Guards against "not run" from an overloaded instance while the issuer runs another copy."""
+    fakes = Fakes()
+    first, first_board = fakes.instance("e1")
+    second, second_board = fakes.instance("e2")
+    _know(second_board, first_board)
+    second_board.loop_lag_ms = 1_000.0
+    ran, unused = _ticket(first), _ticket(first)
+    assert (await first.handle_query(_body(ran), BEARER)).answer["outcome"] == "complete"
+    resent = await second.handle_query(_body(ran), BEARER)
+    assert _outline(resent) == (200, "complete", "")
+    refused = await second.handle_query(_body(unused), BEARER)
+    assert _outline(refused) == (429, "not_run", "overloaded")
+    again = await first.handle_query(_body(unused), BEARER)
+    assert _outline(again)[1:] == ("not_run", "ticket_void")
+    fakes.cut = True
+    silent = await second.handle_query(_body(_ticket(first)), BEARER)
+    assert _outline(silent) == (200, "unknown", "issuer_silent")
+    assert len(fakes.runs) == 1
+
+
+async def test_unused_tickets_outlive_a_graceful_stop() -> None:
+    """Guards against a planned restart after which callers' tickets give unknown outcomes."""
+    fakes = Fakes()
+    boards = {name: fakes.instance(name)[1] for name in ("e1", "e2", "e3")}
+    for board in boards.values():
+        for other in boards.values():
+            if board is not other:
+                _know(board, other)
+    boards["e2"].phase = Phase.DRAINING
+    tickets = [_ticket(fakes.controllers["e1"]) for _ in range(2)]
+    await fakes.controllers["e1"].tickets.hand_over()
+    assert boards["e1"].ticket_successor == "e3"
+    boards["e2"].ticket_successors[("e1", boards["e1"].incarnation)] = "e3"
+    for name, ticket in (("e1", tickets[0]), ("e2", tickets[1])):
+        for _ in range(2):
+            reply = await fakes.controllers[name].handle_query(_body(ticket), BEARER)
+            assert reply.answer["outcome"] == "complete"
+    assert len(fakes.runs) == 2
+
+
+async def test_a_lost_handover_reply_asks_no_second_peer() -> None:
+    """Guards against two peers that both keep, and so both run, the same ticket."""
+    fakes = Fakes()
+    first, first_board = fakes.instance("e1")
+    for name in ("e2", "e3"):
+        _know(first_board, fakes.instance(name)[1])
+    ticket = _ticket(first)
+    fakes.cut = True
+    await first.tickets.hand_over()
+    keepers = [name for name in ("e2", "e3") if fakes.controllers[name].tickets.diagnostics()[1:]]
+    assert keepers == [first_board.ticket_successor]
+    assert _outline(await first.handle_query(_body(ticket), BEARER))[1] == "unknown"
+
+
 async def test_a_draining_instance_issues_no_tickets_but_answers() -> None:
     """Guards against a planned stop that cuts off requests or hands out useless tickets."""
     fakes = Fakes()
