--- a/packages/standins/src/wisteriastandins/topology/const.py
+++ b/packages/standins/src/wisteriastandins/topology/const.py
@@ -12,6 +12,7 @@
 DEFAULT_SNAPSHOT = 1
 
 FILE_BUNDLE = "bundle.json"
+FILE_CONTENT = "content.json"
 FILE_PLATFORM = "platform.json"
 FILE_PLAN = "load.json"
 FOLDER_KEYS = "keys"
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,10 +1,12 @@
 """Run every test, pass over exactly those in KNOWN-RED.txt, and print a closing line."""
 
+import faulthandler
 import sys
 import unittest
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
+HANG_LIMIT_S = 1_800
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
@@ -31,6 +33,8 @@
     prefixes = tuple(sys.argv[1:])
     suite = unittest.TestLoader().discover(str(ROOT / "tests"), "test_*.py", str(ROOT))
     cases = [case for case in _flatten(suite) if not prefixes or case.id().startswith(prefixes)]
+    # A run that hangs ends with the stacks of all threads instead of blocking CI.
+    faulthandler.dump_traceback_later(HANG_LIMIT_S, exit=True)
     result = unittest.TextTestRunner(verbosity=1).run(unittest.TestSuite(cases))
     # A test with failing subtests is listed once for each of them; count it once.
     red = set()
