Become ready only when it is known what the endpoints hold

Ruled out: a lost view (the shards appear in the next answers). Readiness now waits for the holdings of every endpoint that has a holder, at most 5 s, so that an endpoint that is down keeps no instance out.

--- a/packages/wisteriarock/src/wisteriarock/app.py
+++ b/packages/wisteriarock/src/wisteriarock/app.py
@@ -227,9 +227,17 @@
 
 async def _become_ready(parts: Parts, board: Blackboard, lifecycle: Lifecycle) -> None:
     """Wait until the instance may take requests."""
-    while not may_become_ready(
-        board.bundle is not None, parts.bundle.ready_bundle(), parts.membership.settled()
-    ):
+    waiting_since_ms: float | None = None
+    while True:
+        is_current = board.bundle is not None and parts.bundle.ready_bundle()
+        is_settled = parts.membership.settled()
+        now = monotonic_ms()
+        if waiting_since_ms is None and is_current and is_settled:
+            waiting_since_ms = now
+        waited_ms = now - waiting_since_ms if waiting_since_ms is not None else 0.0
+        holdings_known = parts.membership.holdings_known()
+        if may_become_ready(is_current, is_settled, holdings_known, waited_ms):
+            break
         await asyncio.sleep(READINESS_INTERVAL_MS / 1000)
     lifecycle.fire(TRIGGER_BECOME_READY)
 
--- a/packages/wisteriarock/src/wisteriarock/lifecycle/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/lifecycle/decide.py
@@ -47,10 +47,28 @@
         return bool(self.trigger(trigger))  # type: ignore[attr-defined]
 
 
-def may_become_ready(has_bundle: bool, bundle_is_current: bool, heartbeats_settled: bool) -> bool:
+# Longest wait for the holdings of every endpoint: one that is down must not keep an instance out.
+HOLDINGS_WAIT_MS = 5_000.0
+
+
+def may_become_ready(
+    bundle_is_current: bool, heartbeats_settled: bool, holdings_known: bool, waited_ms: float
+) -> bool:
     """Tell whether a starting instance may take requests.
 
-    It needs a bundle at least as new as its neighbours', and a round of heartbeats, so that it
-    knows which endpoints others hold.
+    It needs a bundle at least as new as its neighbours', a round of heartbeats, so that it knows
+    which endpoints others hold, and what the endpoints hold, so that its first answers lack no
+    shards.
+
+    Parameters
+    ----------
+    bundle_is_current, heartbeats_settled : bool
+        The first two conditions, for which it waits as long as it takes.
+    holdings_known : bool
+        What each endpoint of the bundle holds is known.
+    waited_ms : float
+        Time since the first two conditions held.
     """
-    return has_bundle and bundle_is_current and heartbeats_settled
+    if not (bundle_is_current and heartbeats_settled):
+        return False
+    return holdings_known or waited_ms >= HOLDINGS_WAIT_MS
--- a/packages/wisteriarock/src/wisteriarock/membership/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/membership/controller.py
@@ -98,6 +98,8 @@
         Recomputes assignment and views.
     settled : callable
         Tells whether every configured peer has answered or failed once.
+    holdings_known : callable
+        Tells whether it is known what each endpoint with a holder holds.
     diagnostics : callable
         Returns the dump part.
     """
@@ -109,6 +111,7 @@
     on_views_changed: Callable[[], None]
     refresh: Callable[[], None]
     settled: Callable[[], bool]
+    holdings_known: Callable[[], bool]
     diagnostics: Callable[[], dict[str, Any]]
 
 
@@ -239,6 +242,12 @@
     def settled() -> bool:
         return all(peer["instance"] in state.contacted for peer in board.settings.peers)
 
+    def holdings_known() -> bool:
+        views = board.endpoint_views
+        return bool(state.assignment) and all(
+            name in views and views[name]["holdings"] for name in state.assignment
+        )
+
     def take(beat: Heartbeat) -> None:
         name = beat["instance"]
         known = board.members.get(name)
@@ -350,5 +359,6 @@
         on_views_changed,
         refresh,
         settled,
+        holdings_known,
         diagnostics,
     )
--- a/tests/wisteriarock/lifecycle/test_decide.py
+++ b/tests/wisteriarock/lifecycle/test_decide.py
@@ -1,6 +1,7 @@
 """Tests of the life cycle of the process."""
 
 from wisteriarock.lifecycle.decide import (
+    HOLDINGS_WAIT_MS,
     TRIGGER_BECOME_READY,
     TRIGGER_DRAIN,
     TRIGGER_STOP,
@@ -28,8 +29,15 @@
     """Guards against an instance that takes requests with an old bundle or as a second holder."""
     for missing in range(3):
         conditions = [index != missing for index in range(3)]
-        assert not may_become_ready(*conditions)
-    assert may_become_ready(True, True, True)
+        assert not may_become_ready(*conditions, waited_ms=0.0)
+    assert may_become_ready(True, True, True, 0.0)
+
+
+def test_an_endpoint_that_is_down_delays_readiness_only_for_a_while() -> None:
+    """Guards against answers that lack shards after a start, and against a start without end."""
+    assert not may_become_ready(True, True, False, HOLDINGS_WAIT_MS - 1)
+    assert may_become_ready(True, True, False, HOLDINGS_WAIT_MS)
+    assert not may_become_ready(False, True, False, HOLDINGS_WAIT_MS)
 
 
 load_tests = function_suite(globals())
