--- a/packages/standins/src/wisteriastandins/slopes/servers.py
+++ b/packages/standins/src/wisteriastandins/slopes/servers.py
@@ -81,7 +81,7 @@
         return answer
 
     async def on_query(_: Any) -> Any:
-        raise NotImplementedError
+        raise RuntimeError("The probes forward no query.")
 
     async def bundle_body(_: str) -> bytes | None:
         return bundle
--- a/packages/standins/src/wisteriastandins/topology/build.py
+++ b/packages/standins/src/wisteriastandins/topology/build.py
@@ -10,19 +10,18 @@
 from wisteriarock.platform.models import ListedInstance
 from wisteriarock.settings.models import PeerSetting, SettingsFile
 
+from wisteriastandins.endpoint.models import EndpointConfig, EndpointsConfig
+from wisteriastandins.platform.models import PlatformConfig
+from wisteriastandins.relay.models import LinkConfig, RelayConfig
+
 from .const import DEFAULT_QUEUE_LIMIT, DEFAULT_SNAPSHOT, LOOPBACK
 from .models import (
     Customer,
-    EndpointConfig,
-    EndpointsConfig,
-    LinkConfig,
     LoadPlan,
     PlanClass,
     PlanEndpoint,
     PlanEntry,
     PlanService,
-    PlatformConfig,
-    RelayConfig,
     ServiceGroup,
     Topology,
 )
--- a/packages/standins/src/wisteriastandins/topology/models.py
+++ b/packages/standins/src/wisteriastandins/topology/models.py
@@ -3,9 +3,12 @@
 from typing import NamedTuple, TypedDict
 
 from wisteriarock.bundle.models import BundleContent, KindSpec
-from wisteriarock.platform.models import ListedInstance
 from wisteriarock.settings.models import SettingsFile
 
+from wisteriastandins.endpoint.models import EndpointsConfig
+from wisteriastandins.platform.models import PlatformConfig
+from wisteriastandins.relay.models import RelayConfig
+
 from .const import DEFAULT_SERVICE_MEDIAN_MS, DEFAULT_SERVICE_SIGMA
 
 
@@ -57,66 +60,6 @@
     classes: tuple[RequestClass, ...]
 
 
-class EndpointConfig(TypedDict):
-    """An endpoint of the `endpoints` stand-in; `holdings` maps a snapshot to partitions."""
-
-    name: str
-    host: str
-    port: int
-    slots: int
-    connection_cap: int
-    connect_cost_ms: float
-    service_median_ms: float
-    service_sigma: float
-    queue_limit: int
-    lots_per_shard: int
-    cold_ms: float
-    holdings: dict[str, list[tuple[str, int, int]]]
-
-
-class EndpointsConfig(TypedDict):
-    """Configuration of the `endpoints` stand-in of one zone."""
-
-    zone: str
-    control_host: str
-    control_port: int
-    seed: int
-    endpoints: list[EndpointConfig]
-
-
-class PlatformConfig(TypedDict):
-    """Configuration of the `platform` stand-in."""
-
-    host: str
-    port: int
-    latency_ms: float
-    writes_per_s: int
-    reads_per_s: int
-    list_lag_ms: float
-    instances: list[ListedInstance]
-
-
-class LinkConfig(TypedDict):
-    """A link of the `relay` stand-in; the delay is one way and applies to both directions."""
-
-    name: str
-    listen_host: str
-    listen_port: int
-    target_host: str
-    target_port: int
-    delay_ms: float
-    jitter_ms: float
-
-
-class RelayConfig(TypedDict):
-    """Configuration of the `relay` stand-in that carries the links which start in one zone."""
-
-    control_host: str
-    control_port: int
-    seed: int
-    links: list[LinkConfig]
-
-
 class PlanEntry(TypedDict):
     """Addresses of an entry instance."""
 
--- a/tests/platform_fake.py
+++ b/tests/platform_fake.py
@@ -106,7 +106,7 @@
         return Failure(PlatformError.UNKNOWN) if fault is Fault.LOST_REPLY else result
 
     async def unused(*_: Any) -> Any:
-        raise NotImplementedError
+        raise AssertionError("not used by these tests")
 
     async def close() -> None:
         return None
