--- a/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/controller.py
@@ -17,12 +17,13 @@
     LegRequest,
     OnLegReply,
 )
+from wisteriarock.query.replies import reply_without_rows
 
 from . import lifecycle, queue
 from .connection import close_connection
 from .const import POLL_JITTER, TICK_MS
 from .diagnostics import dump_endpoints
-from .held import ActiveLeg, Env, HeldEndpoint, effective_slots, reply_without_rows
+from .held import ActiveLeg, Env, HeldEndpoint, effective_slots
 from .legs import LegEvents, create_leg_runner
 from .reports import ReportEvents, create_reporter
 from .suspicion import least_time_ms
@@ -133,7 +134,7 @@
     def answer(active: ActiveLeg, outcome: LegOutcome, queued_ms: float) -> None:
         if not active.done:
             active.done = True
-            reply = reply_without_rows(active.entry.leg, outcome, False, queued_ms, 0.0)
+            reply = reply_without_rows(active.entry.leg, outcome, False, queued_ms)
             active.on_reply(reply)
 
     def answer_dropped(held: HeldEndpoint, dropped: list[queue.Dropped]) -> None:
@@ -192,7 +193,7 @@
         if held is None or closing or lifecycle.is_draining(held.life):
             draining = held is not None and not closing
             outcome = LegOutcome.DRAINING if draining else LegOutcome.NOT_SENT
-            return answer_soon(reply_without_rows(leg, outcome, False, 0.0, 0.0), on_reply)
+            return answer_soon(reply_without_rows(leg, outcome, False), on_reply)
         max_queued = int(tunables.max_queued_per_endpoint)
         entry, dropped = queue.enqueue(held.queue, leg, now_ms(), max_queued)
         active = ActiveLeg(entry, on_reply)
--- a/packages/wisteriarock/src/wisteriarock/endpoints/held.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/held.py
@@ -10,7 +10,7 @@
 from wisteriarock.bundle.models import EndpointSpec
 from wisteriarock.membership.models import EndpointView
 from wisteriarock.observability.metrics import Metrics
-from wisteriarock.query.models import LegOutcome, LegReply, LegRequest, OnLegReply
+from wisteriarock.query.models import OnLegReply
 
 from .connection import EndpointConnection, close_connection, create_connection
 from .lifecycle import ConnectionState, EndpointLife
@@ -195,22 +195,3 @@
         "queued": queued(held.queue),
         "holdings": report["holdings"] if report is not None else {},
     }
-
-
-def reply_without_rows(
-    leg: LegRequest, outcome: LegOutcome, executed: bool, queued_ms: float, service_ms: float
-) -> LegReply:
-    """Return the reply of a leg that has no rows."""
-    return {
-        "leg_id": leg["leg_id"],
-        "endpoint": leg["endpoint"],
-        "outcome": outcome,
-        "executed": executed,
-        "shard": leg["shard"],
-        "part": leg["part"],
-        "parts": leg["parts"],
-        "snapshot": leg["snapshot"],
-        "rows": [],
-        "queued_ms": queued_ms,
-        "service_ms": service_ms,
-    }
--- a/packages/wisteriarock/src/wisteriarock/endpoints/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/legs.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from wisteriarock.query.models import LegOutcome, LegReply
+from wisteriarock.query.replies import reply_without_rows
 
 from . import lifecycle, queue
 from .connection import EndpointConnection, change_state, close_connection, send_leg
@@ -17,7 +18,6 @@
     give_back,
     has_room,
     open_new,
-    reply_without_rows,
     take_idle,
 )
 from .lifecycle import ConnectionState
--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -22,6 +22,7 @@
     OnLegReply,
     SendLegs,
 )
+from wisteriarock.query.replies import reply_without_rows
 from wisteriarock.wire.connection import Wire, close_wire, request
 from wisteriarock.wire.silence import silence_limit
 
@@ -71,23 +72,6 @@
     return time.time() * 1000
 
 
-def lost_reply(leg: LegRequest, executed: bool) -> LegReply:
-    """Return the reply of a leg whose holder did not answer."""
-    return {
-        "leg_id": leg["leg_id"],
-        "endpoint": leg["endpoint"],
-        "outcome": LegOutcome.PEER_LOST,
-        "executed": executed,
-        "shard": leg["shard"],
-        "part": leg["part"],
-        "parts": leg["parts"],
-        "snapshot": leg["snapshot"],
-        "rows": [],
-        "queued_ms": 0.0,
-        "service_ms": 0.0,
-    }
-
-
 def create_peer_client(
     board: Blackboard,
     metrics: Metrics,
@@ -250,7 +234,7 @@
             raise faults[0]
         while open_legs:
             _, leg = open_legs.popitem()
-            on_reply(lost_reply(leg, may_have_run))
+            on_reply(reply_without_rows(leg, LegOutcome.PEER_LOST, may_have_run))
 
     def on_done(task: asyncio.Task[None]) -> None:
         tasks.discard(task)
@@ -267,7 +251,7 @@
             def fail() -> None:
                 while open_legs:
                     _, leg = open_legs.popitem()
-                    on_reply(lost_reply(leg, False))
+                    on_reply(reply_without_rows(leg, LegOutcome.PEER_LOST, False))
 
             return asyncio.get_running_loop().call_soon(fail).cancel
         task = asyncio.create_task(run_legs(pool, open_legs, on_reply, now_ms()))
--- a/packages/wisteriarock/src/wisteriarock/query/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/query/controller.py
@@ -30,6 +30,7 @@
     QueryRequest,
     SendLegs,
 )
+from .replies import reply_without_rows
 from .state import Action, CancelLeg, QueryState, SendLeg, SetTimer, Tier
 
 # The views are compared with the index at most this often: at the target size a comparison takes
@@ -90,22 +91,6 @@
     return Tier(HoldingIndex(), routing, hedging, rng)
 
 
-def _not_sent(leg: LegRequest) -> LegReply:
-    return LegReply(
-        leg_id=leg["leg_id"],
-        endpoint=leg["endpoint"],
-        outcome=LegOutcome.NOT_SENT,
-        executed=False,
-        shard=leg["shard"],
-        part=leg["part"],
-        parts=leg["parts"],
-        snapshot=leg["snapshot"],
-        rows=[],
-        queued_ms=0.0,
-        service_ms=0.0,
-    )
-
-
 def create_query_controller(
     board: Blackboard,
     metrics: Metrics,
@@ -193,7 +178,8 @@
             by_holder.setdefault(holder_of_endpoint(leg["endpoint"]), []).append(leg)
         for holder, legs in by_holder.items():
             if holder is None:
-                run.inbox.extend(_not_sent(leg) for leg in legs)
+                not_sent = LegOutcome.NOT_SENT
+                run.inbox.extend(reply_without_rows(leg, not_sent, False) for leg in legs)
             elif holder == own:
                 for leg in legs:
                     batch = _Batch(holder, {leg["leg_id"]})
