Gain the fixed part of the arrival budget over the window

Cause: each instance held its whole share of the fixed part as a burst, and that burst refilled only from requests.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -174,7 +174,7 @@
         return False
     now_ms = now_ms_of(state)
     is_extra = shard.arrivals > 0
-    if is_extra and not available(state.budget, shard.service):
+    if is_extra and not available(state.budget, shard.service, now_ms):
         state.log.detail("budget_exhausted", request=query.request_id, service=shard.service)
         return False
     if not _send(state, query, shard, now_ms):
@@ -200,7 +200,9 @@
             if now_ms >= shard.resend_at_ms:
                 shard.tried.clear()
                 _retry(state, query, shard)
-        elif is_hedge_due(query, shard, now_ms) and available(state.budget, shard.service):
+        elif is_hedge_due(query, shard, now_ms) and available(
+            state.budget, shard.service, now_ms
+        ):
             if not _send(state, query, shard, now_ms):
                 continue
             spend(state.budget, shard.service, now_ms)
@@ -243,7 +245,7 @@
     return (
         bool(query.route.shards)
         and may_send_again(query, shard)
-        and available(state.budget, shard.service)
+        and available(state.budget, shard.service, now_ms_of(state))
         and has_reachable(state.directory.by_service.get(shard.service, NO_ENDPOINTS))
     )
 
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -56,7 +56,12 @@
         self.directory = Directory()
         self.pools: dict[str, Pool] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.budget = ArrivalBudget(settings.extra_ratio, settings.extra_fixed, INSTANCES_DEFAULT)
+        self.budget = ArrivalBudget(
+            settings.extra_ratio,
+            settings.extra_fixed,
+            settings.extra_window_s,
+            INSTANCES_DEFAULT,
+        )
         self.instances = INSTANCES_DEFAULT
         self.feed_state = FeedState()
         self.dispatch = DispatchState(
@@ -166,7 +171,13 @@
     instance.log.record("instances_counted", before=instance.instances, now=instances)
     instance.instances = instances
     settings = instance.settings
-    set_instances(instance.budget, settings.extra_ratio, settings.extra_fixed, instances)
+    set_instances(
+        instance.budget,
+        settings.extra_ratio,
+        settings.extra_fixed,
+        settings.extra_window_s,
+        instances,
+    )
 
 
 def on_recorded(instance: Instance) -> None:
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -16,7 +16,7 @@
         Time from the request to stop until the process is killed.
     extra_ratio, extra_fixed : float
         Published budget of second arrivals at a service: share of its requests, and fixed part
-        for each window.
+        for each window of `extra_window_s` seconds.
     metrics : tuple or None
         Address that serves metrics and the state dump.
     """
@@ -31,6 +31,7 @@
     drain_grace_ms: float
     extra_ratio: float
     extra_fixed: float
+    extra_window_s: float
 
 
 class SettingsError(NamedTuple):
@@ -70,6 +71,7 @@
         ("drain_grace_ms", 100.0, 600_000.0, 6_000.0),
         ("extra_ratio", 0.0, 10.0, 0.2),
         ("extra_fixed", 0.0, 100_000.0, 50.0),
+        ("extra_window_s", 1.0, 3_600.0, 10.0),
     ):
         value = data.get(name, default)
         is_number = isinstance(value, int | float) and not isinstance(value, bool)
@@ -93,6 +95,7 @@
         numbers["drain_grace_ms"],
         numbers["extra_ratio"],
         numbers["extra_fixed"],
+        numbers["extra_window_s"],
     )
 
 
--- a/tests/wisteriarock/front/test_settings.py
+++ b/tests/wisteriarock/front/test_settings.py
@@ -18,6 +18,7 @@
     "drain_grace_ms": 6000,
     "extra_ratio": 0.2,
     "extra_fixed": 56,
+    "extra_window_s": 10,
 }
 
 
@@ -39,6 +40,7 @@
         ("drain_grace_ms", "6000"),
         ("extra_ratio", -1),
         ("extra_fixed", True),
+        ("extra_window_s", 0),
         ("zone", ""),
     ):
         settings = parse_settings(json.dumps({**GOOD, name: value}))
@@ -61,6 +63,7 @@
         "{{bounds.grace_s}}": "6",
         "{{bounds.budget_ratio}}": "0.2",
         "{{bounds.budget_extra}}": "56",
+        "{{bounds.budget_window_s}}": "10",
     }
     text = template.read_text(encoding="utf-8")
     for placeholder, value in values.items():
