--- a/tests/wisteriaplatform/fixtures.py
+++ b/tests/wisteriaplatform/fixtures.py
@@ -153,6 +153,7 @@
         6_000.0,
         0.2,
         100.0,
+        10.0,
     )
     loop = asyncio.get_running_loop()
     return Instance(loop, settings, WIRE, STORE, log, random.Random(1))
