Add a randomized fault soak over the real programs

The programs run as processes on loopback against the stand-ins of the store and of endpoints, behind links that are reset, silenced, cut one way or slowed. What callers and endpoints saw is checked: whole and own answers, runs, refusals, leaving endpoints, planned stops, versions in time and never back, budget, connections, time, recovery.

A check on the checker runs copies of the programs with a planted fault (a doubled send, a lost part counted as present, a stale configuration); each is found.

--- a/packages/standins/src/wisteriastandins/cli.py
+++ b/packages/standins/src/wisteriastandins/cli.py
@@ -11,5 +11,6 @@
     app.command("wisteriastandins.endpoint.command:endpoints", help="Run the endpoints of a zone.")
     app.command("wisteriastandins.platform.command:platform", help="Run the stand-in platform.")
     app.command("wisteriastandins.relay.command:relay", help="Run the link relay.")
+    app.command("wisteriastandins.soak.command:soak", help="Play random faults and check.")
     register(app)
     return app
--- a/packages/standins/src/wisteriastandins/relay/link.py
+++ b/packages/standins/src/wisteriastandins/relay/link.py
@@ -130,7 +130,7 @@
 
 def _push(link: Link, relayed: Relayed, pipe: Pipe, data: bytes) -> None:
     """Take a chunk, or the end of the stream as b"", from one end."""
-    if relayed.silent:
+    if relayed.silent or pipe.silent:
         return
     enqueue(pipe, link.state, data, now_ms())
     if pipe.timer is None and pipe.sink is not None:
@@ -157,7 +157,7 @@
             relayed.client = None
         else:
             relayed.target = None
-        if relayed.silent:
+        if relayed.silent or pipe.silent:
             remaining = relayed.target if is_client else relayed.client
             loop = asyncio.get_running_loop()
             loop.call_later(SILENT_LINGER_MS / 1000, reset, remaining)
@@ -245,3 +245,10 @@
         relayed.silent = True
         clear(relayed.up)
         clear(relayed.down)
+
+
+def silence_one_way(link: Link) -> None:
+    """Make the open connections forward nothing more towards the client."""
+    for relayed in link.relayed:
+        relayed.down.silent = True
+        clear(relayed.down)
--- a/packages/standins/src/wisteriastandins/relay/models.py
+++ b/packages/standins/src/wisteriastandins/relay/models.py
@@ -120,7 +120,8 @@
     """One direction of a connection.
 
     `queue` has (time of release in milliseconds, data), oldest first; empty data ends the stream.
-    `bytes_left` is how much may still pass before the connection is reset.
+    `bytes_left` is how much may still pass before the connection is reset. A silent pipe forwards
+    nothing, while the other direction may still work.
     """
 
     queue: deque[tuple[float, bytes]] = field(default_factory=deque)
@@ -132,3 +133,4 @@
     sink: asyncio.Transport | None = None
     sink_full: bool = False
     source_paused: bool = False
+    silent: bool = False
--- /dev/null
+++ b/packages/standins/src/wisteriastandins/soak/programs.py
@@ -0,0 +1,79 @@
+"""The real programs as processes that the soak starts, signals and ends by their ids."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+from .const import EXTRA_FIXED, EXTRA_RATIO, EXTRA_WINDOW_S, GRACE_MS, ZONES
+
+RESTART_PAUSE_S = 0.3
+
+
+class Program:
+    """One instance: its settings, its running process and the lives it has had."""
+
+    def __init__(self, number: int, folder: Path, ports: list[int], source: Path | None) -> None:
+        self.number = number
+        self.name = f"front-{number}"
+        self.zone = ZONES[number % len(ZONES)]
+        self.front_port, self.ready_port, self.peer_port, self.metrics_port = ports
+        self.settings_path = folder / f"{self.name}.json"
+        self.log_path = folder / f"{self.name}.log"
+        self.source = source
+        self.process: asyncio.subprocess.Process | None = None
+        self.is_wanted = False
+        self.is_in_rotation = False
+
+    def write_settings(self, store_port: int) -> None:
+        """Write the settings file."""
+        settings = {
+            "instance": self.name,
+            "zone": self.zone,
+            "front_address": f"127.0.0.1:{self.front_port}",
+            "ready_address": f"127.0.0.1:{self.ready_port}",
+            "peer_address": f"127.0.0.1:{self.peer_port}",
+            "metrics_address": f"127.0.0.1:{self.metrics_port}",
+            "store_address": f"127.0.0.1:{store_port}",
+            "drain_grace_ms": GRACE_MS,
+            "extra_ratio": EXTRA_RATIO,
+            "extra_fixed": EXTRA_FIXED,
+            "extra_window_s": EXTRA_WINDOW_S,
+        }
+        self.settings_path.write_text(json.dumps(settings), encoding="utf-8")
+
+    async def start(self) -> None:
+        """Start the process; its output is added to the log."""
+        environment = {**os.environ, "WISTERIAROCK_CONFIG": str(self.settings_path)}
+        if self.source is not None:
+            environment["PYTHONPATH"] = str(self.source)
+        self.is_wanted = True
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "wisteriaplatform",
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def ended(self) -> None:
+        """Wait until the process has ended."""
+        if self.process is not None:
+            await self.process.wait()
+
+    async def end(self) -> None:
+        """End the process for good."""
+        self.is_wanted = False
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        await self.ended()
--- a/packages/standins/src/wisteriastandins/users/endpoint.py
+++ b/packages/standins/src/wisteriastandins/users/endpoint.py
@@ -18,10 +18,15 @@
         The body of its replies.
     work_ms : float
         How long a request takes.
+    body_of : callable or None
+        Returns the body of the reply to a request id, in place of `records`.
     mode : str
         `ok`, `shed`, `error`, or `silent` (no reply).
     requests : list of CallerRequest
         What it received and ran.
+    on_arrival : callable
+        Called with each request that reached it, and the proof of its reply: empty where it did
+        not run.
     """
 
     def __init__(
@@ -31,6 +36,8 @@
         self.endpoint_id = endpoint_id
         self.service = service
         self.records = records
+        self.body_of: Callable[[bytes], bytes] | None = None
+        self.on_arrival: Callable[[CallerRequest, bytes], None] = lambda *_: None
         self.work_ms = 1.0
         self.mode = "ok"
         self.requests: list[CallerRequest] = []
@@ -58,16 +65,19 @@
             respond(Answer(421, [(b"Instance-Id", self.endpoint_id.encode())], b""))
             return _do_nothing
         if self.mode == "shed":
+            self.on_arrival(request, b"")
             respond(Answer(503, [(b"Not-Executed", b"1"), (b"Request-Id", request_id)], b""))
             return _do_nothing
         self.requests.append(request)
+        stamp = b"%s.%s.%d" % (self.endpoint_id.encode(), request_id, len(self.requests))
+        self.on_arrival(request, stamp)
         if self.mode == "silent":
             return _do_nothing
-        stamp = b"%s.%s.%d" % (self.endpoint_id.encode(), request_id, len(self.requests))
+        body = self.records if self.body_of is None else self.body_of(request_id)
         reply = Answer(
             500 if self.mode == "error" else 200,
             [(b"Request-Id", request_id), (b"Server-Stamp", stamp)],
-            self.records,
+            body,
         )
         timer = self.loop.call_later(self.work_ms / 1000, respond, reply)
         return timer.cancel
--- a/packages/standins/src/wisteriastandins/users/store_server.py
+++ b/packages/standins/src/wisteriastandins/users/store_server.py
@@ -33,7 +33,10 @@
     state : StoreState
         The content, which several servers may share.
     mode : str
-        `ok`, `busy` (503 to every call) or `silent` (no reply).
+        `ok`, `busy` (503 to every call), `silent` (no reply) or `lost` (calls are carried out, but
+        no reply arrives).
+    delay_ms : float
+        How long each reply takes.
     calls : list of str
         The calls received, by path.
     """
@@ -42,6 +45,7 @@
         super().__init__(loop, self._handle)
         self.state = state or StoreState()
         self.mode = "ok"
+        self.delay_ms = 0.0
         self.calls: list[str] = []
 
     def put(self, key: str, value: Any) -> int:
@@ -64,6 +68,10 @@
         expire_leases(self.state, self.loop.time() * 1000)
         if self.mode == "silent":
             return lambda: None
+        if self.mode == "lost":
+            respond = _drop
+        elif self.delay_ms:
+            respond = self._delayed(respond)
         if self.mode == "busy":
             _reply(respond, 503, {})
         elif parts.path == "/api/kv-key":
@@ -90,6 +98,12 @@
             _reply(respond, 404, {})
         return lambda: None
 
+    def _delayed(self, respond: Respond) -> Respond:
+        def respond_later(answer: Answer) -> None:
+            self.loop.call_later(self.delay_ms / 1000, respond, answer)
+
+        return respond_later
+
     def _watch(self, query: dict[str, str], respond: Respond) -> Callable[[], None]:
         prefix, after = query["prefix"], int(query["after"])
         end_s = self.loop.time() + int(query["wait_ms"]) / 1000
@@ -112,5 +126,9 @@
         return lambda: handle.cancel() if handle is not None else None
 
 
+def _drop(answer: Answer) -> None:
+    """Lose a reply."""
+
+
 def _reply(respond: Respond, status: int, body: dict[str, Any]) -> None:
     respond(Answer(status, [(b"Content-Type", b"application/json")], json.dumps(body).encode()))
--- /dev/null
+++ b/tests/wisteriastandins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fault soak."""
--- /dev/null
+++ b/tests/wisteriastandins/soak/test_plan.py
@@ -0,0 +1,38 @@
+"""Tests of the plans of faults."""
+
+from wisteriastandins.soak.const import CALM_END_S
+from wisteriastandins.soak.models import FaultKind
+from wisteriastandins.soak.plan import describe, make_plan
+
+from tests.common import function_suite
+
+
+def test_one_seed_gives_one_plan():
+    """Guards against a failing seed that cannot be played again."""
+    assert make_plan(7, 60.0) == make_plan(7, 60.0)
+    assert make_plan(7, 60.0) != make_plan(8, 60.0)
+    assert len(describe(make_plan(7, 60.0))) == len(make_plan(7, 60.0))
+
+
+def test_faults_end_before_the_calm_end():
+    """Guards against a verdict on recovery while faults still last."""
+    for seed in range(50):
+        plan = make_plan(seed, 60.0)
+        assert plan == sorted(plan)
+        assert all(fault.at_s + fault.for_s <= 60.0 - CALM_END_S + 1e-6 for fault in plan)
+
+
+def test_every_kind_is_played():
+    """Guards against a kind of fault that no seed draws, and against faults that never overlap."""
+    plans = [make_plan(seed, 60.0) for seed in range(50)]
+    assert {fault.kind for plan in plans for fault in plan} == set(FaultKind)
+    overlaps = sum(
+        1
+        for plan in plans
+        for one, next_one in zip(plan, plan[1:], strict=False)
+        if one.at_s + one.for_s > next_one.at_s
+    )
+    assert overlaps > 500
+
+
+load_tests = function_suite(globals())
--- /dev/null
+++ b/tests/wisteriastandins/soak/test_run.py
@@ -0,0 +1,79 @@
+"""Short runs of the soak: the programs keep their promises, and planted faults are found."""
+
+import shutil
+import tempfile
+from pathlib import Path
+
+from wisteriastandins.soak.models import Fault, FaultKind
+from wisteriastandins.soak.run import SoakOptions, SoakResult, format_result, run_soak
+
+from tests.common import function_suite
+
+ROOT = Path(__file__).parents[3]
+PACKAGES = (
+    ROOT / "packages" / "wisteriarock" / "src" / "wisteriarock",
+    ROOT / "platform" / "wisteriaplatform",
+)
+
+
+def test_seeded_run_keeps_what_must_hold():
+    """Guards against mixed answers, second runs and bounds broken in sum, under faults.
+
+    Promises that name a time are checked by hand, as the verdict must not depend on the machine.
+    """
+    options = SoakOptions(3, 20.0, instances=4, callers=8, is_timed=False)
+    result = run_soak(options)
+    assert not result.violations, "\n".join(format_result(options, result))
+    assert sum(1 for attempt in result.seen.attempts if attempt.status == 200) > 100
+
+
+def _run_copy(path: str, before: str, after: str, plan: list[Fault]) -> SoakResult:
+    """Run a copy of the programs with a fault planted in one file."""
+    with tempfile.TemporaryDirectory() as folder:
+        for package in PACKAGES:
+            shutil.copytree(package, Path(folder) / package.name)
+        file = Path(folder) / "wisteriarock" / path
+        text = file.read_text(encoding="utf-8")
+        assert text.count(before) == 1, f"{path} does not hold the line to change"
+        file.write_text(text.replace(before, after), encoding="utf-8")
+        options = SoakOptions(5, 8.0, instances=2, callers=6, source=Path(folder))
+        return run_soak(options, plan)
+
+
+def test_doubled_send_is_found():
+    """Guards against a checker that does not see a request that runs twice."""
+    result = _run_copy(
+        "dispatch/legs.py",
+        "    state.pool_of(endpoint).send(leg.exchange)\n",
+        "    state.pool_of(endpoint).send(leg.exchange)\n"
+        "    state.pool_of(endpoint).send("
+        "Exchange(encode, accepts, lambda outcome: None, lambda: None))\n",
+        [],
+    )
+    assert "twice" in {violation.promise for violation in result.violations}
+
+
+def test_lost_part_counted_as_present_is_found():
+    """Guards against a checker that believes the number of missing parts."""
+    failing = [Fault(0.5, FaultKind.ENDPOINT_ERROR, target, 6.0) for target in (4, 5)]
+    result = _run_copy(
+        "dispatch/answers.py",
+        "    missing = len(query.shards) - query.parts\n",
+        "    missing = 0\n",
+        failing,
+    )
+    assert "answer" in {violation.promise for violation in result.violations}
+
+
+def test_stale_configuration_is_found():
+    """Guards against a checker that does not see an instance that keeps an older version."""
+    result = _run_copy(
+        "discovery/controller.py",
+        "    if not adopt(state.catalog, configuration, now_ms):\n",
+        "    if state.catalog.configuration or not adopt(state.catalog, configuration, now_ms):\n",
+        [Fault(0.5, FaultKind.CONFIGURE, 0, 0.0)],
+    )
+    assert "configuration" in {violation.promise for violation in result.violations}
+
+
+load_tests = function_suite(globals())
