--- a/packages/standins/src/wisteriastandins/soak/callers.py
+++ b/packages/standins/src/wisteriastandins/soak/callers.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Callable
 
+from wisteriastandins.users.response import read_response
+
 from .const import (
     CALLER_PAUSE_S,
     CALLER_SLACK_MS,
@@ -94,18 +96,6 @@
     return (head + rng.choice(heads)).encode()
 
 
-async def _read(reader: asyncio.StreamReader) -> tuple[int, dict[str, str], bytes]:
-    head = await reader.readuntil(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    headers = {}
-    for line in lines[1:]:
-        name, _, value = line.partition(":")
-        if name:
-            headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return int(lines[0].split()[1]), headers, body
-
-
 class Caller:
     """A caller with at most one open connection."""
 
@@ -163,7 +153,7 @@
         try:
             async with asyncio.timeout(wait_ms / 1000):
                 writer.write(data)
-                status, headers, body = await _read(reader)
+                status, headers, body = await read_response(reader)
         except TimeoutError:
             has_left = leaves
         except (OSError, asyncio.IncompleteReadError):
--- a/tests/wisteriaplatform/fixtures.py
+++ b/tests/wisteriaplatform/fixtures.py
@@ -14,6 +14,7 @@
 from wisteriarock.front.settings import FrontSettings
 from wisteriarock.observability.event_log import EventLog
 from wisteriastandins.users.endpoint import UsersEndpoint
+from wisteriastandins.users.response import Response, read_response
 from wisteriastandins.users.store_server import StoreServer
 
 HOST = "shop.example"
@@ -36,14 +37,6 @@
     log: int
 
 
-class Response(NamedTuple):
-    """A response as a caller sees it; header names are in lower case."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 def records(*letters: str) -> bytes:
     """Return one record of 16 bytes for each letter."""
     return b"".join(letter.encode() * 16 for letter in letters)
@@ -104,19 +97,6 @@
         await asyncio.sleep(0.005)
 
 
-async def read_response(reader: asyncio.StreamReader) -> Response:
-    """Read one response with a length."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    headers = {}
-    for line in lines[1:]:
-        name, _, value = line.partition(":")
-        if name:
-            headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Response(int(lines[0].split()[1]), headers, body)
-
-
 async def send(port: int, raw: bytes) -> Response:
     """Send bytes on a connection of their own and return the response."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -7,6 +7,7 @@
 from wisteriarock.feed.controller import is_relay, look_for_relays
 from wisteriarock.feed.controller import stop as stop_feed
 from wisteriarock.front.app import drain
+from wisteriastandins.users.response import read_response
 from wisteriastandins.users.store_server import StoreServer
 
 from tests.common import function_suite
@@ -14,7 +15,6 @@
     another_instance,
     deployment,
     operators_configuration,
-    read_response,
     records,
     request_bytes,
     send,
