Tell the own zone when an instance finds itself cut off

Change: an instance that is cut off reports the zones that it lost to its zone's relay, which passes this on at once. Each instance believes it only if the store does not answer it either, and only of zones that it has not heard since.

Ruled out before: the seconds until the first instance notices (0.4 to 0.8 s) and the balancer's own two misses stay as they are.

Tests fail before: neighbours of a cut-off instance, a report while the store answers.

--- a/packages/wisteriarock/src/wisteriarock/balancing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/decide.py
@@ -161,6 +161,22 @@
     return lost
 
 
+def take_reported_loss(
+    endpoints: Collection[Endpoint], zones: Collection[str], heard_since_ms: float
+) -> list[str]:
+    """Mark the endpoints of zones that a neighbour reported as lost; return these zones.
+
+    A zone that was heard since then is not lost for this instance.
+    """
+    heard = {each.zone for each in endpoints if each.heard_at_ms >= heard_since_ms}
+    lost = [zone for zone in zones if zone not in heard]
+    for endpoint in endpoints:
+        if endpoint.zone in lost and not endpoint.is_unreachable:
+            endpoint.is_unreachable = True
+            endpoint.is_zone_lost = True
+    return lost
+
+
 def regain_zone(endpoints: Collection[Endpoint], zone: str) -> int:
     """Let the endpoints of a zone be used again after one of them was reached."""
     regained = 0
--- a/packages/wisteriarock/src/wisteriarock/feed/const.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/const.py
@@ -29,6 +29,9 @@
 HISTORY_MAX_BYTES = 2 * 1024 * 1024
 # Largest decoded answer: the history, with the names and quotes around it.
 ANSWER_MAX_BYTES = 8 * 1024 * 1024
+# Time for which a relay passes on that an instance of its zone is cut off, and its longest call.
+LOST_ZONES_KEPT_MS = 1_500.0
+REPORT_TIMEOUT_MS = 200.0
 # A follower that has not called for this long has left.
 FOLLOWER_GONE_MS = 4_000.0
 # Time for which the number of instances of a zone without relay is remembered.
--- a/packages/wisteriarock/src/wisteriarock/feed/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/controller.py
@@ -19,6 +19,7 @@
     POLL_WAIT_MS,
     RELAY_STORE_AGE_MS,
     RENEW_EVERY_MS,
+    REPORT_TIMEOUT_MS,
     RETRY_MS,
     STANDBY_DELAY_MS,
     STORE_CHECK_EVERY_MS,
@@ -29,7 +30,9 @@
     count_own_zone,
     encode_answer,
     encoded_changes,
+    fresh_lost_zones,
     is_fed_from,
+    note_lost_zones,
     note_relay,
     read_answer,
     relay_value,
@@ -56,6 +59,8 @@
         The store does not answer this relay, so that its followers have to look elsewhere.
     waiting : list of callable
         Followers that wait for changes.
+    on_lost_zones : callable
+        Called with the zones that another instance of the own zone cannot reach.
     """
 
     def __init__(
@@ -92,6 +97,7 @@
         self.is_stopping = False
         self.is_cut_off = False
         self.waiting: list[Callable[[], None]] = []
+        self.on_lost_zones: Callable[[list[str]], None] = lambda zones: None
 
 
 def _now_ms(feed: Feed) -> float:
@@ -112,7 +118,17 @@
 
 def handle_follower(feed: Feed, request: CallerRequest, respond: Respond) -> Callable[[], None]:
     """Answer a follower as soon as there are changes, or after its wait."""
-    query = dict(parse_qsl(urlsplit(request.target.decode("latin-1")).query))
+    parts = urlsplit(request.target.decode("latin-1"))
+    query = dict(parse_qsl(parts.query))
+    if parts.path == "/lost":
+        _take_report(feed, query)
+        respond(Answer(200, [], b""))
+        return _do_nothing
+    is_own_zone = query.get("zone") == feed.zone
+    lost_zones = fresh_lost_zones(feed.state, _now_ms(feed)) if is_own_zone else ()
+    if lost_zones:
+        respond(_lost_zones_answer(feed, lost_zones))
+        return _do_nothing
     after_text = query.get("after", "")
     is_serving = is_relay(feed) and not feed.is_stopping and not feed.is_cut_off
     if not after_text.isdigit() or not is_serving:
@@ -120,14 +136,14 @@
         return _do_nothing
     after = int(after_text)
     is_standby = query.get("standby") == "1"
-    if query.get("zone") == feed.zone:
+    if is_own_zone:
         feed.state.followers[query.get("instance", "")] = _now_ms(feed)
     end_ms = _now_ms(feed) + POLL_WAIT_MS
     timer = feed.loop.call_later(POLL_WAIT_MS / 1000, lambda: answer())
 
     def answer() -> None:
         cancel()
-        respond(_answer_follower(feed, after, is_standby=is_standby))
+        respond(_answer_follower(feed, after, is_standby=is_standby, is_own_zone=is_own_zone))
 
     def wake() -> None:
         nonlocal timer
@@ -150,7 +166,48 @@
     return cancel
 
 
-def _answer_follower(feed: Feed, after: int, *, is_standby: bool) -> Answer:
+def _take_report(feed: Feed, query: dict[str, str]) -> None:
+    """Pass on that an instance of the own zone is cut off from other zones."""
+    zones = [zone for zone in query.get("zones", "").split(",") if zone]
+    is_own_zone = query.get("zone") == feed.zone
+    if is_own_zone and note_lost_zones(feed.state, zones, _now_ms(feed)):
+        feed.log.record("zones_reported_lost", zones=",".join(zones), by=query.get("instance"))
+        on_recorded(feed)
+        feed.on_lost_zones(zones)
+
+
+async def report_lost_zones(feed: Feed, zones: list[str]) -> None:
+    """Tell the other instances of the own zone, through its relay, that zones are lost.
+
+    The balancer moves callers only when no instance of a zone is ready, and an instance without
+    requests does not notice by itself that it is cut off.
+    """
+    if is_relay(feed):
+        if note_lost_zones(feed.state, zones, _now_ms(feed)):
+            on_recorded(feed)
+        return
+    relay = feed.state.relays.get(feed.zone)
+    if relay is None:
+        return
+    client = StoreClient(feed.loop, relay.host, relay.port, _classify, Counters())
+    target = f"/lost?zones={','.join(zones)}&instance={feed.instance}&zone={feed.zone}"
+    call = f"GET {target} HTTP/1.1\r\nHost: {relay.instance}\r\n\r\n".encode()
+    outcome = await client.call(call, REPORT_TIMEOUT_MS)
+    if isinstance(outcome, StoreError):
+        feed.log.detail("report_failed", relay=relay.instance, kind=outcome.kind.value)
+    if client.link is not None:
+        client.link.close("reported")
+
+
+def _lost_zones_answer(feed: Feed, lost_zones: tuple[str, ...]) -> Answer:
+    answer = standby_answer(feed.state, feed.store_age_ms(), feed.calm_ms(), lost_zones)
+    return Answer(200, [], encode_answer(answer))
+
+
+def _answer_follower(feed: Feed, after: int, *, is_standby: bool, is_own_zone: bool) -> Answer:
+    lost_zones = fresh_lost_zones(feed.state, _now_ms(feed)) if is_own_zone else ()
+    if lost_zones:
+        return _lost_zones_answer(feed, lost_zones)
     if feed.is_cut_off or feed.store_age_ms() > RELAY_STORE_AGE_MS:
         return Answer(503, [], b"store is away")
     if is_standby:
@@ -221,6 +278,9 @@
         feed.log.record("feed_bad", relay=relay.instance)
         return None
     items, answer = read
+    if answer["lost_zones"]:
+        feed.on_lost_zones(answer["lost_zones"])
+        return None
     if items is not None:
         feed.apply(items, answer)
     return answer["revision"]
--- a/packages/wisteriarock/src/wisteriarock/feed/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/decide.py
@@ -2,6 +2,7 @@
 
 import json
 import zlib
+from collections.abc import Sequence
 
 from wisteriarock.store.models import Item
 
@@ -15,6 +16,7 @@
     HISTORY_MAX,
     HISTORY_MAX_BYTES,
     KEY_PREFIX,
+    LOST_ZONES_KEPT_MS,
 )
 from .models import FeedAnswer, FeedState, Relay, RelayValue
 
@@ -59,19 +61,36 @@
         "store_age_ms": store_age_ms,
         "calm_ms": calm_ms,
         "changes": changes,
+        "lost_zones": [],
     }
 
 
-def standby_answer(state: FeedState, store_age_ms: float, calm_ms: float) -> FeedAnswer:
+def standby_answer(
+    state: FeedState, store_age_ms: float, calm_ms: float, lost_zones: Sequence[str] = ()
+) -> FeedAnswer:
     """Return an answer that says how far the relay is, without the changes."""
     return {
         "revision": state.revision,
         "store_age_ms": store_age_ms,
         "calm_ms": calm_ms,
         "changes": None,
+        "lost_zones": list(lost_zones),
     }
 
 
+def note_lost_zones(state: FeedState, zones: Sequence[str], now_ms: float) -> bool:
+    """Keep which zones an instance reported as lost; tell whether that is news."""
+    is_news = not fresh_lost_zones(state, now_ms) or set(zones) != set(state.lost_zones)
+    if zones:
+        state.lost_zones, state.lost_zones_at_ms = tuple(zones), now_ms
+    return bool(zones) and is_news
+
+
+def fresh_lost_zones(state: FeedState, now_ms: float) -> tuple[str, ...]:
+    """Return the zones that were reported as lost a short time ago."""
+    return state.lost_zones if now_ms - state.lost_zones_at_ms < LOST_ZONES_KEPT_MS else ()
+
+
 def encode_answer(answer: FeedAnswer) -> bytes:
     """Return an answer as it is sent: compressed JSON."""
     text = json.dumps(answer, separators=(",", ":"))
@@ -123,6 +142,7 @@
             "store_age_ms": float(data["store_age_ms"]),
             "calm_ms": float(data["calm_ms"]),
             "changes": None,
+            "lost_zones": [str(zone) for zone in data["lost_zones"]],
         }
     except (zlib.error, ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/packages/wisteriarock/src/wisteriarock/feed/models.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/models.py
@@ -39,13 +39,15 @@
     A change is a list of key, revision, and value (a character for each byte) or None where the key
     was removed. A relay that is on standby for the follower says None instead of the changes.
     `store_age_ms` is the time since the relay heard the store, `calm_ms` how long the store has
-    answered it without failure.
+    answered it without failure. `lost_zones` are zones that an instance of the relay's own zone
+    cannot reach, while it is cut off from the store as well.
     """
 
     revision: int
     store_age_ms: float
     calm_ms: float
     changes: list[tuple[str, int, str | None]] | None
+    lost_zones: list[str]
 
 
 class FeedState:
@@ -60,6 +62,8 @@
     fed_at_ms : dict
         Time of the last useful answer of each relay that is followed, by place. A relay that
         refuses or does not answer has none.
+    lost_zones : tuple of str
+        Zones that an instance of the own zone reported as lost, at `lost_zones_at_ms`.
     encoded : dict
         Encoded answers by the revision that was asked for, as of `encoded_at_ms` and of
         `encoded_revision`.
@@ -78,6 +82,8 @@
         "history_bytes",
         "history_from",
         "lease",
+        "lost_zones",
+        "lost_zones_at_ms",
         "published_count",
         "relay_since_ms",
         "relays",
@@ -92,6 +98,8 @@
         self.history_bytes = 0
         self.history_from = 0
         self.revision = 0
+        self.lost_zones: tuple[str, ...] = ()
+        self.lost_zones_at_ms = 0.0
         self.encoded: dict[int, bytes] = {}
         self.encoded_at_ms = 0.0
         self.encoded_revision = 0
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -1,10 +1,18 @@
 """Work that an instance repeats for the life of the process."""
 
-from wisteriarock.balancing.const import PROBE_EVERY_MS, ZONE_PROBES
-from wisteriarock.balancing.decide import find_lost_zones, find_unreachable
+from collections.abc import Coroutine
+from typing import Any
+
+from wisteriarock.balancing.const import PROBE_EVERY_MS, ZONE_PROBES, ZONE_SILENCE_MS
+from wisteriarock.balancing.decide import (
+    find_lost_zones,
+    find_unreachable,
+    take_reported_loss,
+)
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.discovery import controller as discovery
 from wisteriarock.dispatch.legs import close_abandoned
+from wisteriarock.feed import controller as feed
 from wisteriarock.http.const import SWEEP_EVERY_MS
 
 from .const import (
@@ -25,6 +33,7 @@
 
 def start(instance: Instance) -> None:
     """Start all repeated work."""
+    instance.feed.on_lost_zones = lambda zones: _on_lost_zones(instance, zones)
     _look_after_endpoints(instance)
     _sweep(instance)
     _flush(instance)
@@ -52,9 +61,47 @@
         endpoint.next_probe_ms = now_ms + PROBE_EVERY_MS
         pool_of(instance, endpoint).probe()
     _check_store(instance, now_ms)
+    _report_isolation(instance)
     instance.loop.call_later(HOUSEKEEPING_EVERY_MS / 1000, _look_after_endpoints, instance)
 
 
+async def verify_lost_zones(instance: Instance, zones: list[str]) -> None:
+    """Take over that zones are lost if the store does not answer this instance either."""
+    heard_since_ms = instance.loop.time() * 1000 - ZONE_SILENCE_MS
+    if await discovery.check(instance.discovery, STORE_CHECK_TIMEOUT_MS):
+        return
+    if not instance.discovery.is_silent:
+        return
+    endpoints = instance.directory.by_id.values()
+    for zone in take_reported_loss(endpoints, zones, heard_since_ms):
+        instance.log.record("zone_unreachable", zone=zone, reported=True)
+    update_ready(instance)
+
+
+def _on_lost_zones(instance: Instance, zones: list[str]) -> None:
+    others = [zone for zone in zones if zone != instance.settings.zone]
+    if not others or instance.dispatch.isolated_since_ms is not None:
+        return
+    _spawn(instance, verify_lost_zones(instance, others))
+
+
+def _report_isolation(instance: Instance) -> None:
+    """Tell the own zone when this instance finds itself cut off."""
+    is_isolated = instance.dispatch.isolated_since_ms is not None
+    if is_isolated and not instance.was_isolated:
+        endpoints = instance.directory.by_id.values()
+        zones = sorted({each.zone for each in endpoints if each.is_zone_lost})
+        if zones:
+            _spawn(instance, feed.report_lost_zones(instance.feed, zones))
+    instance.was_isolated = is_isolated
+
+
+def _spawn(instance: Instance, work: Coroutine[Any, Any, None]) -> None:
+    task = instance.loop.create_task(work)
+    instance.tasks.add(task)
+    task.add_done_callback(instance.tasks.discard)
+
+
 def _close_idle(instance: Instance, endpoint: Endpoint) -> None:
     pool = instance.pools.get(endpoint.endpoint_id)
     for link in pool.idle[:] if pool is not None else ():
@@ -69,10 +116,12 @@
         return
     if now_ms - state.checked_at_ms < STORE_CHECK_EVERY_MS:
         return
-    task = instance.loop.create_task(discovery.check(state, STORE_CHECK_TIMEOUT_MS))
-    instance.tasks.add(task)
-    task.add_done_callback(instance.tasks.discard)
-    task.add_done_callback(lambda _: update_ready(instance) and None)
+    _spawn(instance, _check_and_update(instance))
+
+
+async def _check_and_update(instance: Instance) -> None:
+    await discovery.check(instance.discovery, STORE_CHECK_TIMEOUT_MS)
+    update_ready(instance)
 
 
 def _sweep(instance: Instance) -> None:
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -52,6 +52,7 @@
         self.phase = Phase.STARTING
         self.held = Held(loop.time() * 1000)
         self.was_ready: bool | None = None
+        self.was_isolated = False
         self.catalog = Catalog()
         self.directory = Directory()
         self.pools: dict[str, Pool] = {}
--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import json
+import math
 import os
 
+from wisteriarock.balancing.decide import take_reported_loss
 from wisteriarock.feed.controller import is_relay, look_for_relays
 from wisteriarock.feed.controller import stop as stop_feed
 from wisteriarock.front.app import drain
+from wisteriarock.front.housekeeping import verify_lost_zones
+from wisteriarock.front.instance import update_ready
 from wisteriastandins.users.response import read_response
 from wisteriastandins.users.store_server import StoreServer
 
@@ -280,6 +284,38 @@
             assert second.feed_state.history_from < running.store.state.history_from
 
 
+async def test_neighbours_learn_that_their_zone_is_cut_off():
+    """Guards against callers kept in a zone that is cut off by an instance without requests.
+
+    Found on popravka-search trouble-3: one of four instances noticed 1.3 s after the others, and
+    the balancer moves callers only when none is ready.
+    """
+    async with deployment() as running:
+        await wait_until(lambda: is_relay(running.instance.feed))
+        for endpoint in running.endpoints.values():
+            entry = endpoint.entry(zone="zone-b", born=2_000)
+            running.store.put(f"servers/{endpoint.endpoint_id}", entry)
+        async with another_instance(running, "front-2") as second:
+            await wait_until(second.discovery.is_fed)
+            await wait_until(lambda: len(second.directory.by_service.get("invoicing", [])) == 2)
+            running.store.mode = "silent"
+            for instance in (running.instance, second):
+                for endpoint in instance.directory.by_id.values():
+                    endpoint.next_probe_ms = math.inf
+            lost = running.instance.directory.by_id.values()
+            take_reported_loss(lost, ["zone-b"], math.inf)
+            await wait_until(lambda: not update_ready(second))
+            assert second.dispatch.isolated_since_ms is not None
+
+
+async def test_report_of_a_lost_zone_is_not_believed_while_the_store_answers():
+    """Guards against a whole zone leaving the rotation because one instance is cut off."""
+    async with deployment() as running:
+        await wait_until(lambda: update_ready(running.instance))
+        await verify_lost_zones(running.instance, ["zone-a"])
+        assert update_ready(running.instance)
+
+
 async def test_late_claim_costs_one_read():
     """Guards against a lease and a write of each instance that finds its zone's relay taken."""
     async with deployment() as running:
--- a/tests/wisteriarock/balancing/test_decide.py
+++ b/tests/wisteriarock/balancing/test_decide.py
@@ -14,6 +14,7 @@
     observe_given_up,
     observe_reply,
     regain_zone,
+    take_reported_loss,
 )
 from wisteriarock.balancing.models import Endpoint
 
@@ -125,4 +126,14 @@
     assert find_lost_zones(slow, 20.0 + ZONE_SILENCE_MS) == []
 
 
+def test_reported_loss_is_not_believed_of_a_zone_that_was_heard():
+    """Guards against endpoints given up because a neighbour is cut off from them."""
+    endpoints = [endpoint("b", zone="zone-b"), endpoint("c", zone="zone-c")]
+    endpoints[1].heard_at_ms = 900.0
+    assert take_reported_loss(endpoints, ["zone-b", "zone-c"], 800.0) == ["zone-b"]
+    assert [each.is_unreachable for each in endpoints] == [True, False]
+    regain_zone(endpoints, "zone-b")
+    assert not endpoints[0].is_unreachable
+
+
 load_tests = function_suite(globals())
