Name the endpoints that owe a reply, and the missing shards, on failed requests

Now the line on a failure says whether the route allows repeats and which endpoints owe a reply and for how long; a refusal names route, version and missing shards.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -3,6 +3,7 @@
 from wisteriarock.http.front import Answer, Respond
 from wisteriarock.http.models import Headers
 
+from .const import LOGGED_NAMES_MAX
 from .decide import retry_after_ms
 from .legs import abandon
 from .merge import merge_records
@@ -23,11 +24,12 @@
     status: int,
     reason: str,
     time_left_ms: float | None = None,
+    **details: object,
 ) -> None:
-    """Answer a request that is not started."""
+    """Answer a request that is not started; the details go into the log line only."""
     headers = _retry_headers(state, time_left_ms) if status == 503 else []
     state.counters.count("refusals", str(status))
-    state.log.record("refused", request=request_id, status=status, reason=reason)
+    state.log.record("refused", request=request_id, status=status, reason=reason, **details)
     respond(Answer(status, headers, reason.encode()))
 
 
@@ -60,7 +62,22 @@
         answer = Answer(504, [], reason.encode())
     else:
         answer = Answer(502, [], reason.encode())
-    finish(state, query, answer, reason)
+    waiting = _describe_waiting(query, now_ms_of(state))
+    finish(state, query, answer, reason, idempotent=query.route.idempotent, waiting=waiting)
+
+
+def _describe_waiting(query: Query, now_ms: float) -> str:
+    """Name endpoints that owe a reply, and for how long; shards that had no leg are named too."""
+    owed = []
+    for shard in query.shards:
+        if shard.part is not None:
+            continue
+        owed += [
+            f"{shard.service}/{leg.endpoint.endpoint_id}:{now_ms - leg.sent_ms:.0f}ms"
+            for leg in shard.legs
+        ] or [f"{shard.service}/none"]
+    more = len(owed) - LOGGED_NAMES_MAX
+    return ",".join(owed[:LOGGED_NAMES_MAX]) + (f",and {more} more" if more > 0 else "")
 
 
 def end_query(state: DispatchState, query: Query) -> None:
@@ -76,8 +93,10 @@
             abandon(state, leg, now_ms)
 
 
-def finish(state: DispatchState, query: Query, answer: Answer, outcome: str) -> None:
-    """End a query with its answer, and log it."""
+def finish(
+    state: DispatchState, query: Query, answer: Answer, outcome: str, **details: object
+) -> None:
+    """End a query with its answer, and log it with details of a failure."""
     end_query(state, query)
     now_ms = now_ms_of(state)
     name = query.route.name
@@ -98,5 +117,6 @@
         hedges=query.hedges,
         retries=query.retries,
         took_ms=now_ms - query.started_ms,
+        **details,
     )
     query.respond(answer)
--- a/packages/wisteriarock/src/wisteriarock/dispatch/const.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/const.py
@@ -49,3 +49,5 @@
 # Time after which a caller should come back when no endpoint can be reached, and its spread.
 RETRY_AFTER_MS = 300.0
 RETRY_AFTER_SPREAD_MS = 300.0
+# Endpoints or services that a log line on a failed request names at most.
+LOGGED_NAMES_MAX = 6
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -10,7 +10,7 @@
 
 from .answers import answer_now, end_query, fail, succeed
 from .budget import available, earn, spend
-from .const import HEDGE_TICK_MS
+from .const import HEDGE_TICK_MS, LOGGED_NAMES_MAX
 from .decide import (
     create_latency,
     is_hedge_due,
@@ -64,12 +64,25 @@
     query.version = state.catalog.configuration.version if state.catalog.configuration else 0
     set_times(query, head.time_left_ms)
     listed = state.directory.by_service
-    reachable = sum(1 for service in services if has_reachable(listed.get(service, NO_ENDPOINTS)))
+    missing = [
+        service for service in services if not has_reachable(listed.get(service, NO_ENDPOINTS))
+    ]
+    reachable = len(services) - len(missing)
     for service in services:
         earn(state.budget, service)
     if reachable < query.needed:
         reason = f"only {reachable} of {query.needed} needed shards have a reachable endpoint"
-        answer_now(state, respond, head.request_id, 503, reason, head.time_left_ms)
+        answer_now(
+            state,
+            respond,
+            head.request_id,
+            503,
+            reason,
+            head.time_left_ms,
+            route=route.name,
+            version=query.version,
+            missing=",".join(missing[:LOGGED_NAMES_MAX]),
+        )
         return _do_nothing
     query.template = state.wire.prepare_leg(request)
     state.active.add(query)
--- a/tests/wisteriarock/dispatch/test_days.py
+++ b/tests/wisteriarock/dispatch/test_days.py
@@ -219,4 +219,27 @@
     assert logged == set(day.answers)
 
 
+def test_failures_name_the_endpoints_that_owe_a_reply():
+    """Guards against a failed request whose log does not lead to the endpoint that caused it.
+
+    Found with ids drawn from incident inc-c662: requests that are not idempotent ended at the
+    route's timeout without any line on the endpoint that was silent.
+    """
+    day = Emulator(plain_route(idempotent=False, timeout_ms=500.0))
+    for endpoint in day.endpoints.values():
+        endpoint.mode = "dark"
+    day.request(0)
+    day.loop.run_until_ms(600.0)
+    (ended,) = [fields for event, fields in day.log.events if event == "answered"]
+    assert ended["status"] == 504 and ended["idempotent"] is False
+    assert str(ended["waiting"]).startswith("invoicing/invoicing/"), ended["waiting"]
+    assert str(ended["waiting"]).endswith(":500ms")
+    day.loop.run_until_ms(3_000.0)
+    for endpoint in day.directory.by_id.values():
+        endpoint.is_unreachable = True
+    day.request(1)
+    (refused,) = [fields for event, fields in day.log.events if event == "refused"]
+    assert refused["missing"] == "invoicing" and refused["route"] == "invoices"
+
+
 load_tests = function_suite(globals())
