--- a/packages/wisteriarock/src/wisteriarock/balancing/const.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/const.py
@@ -33,3 +33,5 @@
 ZONE_SILENT_ENDPOINTS = 4
 # Endpoints of an unreachable zone that are tried at a time.
 ZONE_PROBES = 3
+# Share of a zone's endpoints out of reach from which a cut-off instance reports the zone as lost.
+LOST_ZONE_SHARE = 0.5
--- a/packages/wisteriarock/src/wisteriarock/balancing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/decide.py
@@ -11,6 +11,7 @@
     ERROR_COST,
     FORGET_MS,
     JITTER,
+    LOST_ZONE_SHARE,
     SAMPLE_WEIGHT,
     STALL_COST,
     STALL_FACTOR,
@@ -161,6 +162,23 @@
     return lost
 
 
+def zones_out_of_reach(endpoints: Collection[Endpoint], own_zone: str) -> list[str]:
+    """Return the other zones of which most endpoints cannot be reached.
+
+    A cut that resets connections shows at single endpoints first, not as a silent zone.
+    """
+    total: dict[str, int] = {}
+    unreachable: dict[str, int] = {}
+    for endpoint in endpoints:
+        total[endpoint.zone] = total.get(endpoint.zone, 0) + 1
+        unreachable[endpoint.zone] = unreachable.get(endpoint.zone, 0) + endpoint.is_unreachable
+    return sorted(
+        zone
+        for zone, count in total.items()
+        if zone != own_zone and unreachable[zone] >= LOST_ZONE_SHARE * count
+    )
+
+
 def take_reported_loss(
     endpoints: Collection[Endpoint], zones: Collection[str], heard_since_ms: float
 ) -> list[str]:
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -8,6 +8,7 @@
     find_lost_zones,
     find_unreachable,
     take_reported_loss,
+    zones_out_of_reach,
 )
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.discovery import controller as discovery
@@ -90,7 +91,7 @@
     is_isolated = instance.dispatch.isolated_since_ms is not None
     if is_isolated and not instance.was_isolated:
         endpoints = instance.directory.by_id.values()
-        zones = sorted({each.zone for each in endpoints if each.is_zone_lost})
+        zones = zones_out_of_reach(endpoints, instance.settings.zone)
         if zones:
             _spawn(instance, feed.report_lost_zones(instance.feed, zones))
     instance.was_isolated = is_isolated
--- a/tests/wisteriarock/balancing/test_decide.py
+++ b/tests/wisteriarock/balancing/test_decide.py
@@ -15,6 +15,7 @@
     observe_reply,
     regain_zone,
     take_reported_loss,
+    zones_out_of_reach,
 )
 from wisteriarock.balancing.models import Endpoint
 
@@ -136,4 +137,17 @@
     assert not endpoints[0].is_unreachable
 
 
+def test_zone_behind_a_cut_that_resets_connections_is_out_of_reach():
+    """Guards against a cut-off instance that has nothing to report, as in incident inc-deeb."""
+    own = [endpoint(f"a{number}") for number in range(2)]
+    other = [endpoint(f"b{number}", zone="zone-b") for number in range(4)]
+    for each in (*own, *other[:2]):
+        for _ in range(2):
+            observe_connect_failed(each)
+        find_unreachable(each, 0.0)
+    assert zones_out_of_reach([*own, *other], "zone-a") == ["zone-b"]
+    observe_connected(other[0])
+    assert zones_out_of_reach([*own, *other], "zone-a") == []
+
+
 load_tests = function_suite(globals())
