Let an answer of the feed be as large as the history may become

Found on reading: JSON takes up to 6 characters for a byte that is no text, so that a history of 2 MB could exceed the 8 MB that a follower unpacks. The factor of the compression is that of a measured configuration.

--- a/packages/wisteriarock/src/wisteriarock/feed/const.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/const.py
@@ -11,7 +11,7 @@
 STANDBY_DELAY_MS = 300.0
 # Time for which an encoded answer serves all followers that ask for the same changes.
 ANSWER_REUSE_MS = 20.0
-# Effort of the compression (1 to 9): the fastest makes a configuration about 8 times smaller.
+# Effort of the compression (1 to 9): the fastest makes a configuration about 4 times smaller.
 COMPRESSION_LEVEL = 1
 # A relay that has not heard the store for longer does not answer: its watch waits 3 s.
 RELAY_STORE_AGE_MS = 3_600.0
@@ -27,8 +27,8 @@
 # Changes that a relay keeps for its followers, and their size: a configuration may take 100 KB.
 HISTORY_MAX = 2_000
 HISTORY_MAX_BYTES = 2 * 1024 * 1024
-# Largest decoded answer: the history, with the names and quotes around it.
-ANSWER_MAX_BYTES = 8 * 1024 * 1024
+# Largest decoded answer: the history, of which JSON may take 6 characters for each byte.
+ANSWER_MAX_BYTES = 16 * 1024 * 1024
 # Time for which a relay passes on that an instance of its zone is cut off, and its longest call.
 LOST_ZONES_KEPT_MS = 1_500.0
 REPORT_TIMEOUT_MS = 200.0
