--- a/packages/standins/src/wisteriastandins/soak/world.py
+++ b/packages/standins/src/wisteriastandins/soak/world.py
@@ -31,6 +31,12 @@
 REPLICAS = 2
 WORK_MS = 8.0
 _PORTS_EACH = 4
+_LIMITS = {
+    "header_bytes": 16_384,
+    "body_bytes": 65_536,
+    "header_timeout_ms": 2_000,
+    "idle_timeout_ms": 15_000,
+}
 
 
 class World:
@@ -147,18 +153,10 @@
     await endpoint.stop()
 
 
-def configure(world: World, shards: tuple[str, ...] | None = None) -> None:
-    """Write the next version: each adds a route, and moves one to the other ledger."""
-    world.version += 1 + world.rng.randrange(3)
-    world.shards = shards or world.shards
-    ledger = LEDGERS[world.rng.randrange(len(LEDGERS))]
-    known = [version.version for version in world.seen.versions]
+def _routes(world: World, ledger: str) -> list[dict[str, object]]:
+    """Return the routes of a version: a fan-out, plain ones, and a probe for each version."""
     common = {"host": HOST, "timeout_ms": CALLER_WAIT_MS, "latency_target_ms": 300, "priority": 1}
     plain = {**common, "kind": "idempotent", "max_attempts": MAX_ATTEMPTS, "service": ledger}
-    probes = [
-        {**plain, "name": f"probe-{version}", "prefix": f"/probe-{version}/"}
-        for version in [*known, world.version]
-    ]
     search = {
         **common,
         "name": "search",
@@ -169,24 +167,37 @@
         "top_k": TOP_COUNT,
         "lower_bound": MIN_COVERAGE,
     }
-    book = {**plain, "name": "book", "prefix": "/book/", "kind": "non_idempotent"}
     lookup = {**plain, "name": "lookup", "prefix": "/lookup/"}
-    services = [*SHARDS, *NEW_SHARDS, *LEDGERS]
+    book = {
+        **plain,
+        "name": "book",
+        "prefix": "/book/",
+        "kind": "non_idempotent",
+        "max_attempts": 1,
+    }
+    known = [version.version for version in world.seen.versions]
+    probes = [
+        {**plain, "name": f"probe-{version}", "prefix": f"/probe-{version}/"}
+        for version in [*known, world.version]
+    ]
+    return [search, lookup, book, *probes]
+
+
+def configure(world: World, shards: tuple[str, ...] | None = None) -> None:
+    """Write the next version: each adds a route, and may move the plain ones to another ledger."""
+    world.version += 1 + world.rng.randrange(3)
+    world.shards = shards or world.shards
+    ledger = LEDGERS[world.rng.randrange(len(LEDGERS))]
     value = {
         "version": world.version,
-        "routes": [search, lookup, {**book, "max_attempts": 1}, *probes],
+        "routes": _routes(world, ledger),
         "services": [
             {"name": name, "health_path": "/health", "max_conns": MAX_CONNECTIONS}
-            for name in services
+            for name in (*SHARDS, *NEW_SHARDS, *LEDGERS)
         ],
-        "limits": {
-            "header_bytes": 16_384,
-            "body_bytes": 65_536,
-            "header_timeout_ms": 2_000,
-            "idle_timeout_ms": 15_000,
-        },
+        "limits": _LIMITS,
     }
-    # Confirmed before it is written: a program cannot know it any earlier.
+    # The time is taken before the write: no program can know the version any earlier.
     confirmed_ms = world.now_ms()
     world.store.put("op/config", value)
     world.seen.versions.append(Version(world.version, confirmed_ms, world.shards, ledger))
