--- a/packages/wisteriarock/src/wisteriarock/dispatch/budget.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/budget.py
@@ -1,59 +1,26 @@
 """Budget of second arrivals at a service, kept within bounds that hold for all instances together.
 
-In every window of time an instance spends at most a share of the requests that it sent itself, and
-its share of the fixed part. The sum over all instances then stays inside the published budget
-without a call per request.
+Each instance earns a share of the requests that it sends itself. Of its share of the fixed part it
+holds some as a burst and gains the rest evenly over the published window. The sum over all
+instances then stays inside the published budget without a call per request.
 """
 
-from collections import deque
+from wisteriarock.limits.token_bucket import TokenBucket, add, create_bucket, refill, take
 
-from .const import (
-    BUDGET_EXTRA_SHARE,
-    BUDGET_FIRST_SHARE,
-    BUDGET_RATIO_SHARE,
-    BUDGET_SLOTS,
-)
-
-
-class ServiceWindow:
-    """What was sent to one service within the window.
-
-    Attributes
-    ----------
-    spent_ms : deque of float
-        Times of the second arrivals.
-    requests : list of int
-        Requests by slot of time; `slot` is the number of the newest slot.
-    """
-
-    __slots__ = ("requests", "slot", "spent_ms")
-
-    def __init__(self) -> None:
-        self.spent_ms: deque[float] = deque()
-        self.requests = [0] * BUDGET_SLOTS
-        self.slot = 0
+from .const import BUDGET_BURST_SHARE, BUDGET_RATIO_SHARE, BUDGET_STEADY_SHARE
 
 
 class ArrivalBudget:
-    """Windows of all services, and the bounds of this instance.
-
-    Attributes
-    ----------
-    fixed : float
-        Share of the fixed part that this instance may spend in a window.
-    started_ms : float or None
-        Time of the first request: what an earlier process spent in that window is not known.
-    """
+    """Token bucket for each service."""
 
-    __slots__ = ("fixed", "ratio", "refused_total", "services", "started_ms", "window_ms")
+    __slots__ = ("buckets", "burst", "earned_per_request", "rate_per_s", "refused_total")
 
     def __init__(self, ratio: float, extra: float, window_s: float, instances: int) -> None:
-        self.ratio = 0.0
-        self.fixed = 0.0
-        self.window_ms = window_s * 1000
-        self.services: dict[str, ServiceWindow] = {}
+        self.earned_per_request = 0.0
+        self.burst = 0.0
+        self.rate_per_s = 0.0
+        self.buckets: dict[str, TokenBucket] = {}
         self.refused_total = 0
-        self.started_ms: float | None = None
         set_instances(self, ratio, extra, window_s, instances)
 
 
@@ -69,47 +36,39 @@
     extra : float
         Second arrivals that are allowed besides, in `window_s` seconds.
     """
-    budget.ratio = ratio * BUDGET_RATIO_SHARE
-    budget.fixed = max(1.0, extra * BUDGET_EXTRA_SHARE / max(1, instances))
-    budget.window_ms = window_s * 1000
-
-
-def _window(budget: ArrivalBudget, service: str, now_ms: float) -> ServiceWindow:
-    """Return the window of a service, without what has left it."""
-    window = budget.services.get(service)
-    if window is None:
-        window = budget.services[service] = ServiceWindow()
-    slot = int(now_ms * BUDGET_SLOTS / budget.window_ms)
-    for passed in range(window.slot + 1, min(slot, window.slot + BUDGET_SLOTS) + 1):
-        window.requests[passed % BUDGET_SLOTS] = 0
-    window.slot = max(window.slot, slot)
-    spent_ms = window.spent_ms
-    while spent_ms and spent_ms[0] <= now_ms - budget.window_ms:
-        spent_ms.popleft()
-    return window
-
-
-def earn(budget: ArrivalBudget, service: str, now_ms: float) -> None:
-    """Count a request to a service."""
-    if budget.started_ms is None:
-        budget.started_ms = now_ms
-    window = _window(budget, service, now_ms)
-    window.requests[window.slot % BUDGET_SLOTS] += 1
+    share = extra / max(1, instances)
+    budget.earned_per_request = ratio * BUDGET_RATIO_SHARE
+    budget.burst = max(1.0, share * BUDGET_BURST_SHARE)
+    budget.rate_per_s = share * BUDGET_STEADY_SHARE / window_s
+    for bucket in budget.buckets.values():
+        bucket.burst = budget.burst
+        bucket.rate_per_s = budget.rate_per_s
+        bucket.tokens = min(bucket.tokens, budget.burst)
 
 
-def available(budget: ArrivalBudget, service: str, now_ms: float) -> bool:
-    """Tell whether there is budget for one more arrival."""
-    window = _window(budget, service, now_ms)
-    age_ms = now_ms - (now_ms if budget.started_ms is None else budget.started_ms)
-    share = min(1.0, BUDGET_FIRST_SHARE + age_ms / budget.window_ms)
-    fixed = max(1.0, budget.fixed * share)
-    return len(window.spent_ms) + 1 <= fixed + budget.ratio * sum(window.requests)
+def _bucket(budget: ArrivalBudget, service: str) -> TokenBucket:
+    bucket = budget.buckets.get(service)
+    if bucket is None:
+        bucket = create_bucket(budget.rate_per_s, budget.burst, 0.0)
+        budget.buckets[service] = bucket
+    return bucket
+
+
+def earn(budget: ArrivalBudget, service: str) -> None:
+    """Count a request to a service."""
+    add(_bucket(budget, service), budget.earned_per_request)
 
 
 def spend(budget: ArrivalBudget, service: str, now_ms: float) -> bool:
     """Take the budget for one more arrival of a request at a service, if there is enough."""
-    if not available(budget, service, now_ms):
-        budget.refused_total += 1
-        return False
-    budget.services[service].spent_ms.append(now_ms)
-    return True
+    if take(_bucket(budget, service), 1.0, now_ms):
+        return True
+    budget.refused_total += 1
+    return False
+
+
+def available(budget: ArrivalBudget, service: str, now_ms: float) -> bool:
+    """Tell whether there is budget for one more arrival."""
+    bucket = _bucket(budget, service)
+    refill(bucket, now_ms)
+    return bucket.tokens >= 1.0
--- a/packages/wisteriarock/src/wisteriarock/dispatch/const.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/const.py
@@ -42,14 +42,10 @@
 ABANDON_MS = 250.0
 # Share of the published budget ratio that is used, for requests that fall out of the window.
 BUDGET_RATIO_SHARE = 0.9
-# Share of the published fixed budget that all instances together may spend in a window; the rest is
-# for instances that are not counted yet.
-BUDGET_EXTRA_SHARE = 0.8
-# Share of its fixed part that a process may spend at once after its start, as the process before
-# it may have spent the rest.
-BUDGET_FIRST_SHARE = 0.5
-# Slots of the window in which requests are counted; the oldest one is left out as a whole.
-BUDGET_SLOTS = 10
+# Shares of the published fixed budget that all instances together hold as bursts, and gain evenly
+# over the published window. Their sum stays below 1, for instances that are not counted yet.
+BUDGET_BURST_SHARE = 0.45
+BUDGET_STEADY_SHARE = 0.35
 # Time after which a caller should come back when no endpoint can be reached, and its spread.
 RETRY_AFTER_MS = 300.0
 RETRY_AFTER_SPREAD_MS = 300.0
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -69,7 +69,7 @@
     ]
     reachable = len(services) - len(missing)
     for service in services:
-        earn(state.budget, service, query.started_ms)
+        earn(state.budget, service)
     if reachable < query.needed:
         reason = f"only {reachable} of {query.needed} needed shards have a reachable endpoint"
         answer_now(
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -26,8 +26,8 @@
             }
             for name, latency in instance.dispatch.latencies.items()
         },
-        "second_arrivals": {
-            service: len(window.spent_ms) for service, window in instance.budget.services.items()
+        "budget": {
+            service: round(bucket.tokens, 2) for service, bucket in instance.budget.buckets.items()
         },
         "endpoints": {
             endpoint.endpoint_id: {
