--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -5,6 +5,7 @@
 
 from .const import LOGGED_NAMES_MAX
 from .decide import retry_after_ms
+from .fragments import abandon_fragment, create_fragment_answer
 from .legs import abandon_leg
 from .merge import merge_records
 from .models import Query
@@ -36,7 +37,10 @@
 def answer_success(state: DispatchState, query: Query, outcome: str) -> None:
     """Answer a query with the parts received so far."""
     missing = len(query.shards) - query.parts
-    if query.route.shards:
+    if query.is_fragment:
+        end_query(state, query)
+        answer = create_fragment_answer(query)
+    elif query.route.shards:
         present = [shard for shard in query.shards if shard.part is not None]
         bodies = [shard.part.body for shard in present if shard.part is not None]
         headers = state.wire_format.merged_headers([shard.proof for shard in present], missing)
@@ -52,8 +56,12 @@
     """Answer a failed query.
 
     For a single service, the failure reply of the endpoint is forwarded. Otherwise the status is
-    503 if no leg can have run, 504 if the query has expired and 502 in all other cases.
+    503 if no leg can have run, 504 if the query has expired and 502 in all other cases. A fragment
+    is answered with the parts that it has.
     """
+    if query.is_fragment:
+        answer_success(state, query, reason)
+        return
     shard = query.shards[0]
     failure = shard.failure_reply
     may_have_run = any(each.possible_runs > 0 for each in query.shards)
@@ -81,7 +89,11 @@
         unanswered += [
             f"{shard.service}/{leg.endpoint.endpoint_id}:{now_ms - leg.sent_at_ms:.0f}ms"
             for leg in shard.legs
-        ] or [f"{shard.service}/none"]
+        ]
+        if shard.fragment is not None:
+            unanswered.append(f"{shard.service}/by {shard.fragment.gatherer.name}")
+        elif not shard.legs:
+            unanswered.append(f"{shard.service}/none")
     omitted = len(unanswered) - LOGGED_NAMES_MAX
     return ",".join(unanswered[:LOGGED_NAMES_MAX]) + (f",and {omitted} more" if omitted > 0 else "")
 
@@ -94,6 +106,8 @@
     for timer in query.timers:
         timer.cancel()
     query.timers.clear()
+    for fragment in query.fragments:
+        abandon_fragment(state, fragment)
     for shard in query.shards:
         for leg in shard.legs[:]:
             abandon_leg(state, leg, now_ms)
@@ -106,13 +120,16 @@
     end_query(state, query)
     now_ms = loop_time_ms(state)
     name = query.route.name
-    state.counters.count("answers", name, str(answer.status))
-    state.counters.observe("answer", name, now_ms - query.started_at_ms)
-    if answer.status == 200 and query.parts < len(query.shards):
+    if query.is_fragment:
+        state.counters.count("fragments", name)
+    else:
+        state.counters.count("answers", name, str(answer.status))
+        state.counters.observe("answer", name, now_ms - query.started_at_ms)
+    if not query.is_fragment and answer.status == 200 and query.parts < len(query.shards):
         state.counters.count("missing_parts", name, by=len(query.shards) - query.parts)
     write = state.log.detail if 200 <= answer.status < 300 else state.log.record
     write(
-        "answered",
+        "fragment_answered" if query.is_fragment else "answered",
         request=query.request_id,
         route=query.route.name,
         version=query.version,
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -5,7 +5,7 @@
 from wisteriarock.balancing.decide import has_reachable, observe_incomplete_reply, observe_reply
 from wisteriarock.catalog.decide import match_route, pick_service
 from wisteriarock.catalog.models import Route
-from wisteriarock.http.front import CallerRequest, Respond
+from wisteriarock.http.front import Answer, CallerRequest, Respond
 from wisteriarock.http.models import ExchangeFailure, Reply
 
 from .answers import answer_failure, answer_success, end_query, refuse_request
@@ -20,8 +20,15 @@
     record_shed,
     set_query_times,
 )
+from .fragments import (
+    apply_fragment_end,
+    create_fragment_query,
+    is_fragment_overdue,
+    plan_fragments,
+    send_fragment,
+)
 from .legs import abandon_leg, send_leg
-from .models import Leg, Query, RequestHead, Shard
+from .models import Fragment, Leg, Query, RequestHead, Shard
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
 
@@ -70,8 +77,6 @@
         if not has_reachable(endpoints_by_service.get(service, NO_ENDPOINTS))
     ]
     reachable = len(services) - len(missing)
-    for service in services:
-        credit_request(state.budget, service)
     if reachable < query.needed_parts:
         reason = f"only {reachable} of {query.needed_parts} needed shards have a reachable endpoint"
         refuse_request(
@@ -86,7 +91,24 @@
             missing=",".join(missing[:LOGGED_NAMES_MAX]),
         )
         return _do_nothing
-    query.template = state.wire_format.encode_leg_template(request)
+    return _run_query(state, query)
+
+
+def handle_fragment(
+    state: DispatchState, request: CallerRequest, respond: Respond
+) -> Callable[[], None]:
+    """Start the query for a fragment that another instance of the zone handed over."""
+    query = create_fragment_query(state, request, respond)
+    if query is None:
+        respond(Answer(400, [], b"malformed fragment"))
+        return _do_nothing
+    return _run_query(state, query)
+
+
+def _run_query(state: DispatchState, query: Query) -> Callable[[], None]:
+    """Set the timers of a query, send its legs and return the function that cancels it."""
+    route, latency = query.route, query.latency
+    query.template = state.wire_format.encode_leg_template(query.request)
     state.active.add(query)
     _set_timer(state, query, query.expires_at_ms, lambda: _on_expiry(state, query))
     if route.shards and query.early_answer_at_ms < query.expires_at_ms:
@@ -94,14 +116,51 @@
     if route.idempotent:
         hedge_at_ms = query.started_at_ms + latency.hedge_delay_ms
         _set_timer(state, query, hedge_at_ms, lambda: _send_hedges(state, query))
+    local_shards, fragments = plan_fragments(state, query)
+    for fragment in fragments:
+        _send_fragment(state, fragment)
+    _send_first_legs(state, query, local_shards)
+    return lambda: _cancel(state, query)
+
+
+def _send_first_legs(state: DispatchState, query: Query, shards: list[Shard]) -> None:
     now_ms = loop_time_ms(state)
-    for shard in query.shards:
-        _send_leg(state, query, shard, now_ms)
+    for shard in shards:
         if query.is_done:
-            break
-    if not query.is_done:
+            return
+        credit_request(state.budget, shard.service)
+        _send_leg(state, query, shard, now_ms)
+    _answer_if_finished(state, query)
+
+
+def _send_fragment(state: DispatchState, fragment: Fragment) -> None:
+    def on_end(ended: Fragment, outcome: Reply | ExchangeFailure) -> None:
+        _on_fragment_end(state, ended, outcome)
+
+    send_fragment(state, fragment, on_end)
+
+
+def _on_fragment_end(
+    state: DispatchState, fragment: Fragment, outcome: Reply | ExchangeFailure
+) -> None:
+    """Apply the outcome of a fragment; send the legs from here if none can have run."""
+    query = fragment.query
+    may_have_run = apply_fragment_end(state, fragment, outcome)
+    if query.is_done:
+        return
+    if may_have_run:
+        for shard in fragment.shards:
+            if shard.part is None and not shard.legs:
+                _retry_leg(state, query, shard)
         _answer_if_finished(state, query)
-    return lambda: _cancel(state, query)
+        return
+    _set_timer(
+        state,
+        query,
+        loop_time_ms(state) + query.latency.hedge_delay_ms,
+        lambda: _send_hedges(state, query),
+    )
+    _send_first_legs(state, query, fragment.shards)
 
 
 def _set_timer(
@@ -208,7 +267,12 @@
     now_ms = loop_time_ms(state)
     may_send_more = False
     for shard in query.shards:
-        if shard.part is not None or not may_send_another_leg(query, shard):
+        if shard.part is not None:
+            continue
+        if shard.fragment is not None and not is_fragment_overdue(query, shard, now_ms):
+            may_send_more = True
+            continue
+        if not may_send_another_leg(query, shard):
             continue
         may_send_more = True
         if not shard.legs:
@@ -247,7 +311,8 @@
         answer_success(state, query, "partial")
         return
     for shard in query.shards:
-        if shard.part is None and (shard.legs or _will_retry_later(state, query, shard)):
+        is_outstanding = shard.legs or shard.fragment is not None
+        if shard.part is None and (is_outstanding or _will_retry_later(state, query, shard)):
             return
     if query.parts >= query.needed_parts and query.route.shards:
         answer_success(state, query, "partial")
@@ -285,6 +350,7 @@
     """End a query whose caller has disconnected."""
     if query.is_done:
         return
+    query.is_cancelled = True
     end_query(state, query)
     state.counters.count("callers_left", query.route.name)
     state.log.record(
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -5,6 +5,7 @@
 
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.catalog.models import Route
+from wisteriarock.gathering.models import Gatherer
 from wisteriarock.http.front import Answer, CallerRequest
 from wisteriarock.http.models import Exchange, Headers, Reply
 
@@ -117,11 +118,37 @@
         self.is_abandoned = False
 
 
+class Fragment:
+    """Shards of a query that a gatherer queries on behalf of this instance.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether the gatherer accepted the fragment and got it, so that legs may run.
+    is_done : bool
+        Whether it was answered, has failed or was abandoned.
+    """
+
+    __slots__ = ("exchange", "gatherer", "is_done", "is_sent", "query", "shards")
+
+    def __init__(self, query: "Query", gatherer: Gatherer, shards: list["Shard"]) -> None:
+        self.query = query
+        self.gatherer = gatherer
+        self.shards = shards
+        self.exchange: Exchange | None = None
+        self.is_sent = False
+        self.is_done = False
+
+
 class Shard:
     """One shard of a query; a query to a single service has exactly one.
 
     Attributes
     ----------
+    fragment : Fragment or None
+        The outstanding fragment that contains the shard.
+    fragment_runs : int
+        Part of `possible_runs` that stands for the legs of a gatherer.
     possible_runs : int
         Number of legs that have run, may have run or may still run.
     sent_legs : int
@@ -138,6 +165,8 @@
 
     __slots__ = (
         "failure_reply",
+        "fragment",
+        "fragment_runs",
         "legs",
         "part",
         "possible_runs",
@@ -151,6 +180,8 @@
 
     def __init__(self, service: str) -> None:
         self.service = service
+        self.fragment: Fragment | None = None
+        self.fragment_runs = 0
         self.legs: list[Leg] = []
         self.tried_endpoint_ids: set[str] = set()
         self.possible_runs = 0
@@ -180,14 +211,23 @@
         Number of parts received.
     may_have_run : bool
         Whether any leg has run or may have run.
+    fragments : list of Fragment
+        Fragments that were offered to gatherers.
+    is_fragment : bool
+        Whether the query itself is a fragment that another instance handed over.
+    is_cancelled : bool
+        Whether the caller has disconnected.
     """
 
     __slots__ = (
         "early_answer_at_ms",
         "expires_at_ms",
+        "fragments",
         "hedges",
+        "is_cancelled",
         "is_done",
         "is_early_answer_due",
+        "is_fragment",
         "latency",
         "legs_expire_at_ms",
         "may_have_run",
@@ -230,6 +270,9 @@
         self.hedges = 0
         self.retries = 0
         self.may_have_run = False
+        self.fragments: list[Fragment] = []
+        self.is_fragment = False
+        self.is_cancelled = False
         self.is_done = False
         self.is_early_answer_due = False
         self.version = 0
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -7,6 +7,7 @@
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.catalog.models import Catalog
 from wisteriarock.discovery.models import Directory
+from wisteriarock.gathering.models import Gatherer, GathererDirectory
 from wisteriarock.http.pool import Pool
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
@@ -26,6 +27,8 @@
         Legs that are no longer needed, with the time in ms at which their connection is closed.
     active : set of Query
         Requests in progress.
+    gatherers : GathererDirectory
+        Gatherers of the local zone.
     isolated_since_ms : float or None
         Time at which this instance became isolated and not ready, None if it is not isolated.
     """
@@ -33,24 +36,28 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
+        instance: str,
         zone: str,
         catalog: Catalog,
         directory: Directory,
         budget: ExtraLegBudget,
         wire_format: WireFormat,
         pool_of: Callable[[Endpoint], Pool],
+        pool_of_gatherer: Callable[[Gatherer], Pool],
         on_misdirected: Callable[[Endpoint], None],
         log: EventLog,
         counters: Counters,
         rng: random.Random,
     ) -> None:
         self.loop = loop
+        self.instance = instance
         self.zone = zone
         self.catalog = catalog
         self.directory = directory
         self.budget = budget
         self.wire_format = wire_format
         self.pool_of = pool_of
+        self.pool_of_gatherer = pool_of_gatherer
         self.on_misdirected = on_misdirected
         self.log = log
         self.counters = counters
@@ -58,6 +65,7 @@
         self.latencies: dict[str, RouteLatency] = {}
         self.abandoned: dict[Leg, float] = {}
         self.active: set[Query] = set()
+        self.gatherers = GathererDirectory()
         self.isolated_since_ms: float | None = None
 
 
--- a/packages/wisteriarock/src/wisteriarock/feed/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/controller.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qsl, urlsplit
 
+from wisteriarock.gathering.models import FanOutShape, Gatherer
 from wisteriarock.http.front import Answer, CallerRequest, Respond
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
@@ -26,8 +27,10 @@
     STORE_CHECK_TIMEOUT_MS,
 )
 from .decide import (
+    accept_gatherers,
     apply_relay_item,
     choose_relays,
+    count_instances,
     count_own_zone_instances,
     current_lost_zones,
     decode_answer,
@@ -37,6 +40,7 @@
     has_live_relay,
     record_lost_zones,
     standby_answer,
+    update_gatherers,
 )
 from .models import FeedAnswer, FeedState, Relay
 
@@ -61,6 +65,10 @@
         Callbacks that answer followers whose poll waits for changes.
     on_lost_zones : callable
         Called with the zones that another instance of the local zone cannot reach.
+    capacity_cores : float
+        Processing capacity of this instance.
+    fan_out_shape : callable
+        Returns the size of the largest fan-out of the configuration in force.
     """
 
     def __init__(
@@ -79,6 +87,8 @@
         log: EventLog,
         counters: Counters,
         rng: random.Random,
+        capacity_cores: float,
+        fan_out_shape: Callable[[], FanOutShape],
     ) -> None:
         self.loop = loop
         self.state = state
@@ -94,6 +104,8 @@
         self.log = log
         self.counters = counters
         self.rng = rng
+        self.capacity_cores = capacity_cores
+        self.fan_out_shape = fan_out_shape
         self.is_stopping = False
         self.is_cut_off = False
         self.waiting_followers: list[Callable[[], None]] = []
@@ -145,7 +157,7 @@
     after = int(after_text)
     is_standby = query.get("standby") == "1"
     if is_own_zone:
-        feed.state.followers[query.get("instance", "")] = _now_ms(feed)
+        _record_follower(feed, query)
     end_ms = _now_ms(feed) + POLL_WAIT_MS
     timer = feed.loop.call_later(POLL_WAIT_MS / 1000, lambda: answer())
 
@@ -174,6 +186,17 @@
     return cancel
 
 
+def _record_follower(feed: Feed, query: dict[str, str]) -> None:
+    name = query.get("instance", "")
+    feed.state.followers[name] = _now_ms(feed)
+    host, _, port = query.get("address", "").rpartition(":")
+    try:
+        capacity_cores = float(query.get("capacity", "0"))
+        feed.state.candidates[name] = Gatherer(name, host, int(port), capacity_cores)
+    except ValueError:
+        feed.state.candidates.pop(name, None)
+
+
 def _handle_lost_zones_report(feed: Feed, query: dict[str, str]) -> None:
     """Pass on a report that an instance of the local zone is cut off from other zones."""
     zones = [zone for zone in query.get("zones", "").split(",") if zone]
@@ -274,7 +297,11 @@
     int or None
         The revision of the relay; None if there is no useful answer.
     """
-    target = f"/feed?after={feed.state.revision}&instance={feed.instance}&zone={feed.zone}"
+    capacity_cores = 0.0 if feed.is_stopping else feed.capacity_cores
+    target = (
+        f"/feed?after={feed.state.revision}&instance={feed.instance}&zone={feed.zone}"
+        f"&address={feed.address[0]}:{feed.address[1]}&capacity={capacity_cores:g}"
+    )
     if is_standby:
         target += "&standby=1"
     call = f"GET {target} HTTP/1.1\r\nHost: {relay.instance}\r\n\r\n".encode()
@@ -291,6 +318,9 @@
     if answer["lost_zones"]:
         feed.on_lost_zones(answer["lost_zones"])
         return None
+    if not accept_gatherers(feed.state, answer):
+        feed.log.record("feed_bad", relay=relay.instance)
+        return None
     if items is not None:
         feed.apply_answer(items, answer)
     return answer["revision"]
@@ -354,7 +384,8 @@
 
     With `expected_revision`, the write succeeds only if the key has that revision (0: no key).
     """
-    value = encode_relay_value(feed.instance, *feed.address, instances)
+    gatherers = len(feed.state.gatherers or ())
+    value = encode_relay_value(feed.instance, *feed.address, instances, gatherers)
     call = feed.format.encode_write(RELAY_KEY_PREFIX + feed.zone, value, lease, expected_revision)
     outcome = await feed.store.call(call, _STORE_CALL_TIMEOUT_MS)
     if isinstance(outcome, StoreError):
@@ -362,6 +393,7 @@
             feed.log.detail("relay_write_failed", kind=outcome.kind.value)
         return False
     feed.state.published_count = instances
+    feed.state.published_gatherers = gatherers
     return True
 
 
@@ -378,7 +410,9 @@
             feed.log.record("relay_lost", zone=feed.zone, lease=lease)
         return
     instances = count_own_zone_instances(feed.state, feed.zone, _now_ms(feed))
-    if instances != feed.state.published_count:
+    gatherers = len(feed.state.gatherers or ())
+    published = (feed.state.published_count, feed.state.published_gatherers)
+    if (instances, gatherers) != published:
         await _write_registration(feed, lease, instances, None)
 
 
@@ -392,6 +426,16 @@
         feed.log.record("relay_stopped", zone=feed.zone, lease=lease)
 
 
+def _update_gatherers(feed: Feed) -> None:
+    now_ms = _now_ms(feed)
+    instances = count_instances(feed.state, now_ms)
+    if instances is None:
+        return
+    capacity_cores = 0.0 if feed.is_stopping else feed.capacity_cores
+    own = Gatherer(feed.instance, *feed.address, capacity_cores)
+    update_gatherers(feed.state, own, feed.fan_out_shape(), instances, now_ms)
+
+
 async def _monitor_store(feed: Feed) -> None:
     """Check often whether the store answers this relay; a watch would notice only after seconds."""
     while not feed.is_stopping:
@@ -399,6 +443,7 @@
         if not is_relay(feed):
             feed.is_cut_off = False
             continue
+        _update_gatherers(feed)
         is_cut_off = not await feed.check_store(STORE_CHECK_TIMEOUT_MS)
         if is_cut_off != feed.is_cut_off:
             feed.is_cut_off = is_cut_off
--- a/packages/wisteriarock/src/wisteriarock/feed/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/decide.py
@@ -4,6 +4,8 @@
 import zlib
 from collections.abc import Sequence
 
+from wisteriarock.gathering.decide import choose_gatherers, decode_gatherers, encode_gatherers
+from wisteriarock.gathering.models import FanOutShape, Gatherer
 from wisteriarock.store.models import Item
 
 from .const import (
@@ -62,9 +64,15 @@
         "calm_ms": failure_free_ms,
         "changes": changes,
         "lost_zones": [],
+        "zone": state.zone,
+        "gatherers": _encode_own_gatherers(state),
     }
 
 
+def _encode_own_gatherers(state: FeedState) -> list[list[str | float]] | None:
+    return None if state.gatherers is None else encode_gatherers(state.gatherers)
+
+
 def standby_answer(
     state: FeedState, store_age_ms: float, failure_free_ms: float, lost_zones: Sequence[str] = ()
 ) -> FeedAnswer:
@@ -75,6 +83,8 @@
         "calm_ms": failure_free_ms,
         "changes": None,
         "lost_zones": list(lost_zones),
+        "zone": state.zone,
+        "gatherers": None,
     }
 
 
@@ -144,6 +154,8 @@
             "calm_ms": float(data["calm_ms"]),
             "changes": None,
             "lost_zones": [str(zone) for zone in data["lost_zones"]],
+            "zone": str(data.get("zone", "")),
+            "gatherers": data.get("gatherers"),
         }
     except (zlib.error, ValueError, KeyError, TypeError, AttributeError):
         return None
@@ -162,6 +174,7 @@
         state.relays[zone] = relay
         if relay.instances:
             state.instance_counts[zone] = (relay.instances, now_ms)
+            state.gatherer_counts[zone] = relay.gatherers
     return True
 
 
@@ -170,17 +183,21 @@
         data: RelayValue = json.loads(value)
         host, _, port = data["address"].rpartition(":")
         instances = max(0, int(data["instances"]))
-        return Relay(zone, str(data["instance"]), host, int(port), instances, revision)
+        gatherers = max(0, int(data.get("gatherers", 0)))
+        return Relay(zone, str(data["instance"]), host, int(port), instances, gatherers, revision)
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
 
 
-def encode_relay_value(instance: str, host: str, port: int, instances: int) -> bytes:
+def encode_relay_value(
+    instance: str, host: str, port: int, instances: int, gatherers: int = 0
+) -> bytes:
     """Encode the value that a relay writes to its key in the store."""
     value: RelayValue = {
         "instance": instance,
         "address": f"{host}:{port}",
         "instances": instances,
+        "gatherers": gatherers,
     }
     return json.dumps(value, separators=(",", ":")).encode()
 
@@ -234,6 +251,7 @@
     ]
     for name in gone:
         del state.followers[name]
+        state.candidates.pop(name, None)
     if state.lease is None or now_ms - state.relay_since_ms < FOLLOWER_TIMEOUT_MS:
         count, counted_at_ms = state.instance_counts.get(zone, (0, 0.0))
         return count if now_ms - counted_at_ms < INSTANCE_COUNT_TTL_MS else 0
@@ -253,3 +271,49 @@
     if not instance_counts or any(zone not in instance_counts for zone in state.relays):
         return None
     return sum(instance_counts.values())
+
+
+def update_gatherers(
+    state: FeedState, own: Gatherer, shape: FanOutShape, instances: int, now_ms: float
+) -> None:
+    """Choose the gatherers of the local zone again, as its relay.
+
+    A new relay has not received calls of all its followers yet and keeps the current gatherers.
+
+    Parameters
+    ----------
+    own : Gatherer
+        This instance as a candidate.
+    instances : int
+        Number of instances in all zones.
+    """
+    if state.lease is None or now_ms - state.relay_since_ms < FOLLOWER_TIMEOUT_MS:
+        return
+    candidates = [own, *(each for name, each in state.candidates.items() if name != own.name)]
+    state.gatherers = choose_gatherers(candidates, shape, instances)
+
+
+def accept_gatherers(state: FeedState, answer: FeedAnswer) -> bool:
+    """Adopt the gatherers in a relay's answer; return False if they are malformed."""
+    rows = answer["gatherers"]
+    if rows is None or answer["zone"] != state.zone or state.lease is not None:
+        return True
+    try:
+        state.gatherers = decode_gatherers(rows)
+    except (ValueError, TypeError):
+        return False
+    return True
+
+
+def count_gatherers(state: FeedState, now_ms: float) -> int | None:
+    """Return the number of instances that query endpoints, or None if it is not known.
+
+    In a zone without gatherers, every instance does.
+    """
+    if count_instances(state, now_ms) is None:
+        return None
+    return sum(
+        state.gatherer_counts.get(zone) or count
+        for zone, (count, counted_at_ms) in state.instance_counts.items()
+        if now_ms - counted_at_ms < INSTANCE_COUNT_TTL_MS
+    )
--- a/packages/wisteriarock/src/wisteriarock/feed/models.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/models.py
@@ -3,6 +3,7 @@
 from collections import deque
 from typing import NamedTuple, TypedDict
 
+from wisteriarock.gathering.models import Gatherer
 from wisteriarock.store.models import Item
 
 
@@ -13,6 +14,8 @@
     ----------
     instances : int
         Number of instances in its zone, itself included; 0 if not known yet.
+    gatherers : int
+        Number of gatherers in its zone; 0 if every instance queries the endpoints itself.
     revision : int
         Store revision of the registration.
     """
@@ -22,6 +25,7 @@
     host: str
     port: int
     instances: int
+    gatherers: int
     revision: int
 
 
@@ -31,6 +35,7 @@
     instance: str
     address: str
     instances: int
+    gatherers: int
 
 
 class FeedAnswer(TypedDict):
@@ -48,6 +53,10 @@
     lost_zones : list of str
         Zones that an instance of the relay's own zone cannot reach while it is cut off from the
         store as well.
+    zone : str
+        Zone of the relay.
+    gatherers : list of list or None
+        Name, address and capacity of the gatherers of that zone; None if they are not known yet.
     """
 
     revision: int
@@ -55,6 +64,8 @@
     calm_ms: float
     changes: list[tuple[str, int, str | None]] | None
     lost_zones: list[str]
+    zone: str
+    gatherers: list[list[str | float]] | None
 
 
 class FeedState:
@@ -66,6 +77,17 @@
         Number of instances by zone, with the time of that information.
     followers : dict
         Time of the last call of each follower of the local zone, by instance.
+    candidates : dict
+        Address and capacity of these followers, by instance.
+    zone : str
+        The local zone.
+    gatherers : tuple of Gatherer or None
+        Gatherers of the local zone; empty if every instance queries the endpoints itself, None if
+        they are not known yet.
+    gatherer_counts : dict
+        Number of gatherers by zone, as the relays published it.
+    published_gatherers : int
+        Number of gatherers in the last registration that this relay wrote.
     history_start_revision : int
         Revision after which the history has all changes.
     relay_answered_at_ms : dict
@@ -83,6 +105,9 @@
     """
 
     __slots__ = (
+        "candidates",
+        "gatherer_counts",
+        "gatherers",
         "instance_counts",
         "encoded_answers",
         "encoded_at_ms",
@@ -96,12 +121,19 @@
         "lost_zones",
         "lost_zones_at_ms",
         "published_count",
+        "published_gatherers",
         "relay_since_ms",
         "relays",
         "revision",
+        "zone",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, zone: str = "") -> None:
+        self.zone = zone
+        self.candidates: dict[str, Gatherer] = {}
+        self.gatherers: tuple[Gatherer, ...] | None = None
+        self.gatherer_counts: dict[str, int] = {}
+        self.published_gatherers = 0
         self.relays: dict[str, Relay] = {}
         self.instance_counts: dict[str, tuple[int, float]] = {}
         self.followers: dict[str, float] = {}
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -26,6 +26,7 @@
             }
             for name, latency in instance.dispatch.latencies.items()
         },
+        "gatherers": [gatherer.name for gatherer in instance.dispatch.gatherers.gatherers],
         "budget": {
             service: round(bucket.tokens, 2) for service, bucket in instance.budget.buckets.items()
         },
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -136,7 +136,7 @@
     for listener in (callers, readiness, instance.peer_listener, instance.metrics_listener):
         for connection in list(listener.connections):
             connection.check_timeouts(now_ms)
-    for pool in instance.pools.values():
+    for pool in [*instance.pools.values(), *instance.gatherer_pools.values()]:
         pool.expire_idle(now_ms)
     update_instance_count(instance)
     update_readiness(instance)
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -12,13 +12,20 @@
 from wisteriarock.discovery import controller as discovery
 from wisteriarock.discovery.decide import remove_entry
 from wisteriarock.discovery.models import Directory, DirectoryChange
-from wisteriarock.dispatch.budget import ExtraLegBudget, set_instance_count
-from wisteriarock.dispatch.controller import handle_request
+from wisteriarock.dispatch.budget import (
+    ExtraLegBudget,
+    set_gathered_share,
+    set_instance_count,
+)
+from wisteriarock.dispatch.controller import handle_fragment, handle_request
 from wisteriarock.dispatch.models import WireFormat
 from wisteriarock.dispatch.state import DispatchState
 from wisteriarock.feed import controller as feed
-from wisteriarock.feed.decide import count_instances, has_live_feed
+from wisteriarock.feed.decide import count_gatherers, count_instances, has_live_feed
 from wisteriarock.feed.models import FeedState
+from wisteriarock.gathering.const import CONNECTIONS_MAX, FRAGMENT_PATH, IDLE_LIMIT_MS
+from wisteriarock.gathering.decide import find_fan_out_shape, replace_gatherers, share_budget
+from wisteriarock.gathering.models import Gatherer
 from wisteriarock.http.front import Answer, CallerRequest, ListenerState, Respond
 from wisteriarock.http.pool import Pool
 from wisteriarock.observability.counters import Counters
@@ -64,15 +71,21 @@
             INSTANCES_DEFAULT,
         )
         self.instance_count = INSTANCES_DEFAULT
-        self.feed_state = FeedState()
+        self.gatherer_count = INSTANCES_DEFAULT
+        self.is_gatherer = True
+        self.gathered_services: frozenset[str] = frozenset()
+        self.gatherer_pools: dict[Gatherer, Pool] = {}
+        self.feed_state = FeedState(settings.zone)
         self.dispatch = DispatchState(
             loop,
+            settings.instance,
             settings.zone,
             self.catalog,
             self.directory,
             self.budget,
             wire_format,
             lambda endpoint: pool_of(self, endpoint),
+            lambda gatherer: pool_of_gatherer(self, gatherer),
             lambda endpoint: on_endpoint_misdirected(self, endpoint),
             log,
             self.counters,
@@ -106,13 +119,15 @@
             log,
             self.counters,
             rng,
+            settings.cpu_share * settings.cpu_speed,
+            lambda: find_fan_out_shape(self.catalog),
         )
         self.discovery.has_live_feed = lambda: has_live_feed(self.feed_state, loop.time() * 1000)
         self.discovery.is_relay = lambda: feed.is_relay(self.feed)
         self.discovery.on_history_updated = lambda: on_history_updated(self)
         self.peer_listener = ListenerState(
             loop,
-            lambda request, respond: feed.handle_follower_request(self.feed, request, respond),
+            lambda request, respond: handle_peer_request(self, request, respond),
             lambda status, reason: on_bad_request(self, status, reason),
         )
         self.caller_listener = ListenerState(
@@ -143,6 +158,18 @@
     return cancel or handle_request(instance.dispatch, request, respond)
 
 
+def handle_peer_request(
+    instance: Instance, request: CallerRequest, respond: Respond
+) -> Callable[[], None]:
+    """Handle a request of another instance: a fragment of a query, or a call for the feed."""
+    if request.target != FRAGMENT_PATH.encode():
+        return feed.handle_follower_request(instance.feed, request, respond)
+    if instance.phase is not Phase.RUNNING or not instance.discovery.is_loaded:
+        respond(Answer(503, [], b"not serving"))
+        return _do_nothing
+    return handle_fragment(instance.dispatch, request, respond)
+
+
 def release_held_requests(instance: Instance) -> None:
     """Start the held requests once the instance is loaded or the hold time has expired."""
     released = release_requests(
@@ -164,21 +191,56 @@
 
 
 def update_instance_count(instance: Instance) -> None:
-    """Divide the budget and connections by the number of live instances that relays report."""
+    """Divide the budget and connections by the numbers of instances that relays report."""
     now_ms = instance.loop.time() * 1000
+    update_gatherers(instance)
     instance_count = count_instances(instance.feed_state, now_ms)
-    if instance_count is None or instance_count == instance.instance_count:
+    gatherer_count = count_gatherers(instance.feed_state, now_ms)
+    if instance_count is None or gatherer_count is None:
         return
-    instance.log.record("instances_counted", before=instance.instance_count, now=instance_count)
+    if (instance_count, gatherer_count) == (instance.instance_count, instance.gatherer_count):
+        return
+    instance.log.record(
+        "instances_counted",
+        before=instance.instance_count,
+        now=instance_count,
+        gatherers=gatherer_count,
+    )
     instance.instance_count = instance_count
+    instance.gatherer_count = gatherer_count
+    divide_budget(instance)
+
+
+def update_gatherers(instance: Instance) -> None:
+    """Use the gatherers that the relay of the local zone chose."""
+    gatherers = instance.feed_state.gatherers
+    if gatherers is None or not replace_gatherers(instance.dispatch.gatherers, gatherers):
+        return
+    names = [each.name for each in gatherers]
+    instance.is_gatherer = not names or instance.settings.instance in names
+    for gatherer in [each for each in instance.gatherer_pools if each not in gatherers]:
+        instance.gatherer_pools.pop(gatherer).retire()
+    instance.log.record("gatherers_changed", gatherers=",".join(names))
+    divide_budget(instance)
+
+
+def divide_budget(instance: Instance) -> None:
+    """Set the shares of this instance in the budget for extra legs."""
     settings = instance.settings
     set_instance_count(
         instance.budget,
         settings.extra_ratio,
         settings.extra_fixed,
         settings.extra_window_s,
-        instance_count,
+        instance.instance_count,
+    )
+    share = share_budget(
+        settings.extra_fixed,
+        instance.instance_count,
+        instance.gatherer_count,
+        is_gatherer=instance.is_gatherer,
     )
+    set_gathered_share(instance.budget, instance.gathered_services, share, settings.extra_window_s)
 
 
 def on_history_updated(instance: Instance) -> None:
@@ -198,7 +260,28 @@
     definition = instance.catalog.services.get(service)
     if definition is None or instance.instance_count == INSTANCES_DEFAULT:
         return CONNECTION_LIMIT_DEFAULT
-    return max(1, int(definition.max_connections * CONNECTION_CAP_SHARE / instance.instance_count))
+    count = instance.instance_count
+    if service in instance.gathered_services and instance.gatherer_count < count:
+        if not instance.is_gatherer:
+            return 1
+        count = instance.gatherer_count
+    return max(1, int(definition.max_connections * CONNECTION_CAP_SHARE / count))
+
+
+def pool_of_gatherer(instance: Instance, gatherer: Gatherer) -> Pool:
+    """Return the connection pool of a gatherer, created at first use."""
+    pool = instance.gatherer_pools.get(gatherer)
+    if pool is None:
+        pool = instance.gatherer_pools[gatherer] = Pool(
+            instance.loop,
+            gatherer.host,
+            gatherer.port,
+            lambda: CONNECTIONS_MAX,
+            lambda _: None,
+            lambda reason: instance.counters.count("stray_replies", reason),
+            IDLE_LIMIT_MS,
+        )
+    return pool
 
 
 def pool_of(instance: Instance, endpoint: Endpoint) -> Pool:
@@ -271,6 +354,10 @@
 def on_configuration(instance: Instance, configuration: Configuration) -> None:
     """Apply the limits for callers and drop the latencies of removed routes."""
     instance.caller_listener.limits = configuration.limits
+    instance.gathered_services = frozenset(
+        shard for route in configuration.routes for shard in route.shards
+    )
+    divide_budget(instance)
     names = {route.name for route in configuration.routes}
     latencies = instance.dispatch.latencies
     for name in [name for name in latencies if name not in names]:
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -19,6 +19,8 @@
         requests, and fixed number in each window of `extra_window_s` seconds.
     metrics : tuple or None
         Address that serves metrics and the state dump.
+    cpu_share, cpu_speed : float
+        Share of a core that the instance may use, and the speed of that core relative to others.
     """
 
     instance: str
@@ -32,6 +34,8 @@
     extra_ratio: float
     extra_fixed: float
     extra_window_s: float
+    cpu_share: float = 1.0
+    cpu_speed: float = 1.0
 
 
 class SettingsError(NamedTuple):
@@ -72,6 +76,8 @@
         ("extra_ratio", 0.0, 10.0, 0.2),
         ("extra_fixed", 0.0, 100_000.0, 50.0),
         ("extra_window_s", 1.0, 3_600.0, 10.0),
+        ("cpu_share", 0.001, 1_000.0, 1.0),
+        ("cpu_speed", 0.001, 1_000.0, 1.0),
     ):
         value = data.get(name, default)
         is_number = isinstance(value, int | float) and not isinstance(value, bool)
@@ -96,6 +102,8 @@
         numbers["extra_ratio"],
         numbers["extra_fixed"],
         numbers["extra_window_s"],
+        numbers["cpu_share"],
+        numbers["cpu_speed"],
     )
 
 
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/gathering/decide.py
@@ -0,0 +1,246 @@
+"""Choice of gatherers, division of shards among them, and their shares of the budget."""
+
+import json
+import math
+import zlib
+from collections.abc import Collection, Sequence
+from typing import NamedTuple
+
+from wisteriarock.catalog.models import Catalog
+
+from .const import (
+    BUDGET_USED_SHARE,
+    DIRECT_CONNECTIONS_MIN,
+    DIRECT_COST_MAX_MS,
+    GATHERER_BURST_SHARE,
+    GATHERER_CORES_MIN,
+    GATHERER_CORES_SHARE,
+    GATHERERS_MIN,
+    LEG_COST_MS,
+    OTHERS_BUDGET_SHARE,
+    OTHERS_STEADY_SHARE,
+)
+from .models import FanOutShape, FragmentAnswer, FragmentRequest, Gatherer, GathererDirectory
+
+_HASH_RANGE = 2**32
+_HASH_MULTIPLIER = 0x45D9F3B
+
+
+class BudgetShare(NamedTuple):
+    """Tokens that one instance holds and gains per window for each service."""
+
+    burst: float
+    steady: float
+
+
+def find_fan_out_shape(catalog: Catalog) -> FanOutShape:
+    """Return the size of the largest fan-out of the configuration in force."""
+    routes = catalog.configuration.routes if catalog.configuration else ()
+    shards = max((route.shards for route in routes), key=len, default=())
+    caps = [catalog.services[name].max_connections for name in shards if name in catalog.services]
+    return FanOutShape(len(shards), min(caps, default=0))
+
+
+def needs_gatherers(shape: FanOutShape, instances: int, capacity_cores: float) -> bool:
+    """Return whether an instance is too small to query all endpoints itself.
+
+    Parameters
+    ----------
+    instances : int
+        Number of instances that share the connections of an endpoint.
+    capacity_cores : float
+        Processing capacity of the instance.
+    """
+    if not shape.legs:
+        return False
+    cost_ms = shape.legs * LEG_COST_MS / max(capacity_cores, 1e-3)
+    has_few_connections = shape.max_connections < DIRECT_CONNECTIONS_MIN * instances
+    return has_few_connections or cost_ms > DIRECT_COST_MAX_MS
+
+
+def choose_gatherers(
+    candidates: Collection[Gatherer], shape: FanOutShape, instances: int
+) -> tuple[Gatherer, ...]:
+    """Choose the gatherers of a zone, the most capable instances first.
+
+    Returns
+    -------
+    tuple of Gatherer
+        Empty if every instance queries the endpoints itself.
+    """
+    usable = [each for each in candidates if each.capacity_cores > 0]
+    if not usable:
+        return ()
+    if not needs_gatherers(shape, instances, min(each.capacity_cores for each in usable)):
+        return ()
+    total_cores = sum(each.capacity_cores for each in usable)
+    needed_cores = max(GATHERER_CORES_MIN, GATHERER_CORES_SHARE * total_cores)
+    ranked = sorted(usable, key=lambda each: (-each.capacity_cores, _hash(each.name, "")))
+    chosen: list[Gatherer] = []
+    for gatherer in ranked:
+        cores = sum(each.capacity_cores for each in chosen)
+        if len(chosen) >= GATHERERS_MIN and cores >= needed_cores:
+            break
+        chosen.append(gatherer)
+    return tuple(chosen)
+
+
+def _hash(name: str, key: str) -> int:
+    """Return a hash of 32 bits; checksums of similar names alone are not independent."""
+    value = zlib.crc32(f"{key}\0{name}".encode())
+    for _ in range(2):
+        value = ((value >> 16) ^ value) * _HASH_MULTIPLIER % _HASH_RANGE
+    return (value >> 16) ^ value
+
+
+def _score(gatherer: Gatherer, shard: str) -> float:
+    """Return the score of weighted rendezvous hashing; the highest one wins."""
+    position = (_hash(gatherer.name, shard) + 0.5) / _HASH_RANGE
+    return -gatherer.capacity_cores / math.log(position)
+
+
+def usable_gatherers(directory: GathererDirectory, now_ms: float) -> list[Gatherer]:
+    """Return the gatherers that are not suspended."""
+    suspended_until_ms = directory.suspended_until_ms
+    return [
+        each
+        for each in directory.gatherers
+        if suspended_until_ms.get(each.name, -math.inf) <= now_ms
+    ]
+
+
+def assign_shards(
+    directory: GathererDirectory, shards: tuple[str, ...], gatherers: Sequence[Gatherer]
+) -> dict[str, list[str]]:
+    """Divide shards among gatherers in proportion to their capacity; return them by gatherer.
+
+    A shard keeps its gatherer while that one is usable, so that its connections stay in use.
+    """
+    key = (shards, tuple(each.name for each in gatherers))
+    assigned = directory.assignments.get(key)
+    if assigned is None:
+        assigned = {}
+        for shard in shards:
+            best = max(gatherers, key=lambda each: _score(each, shard))
+            assigned.setdefault(best.name, []).append(shard)
+        directory.assignments[key] = assigned
+    return assigned
+
+
+def replace_gatherers(directory: GathererDirectory, gatherers: tuple[Gatherer, ...]) -> bool:
+    """Replace the gatherers; return whether they have changed."""
+    if gatherers == directory.gatherers:
+        return False
+    directory.gatherers = gatherers
+    directory.assignments.clear()
+    names = {each.name for each in gatherers}
+    for name in [name for name in directory.suspended_until_ms if name not in names]:
+        del directory.suspended_until_ms[name]
+    return True
+
+
+def needed_parts_of_fragment(shards: int, total_shards: int, total_needed: int) -> int:
+    """Return the minimum number of parts of a fragment's early answer.
+
+    Missing parts are allowed in proportion, and one more, as failures are not spread evenly.
+    """
+    allowed = total_shards - total_needed
+    return max(0, shards - min(allowed, allowed * shards // total_shards + 1))
+
+
+def share_budget(
+    extra: float, instances: int, gatherers: int, *, is_gatherer: bool
+) -> BudgetShare | None:
+    """Return this instance's share of the fixed budget of the shards' services.
+
+    Parameters
+    ----------
+    extra : float
+        Extra legs that all instances together may send to a service in each window.
+    gatherers : int
+        Number of instances that query endpoints in all zones.
+
+    Returns
+    -------
+    BudgetShare or None
+        None if every instance queries the endpoints itself and all have equal shares.
+    """
+    others = instances - gatherers
+    if others <= 0:
+        return None
+    others_burst = 1.0 if others <= OTHERS_BUDGET_SHARE * extra else 0.0
+    others_steady = OTHERS_STEADY_SHARE * extra
+    if not is_gatherer:
+        return BudgetShare(others_burst, others_steady / others if others_burst else 0.0)
+    share = (BUDGET_USED_SHARE * extra - others * others_burst - others_steady) / max(1, gatherers)
+    return BudgetShare(max(1.0, share * GATHERER_BURST_SHARE), share * (1.0 - GATHERER_BURST_SHARE))
+
+
+def encode_gatherers(gatherers: Collection[Gatherer]) -> list[list[str | float]]:
+    """Encode gatherers for a message between instances."""
+    return [[each.name, f"{each.host}:{each.port}", each.capacity_cores] for each in gatherers]
+
+
+def decode_gatherers(rows: object) -> tuple[Gatherer, ...]:
+    """Decode gatherers.
+
+    Raises
+    ------
+    ValueError, TypeError
+        If the rows are malformed.
+    """
+    if not isinstance(rows, list):
+        raise TypeError("gatherers are not a list")
+    gatherers = []
+    for name, address, capacity_cores in rows:
+        host, _, port = str(address).rpartition(":")
+        gatherers.append(Gatherer(str(name), host, int(port), float(capacity_cores)))
+    return tuple(gatherers)
+
+
+def encode_fragment_request(request: FragmentRequest) -> bytes:
+    """Encode a fragment request as JSON."""
+    return json.dumps(request, separators=(",", ":")).encode()
+
+
+def decode_fragment_request(body: bytes) -> FragmentRequest | None:
+    """Decode a fragment request; return None if it is malformed."""
+    try:
+        data = json.loads(body)
+        return {
+            "route": str(data["route"]),
+            "version": int(data["version"]),
+            "request_id": str(data["request_id"]),
+            "method": str(data["method"]),
+            "target": str(data["target"]),
+            "headers": [(str(name), str(value)) for name, value in data["headers"]],
+            "body": str(data["body"]),
+            "shards": [str(shard) for shard in data["shards"]],
+            "top_count": int(data["top_count"]),
+            "max_attempts": int(data["max_attempts"]),
+            "latency_target_ms": float(data["latency_target_ms"]),
+            "needed": int(data["needed"]),
+            "answer_in_ms": float(data["answer_in_ms"]),
+            "expires_in_ms": float(data["expires_in_ms"]),
+        }
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def encode_fragment_answer(answer: FragmentAnswer) -> bytes:
+    """Encode a fragment answer as JSON."""
+    return json.dumps(answer, separators=(",", ":")).encode()
+
+
+def decode_fragment_answer(body: bytes) -> FragmentAnswer | None:
+    """Decode a fragment answer; return None if it is malformed."""
+    try:
+        data = json.loads(body)
+        bytes.fromhex(data["records"])
+        return {
+            "parts": [(str(shard), str(proof)) for shard, proof in data["parts"]],
+            "records": str(data["records"]),
+            "may_have_run": [str(shard) for shard in data["may_have_run"]],
+        }
+    except (ValueError, KeyError, TypeError):
+        return None
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/gathering/models.py
@@ -0,0 +1,95 @@
+"""Data types of gatherers and fragments."""
+
+from typing import NamedTuple, TypedDict
+
+
+class Gatherer(NamedTuple):
+    """An instance that queries endpoints on behalf of its zone."""
+
+    name: str
+    host: str
+    port: int
+    capacity_cores: float
+
+
+class FanOutShape(NamedTuple):
+    """Size of the largest fan-out of the configuration.
+
+    Attributes
+    ----------
+    legs : int
+        Number of shards; 0 if there is no fan-out route.
+    max_connections : int
+        Smallest connection cap of an endpoint of these shards.
+    """
+
+    legs: int
+    max_connections: int
+
+
+class FragmentRequest(TypedDict):
+    """Request of an instance to a gatherer: the part of a query for some of its shards.
+
+    Text fields taken from the caller's request have one character for each byte.
+
+    Attributes
+    ----------
+    answer_in_ms, expires_in_ms : float
+        Time until the early answer is due, and until the query ends.
+    needed : int
+        Minimum number of parts of an early answer.
+    """
+
+    route: str
+    version: int
+    request_id: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: str
+    shards: list[str]
+    top_count: int
+    max_attempts: int
+    latency_target_ms: float
+    needed: int
+    answer_in_ms: float
+    expires_in_ms: float
+
+
+class FragmentAnswer(TypedDict):
+    """Answer of a gatherer.
+
+    Attributes
+    ----------
+    parts : list of tuple
+        Shard and proof of each part.
+    records : str
+        The greatest records of these parts, in hexadecimal.
+    may_have_run : list of str
+        Shards without a part on which a leg has run or may have run.
+    """
+
+    parts: list[tuple[str, str]]
+    records: str
+    may_have_run: list[str]
+
+
+class GathererDirectory:
+    """Gatherers of the local zone, as this instance uses them.
+
+    Attributes
+    ----------
+    gatherers : tuple of Gatherer
+        Current gatherers; empty if every instance queries the endpoints itself.
+    suspended_until_ms : dict
+        For each gatherer that failed, the time until which it gets no fragments.
+    assignments : dict
+        Cache of `assign_shards` by shards and names of the usable gatherers.
+    """
+
+    __slots__ = ("assignments", "gatherers", "suspended_until_ms")
+
+    def __init__(self) -> None:
+        self.gatherers: tuple[Gatherer, ...] = ()
+        self.suspended_until_ms: dict[str, float] = {}
+        self.assignments: dict[tuple[tuple[str, ...], tuple[str, ...]], dict[str, list[str]]] = {}
--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -189,10 +189,24 @@
         if status < 200:
             self.headers = []
             self.has_headers = False
+            if status == 100:
+                self._send_awaited_body()
             return
         body = self.body[0] if len(self.body) == 1 else b"".join(self.body)
         self.reply = Reply(status, self.headers, body, self.parser.should_keep_alive())
 
+    def _send_awaited_body(self) -> None:
+        """Send the body of a request once; later requests for it are ignored."""
+        exchange = self.exchange
+        if exchange is None or exchange.on_continue is None or self.transport is None:
+            return
+        on_continue, exchange.on_continue = exchange.on_continue, None
+        body = on_continue()
+        if body is None:
+            self.close("given up")
+            return
+        self.transport.write(body)
+
     def _deliver_reply(self) -> None:
         """Deliver the response, and release or close the connection."""
         reply, exchange = self.reply, self.exchange
--- a/packages/wisteriarock/src/wisteriarock/http/models.py
+++ b/packages/wisteriarock/src/wisteriarock/http/models.py
@@ -49,9 +49,20 @@
         Called once with the `Reply` or the `ExchangeFailure`.
     on_sent : callable
         Called after the request was written.
+    on_continue : callable or None
+        Returns the body of a request that was sent without it, once the peer asks for it with
+        status 100; None if it must no longer be sent.
     """
 
-    __slots__ = ("accepts", "connection", "encode", "is_cancelled", "on_end", "on_sent")
+    __slots__ = (
+        "accepts",
+        "connection",
+        "encode",
+        "is_cancelled",
+        "on_continue",
+        "on_end",
+        "on_sent",
+    )
 
     def __init__(
         self,
@@ -59,10 +70,12 @@
         accepts: Callable[[Headers], bool],
         on_end: Callable[[Reply | ExchangeFailure], None],
         on_sent: Callable[[], None],
+        on_continue: Callable[[], bytes | None] | None = None,
     ) -> None:
         self.encode = encode
         self.accepts = accepts
         self.on_end = on_end
         self.on_sent = on_sent
+        self.on_continue = on_continue
         self.is_cancelled = False
         self.connection: object | None = None
--- a/packages/wisteriarock/src/wisteriarock/http/pool.py
+++ b/packages/wisteriarock/src/wisteriarock/http/pool.py
@@ -18,6 +18,8 @@
         Returns the maximum number of open connections.
     on_connect : callable
         Called with the result of each connection attempt (True: opened).
+    idle_limit_ms : float or None
+        Time for which an idle connection is reused, if the peer announces none.
     waiting : deque
         Exchanges that wait for a connection.
     opening : int
@@ -29,6 +31,7 @@
         "connections",
         "host",
         "idle",
+        "idle_limit_ms",
         "is_retired",
         "limit",
         "loop",
@@ -48,6 +51,7 @@
         limit: Callable[[], int],
         on_connect: Callable[[bool], None],
         on_stray_bytes: Callable[[str], None],
+        idle_limit_ms: float | None = None,
     ) -> None:
         self.loop = loop
         self.host = host
@@ -55,6 +59,7 @@
         self.limit = limit
         self.on_connect = on_connect
         self.on_stray_bytes = on_stray_bytes
+        self.idle_limit_ms = idle_limit_ms
         self.idle: list[OutgoingConnection] = []
         self.connections: set[OutgoingConnection] = set()
         self.waiting: deque[Exchange] = deque()
@@ -144,6 +149,8 @@
         self.opened_total += 1
         self.connections.add(connection)
         connection.idle_since_ms = self.loop.time() * 1000
+        if self.idle_limit_ms is not None:
+            connection.idle_limit_ms = self.idle_limit_ms
         if connection.transport is not None and connection.transport.is_closing():
             return
         self._on_idle(connection)
--- a/tests/wisteriarock/dispatch/emulator.py
+++ b/tests/wisteriarock/dispatch/emulator.py
@@ -17,7 +17,7 @@
 from wisteriarock.discovery.decide import apply_entry
 from wisteriarock.discovery.models import Directory, EndpointEntry
 from wisteriarock.dispatch.budget import ExtraLegBudget
-from wisteriarock.dispatch.controller import handle_request
+from wisteriarock.dispatch.controller import handle_fragment, handle_request
 from wisteriarock.dispatch.legs import close_abandoned_legs
 from wisteriarock.dispatch.models import ReplyHead, RequestHead, WireFormat
 from wisteriarock.dispatch.state import DispatchState
@@ -148,11 +148,13 @@
 
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
+        self.on_close: Callable[[], None] = lambda: None
 
     def close(self, reason: str = "closed") -> None:
         """Close the connection and end the exchange with `ExchangeFailure`."""
         if self.exchange.connection is not None:
             self.exchange.connection = None
+            self.on_close()
             self.exchange.on_end(ExchangeFailure(reason, True))
 
 
@@ -163,6 +165,10 @@
         self.emulator = emulator
         self.endpoint = endpoint
 
+    def has_idle_connection(self, now_ms: float) -> bool:
+        """Return whether an exchange could start at once."""
+        return True
+
     def send(self, exchange: Exchange) -> None:
         """Send an exchange."""
         target = self.emulator.endpoints[self.endpoint.endpoint_id]
@@ -182,6 +188,64 @@
         )
 
 
+class PeerPool:
+    """Connections to an emulated gatherer.
+
+    Attributes
+    ----------
+    mode : str
+        `ok`, `frozen` (accepts nothing), `refuse` (no connection), `draining` (status 503) or
+        `killed` (the connection is reset while the fragment is in progress).
+    """
+
+    def __init__(self, gatherer: "Emulator") -> None:
+        self.gatherer = gatherer
+        self.mode = "ok"
+        self.accepted = 0
+
+    def send(self, exchange: Exchange) -> None:
+        """Offer an exchange, and hand its body over once it is accepted."""
+        if self.mode == "refuse":
+            exchange.on_end(ExchangeFailure("connect failed", False))
+            return
+        if exchange.encode() is None:
+            exchange.on_end(ExchangeFailure("not sent", False))
+            return
+        exchange.connection = EmulatedConnection(exchange)
+        if self.mode != "frozen":
+            self.gatherer.loop.after_ms(0.4, lambda: self._accept(exchange))
+
+    def _accept(self, exchange: Exchange) -> None:
+        if exchange.connection is None or exchange.on_continue is None:
+            return
+        chunk = exchange.on_continue()
+        if chunk is None:
+            return
+        self.accepted += 1
+        body = chunk.split(b"\r\n")[1]
+
+        def respond(answer: Answer) -> None:
+            reply = Reply(answer.status, answer.headers, answer.body, True)
+            self.gatherer.loop.after_ms(0.2, lambda: self._end(exchange, reply))
+
+        if self.mode == "draining":
+            respond(Answer(503, [], b"not serving"))
+            return
+        now_ms = self.gatherer.loop.time() * 1000
+        request = CallerRequest(b"POST", b"/fragment", [], body, now_ms, False)
+        cancel = handle_fragment(self.gatherer.state, request, respond)
+        exchange.connection.on_close = cancel  # type: ignore[attr-defined]
+        if self.mode == "killed":
+            reset = ExchangeFailure("reset", True)
+            self.gatherer.loop.after_ms(5.0, cancel)
+            self.gatherer.loop.after_ms(5.0, lambda: self._end(exchange, reset))
+
+    def _end(self, exchange: Exchange, outcome: Reply | ExchangeFailure) -> None:
+        if exchange.connection is not None:
+            exchange.connection = None
+            exchange.on_end(outcome)
+
+
 class RecordingLog:
     """Event log that records events in memory."""
 
@@ -228,14 +292,18 @@
         time_left_ms: float = 1_500.0,
         seed: int = 1,
         extra: float = 50.0,
+        name: str = "front-1",
+        shared: "Emulator | None" = None,
     ) -> None:
-        self.loop = VirtualLoop()
+        self.loop = shared.loop if shared is not None else VirtualLoop()
+        self.name = name
         self.rng = random.Random(seed)
         self.route = route
         self.endpoints: dict[str, EmulatedEndpoint] = {}
         self.answers: dict[bytes, tuple[float, Answer]] = {}
         self.log = RecordingLog()
         self.misdirected: list[str] = []
+        self.gatherer_pools: dict[str, PeerPool] = {}
         catalog, self.directory = Catalog(), Directory()
         adopt(catalog, make_configuration(1, route), 0.0)
         services = route.shards or tuple(target.service for target in route.targets)
@@ -249,16 +317,22 @@
                     0.0,
                 )
                 random_work_ms = self._randomise_work_ms(work_ms)
-                self.endpoints[name] = EmulatedEndpoint(self.loop, random_work_ms)
+                self.endpoints[name] = (
+                    EmulatedEndpoint(self.loop, random_work_ms)
+                    if shared is None
+                    else shared.endpoints[name]
+                )
         self.budget = ExtraLegBudget(0.2, extra, 10.0, 10)
         self.state = DispatchState(
             self.loop,  # type: ignore[arg-type]
+            name,
             "zone-a",
             catalog,
             self.directory,
             self.budget,
             _create_wire_format(route.prefix + "1", time_left_ms),
             lambda endpoint: EmulatedPool(self, endpoint),  # type: ignore[arg-type,return-value]
+            lambda gatherer: self.gatherer_pools[gatherer.name],  # type: ignore[arg-type,return-value]
             lambda endpoint: self.misdirected.append(endpoint.endpoint_id),
             self.log,  # type: ignore[arg-type]
             Counters(),
