Answer early by the time that a slow instance needs for an answer

Change: the margin grows with the processor time of an answer on a slower instance, and with the average delay of the timer of early answers.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/const.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/const.py
@@ -4,6 +4,13 @@
 # covers connection setup, the caller's request and the answer (3 ms each, with jitter) and merging.
 # 14 ms on open connections lowered the score by 0.008 (cdq-search, mean of three days).
 ANSWER_MARGIN_MS = 22.0
+# Processor time of an answer, from the request to the write, on one full core. Slower instances
+# answer early by the difference.
+ANSWER_COST_MS = 1.2
+# Weight of a new sample in the moving average of the delay with which early answers are due, and
+# the longest delay that is taken into account.
+TIMER_DELAY_WEIGHT = 0.2
+TIMER_DELAY_MAX_MS = 60.0
 # Minimum time that legs have before the early answer, in hedge delays.
 EARLY_ANSWER_MIN_HEDGE_DELAYS = 1.3
 # A request counts as a retry by the caller if its time left is at least this much shorter than the
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -12,6 +12,8 @@
 from .budget import credit_request, has_budget, try_spend
 from .const import HEDGE_CHECK_INTERVAL_MS, LOGGED_NAMES_MAX
 from .decide import (
+    answer_margin_ms,
+    average_timer_delay_ms,
     create_latency,
     is_hedge_due,
     may_send_another_leg,
@@ -69,7 +71,8 @@
     query = Query(request, head, route, services, latency, respond)
     query.needed_parts = needed_parts(route)
     query.version = state.catalog.configuration.version if state.catalog.configuration else 0
-    set_query_times(query, head.time_left_ms)
+    margin_ms = answer_margin_ms(state.capacity_cores, state.timer_delay_ms)
+    set_query_times(query, head.time_left_ms, margin_ms)
     endpoints_by_service = state.directory.by_service
     missing = [
         service
@@ -332,6 +335,8 @@
 
 def _answer_early(state: DispatchState, query: Query) -> None:
     query.is_early_answer_due = True
+    delay_ms = loop_time_ms(state) - query.early_answer_at_ms
+    state.timer_delay_ms = average_timer_delay_ms(state.timer_delay_ms, delay_ms)
     query.legs_expire_at_ms = query.expires_at_ms
     if not query.is_done and query.parts >= query.needed_parts:
         answer_success(state, query, "early")
--- a/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
@@ -5,6 +5,7 @@
 from wisteriarock.catalog.models import Route
 
 from .const import (
+    ANSWER_COST_MS,
     ANSWER_MARGIN_MS,
     BALANCER_REMOVAL_MS,
     CALLER_RETRY_MIN_WAIT_MS,
@@ -24,6 +25,8 @@
     RETRY_AFTER_SPREAD_MS,
     SHED_BACKOFF_MS,
     STRAGGLER_CLIP_FACTOR,
+    TIMER_DELAY_MAX_MS,
+    TIMER_DELAY_WEIGHT,
 )
 from .models import Query, RouteLatency, Shard
 
@@ -65,15 +68,38 @@
     return waited if waited >= CALLER_RETRY_MIN_WAIT_MS else 0.0
 
 
-def set_query_times(query: Query, time_left_ms: float | None) -> None:
-    """Set the early answer time, the expiry time and the expiry time of the legs of a query."""
+def answer_margin_ms(capacity_cores: float, timer_delay_ms: float) -> float:
+    """Return the time before the latency target at which a fan-out is answered.
+
+    Parameters
+    ----------
+    capacity_cores : float
+        Processing capacity of this instance.
+    timer_delay_ms : float
+        Average delay of early answers behind their time, when the processor is busy.
+    """
+    slow_ms = ANSWER_COST_MS * max(0.0, 1.0 / capacity_cores - 1.0)
+    return ANSWER_MARGIN_MS + slow_ms + timer_delay_ms
+
+
+def average_timer_delay_ms(average_ms: float, delay_ms: float) -> float:
+    """Return the moving average of the delay of timers after a further sample."""
+    sample_ms = min(max(0.0, delay_ms), TIMER_DELAY_MAX_MS)
+    return average_ms + TIMER_DELAY_WEIGHT * (sample_ms - average_ms)
+
+
+def set_query_times(query: Query, time_left_ms: float | None, margin_ms: float) -> None:
+    """Set the early answer time, the expiry time and the expiry time of the legs of a query.
+
+    `margin_ms` is the time before the latency target at which a fan-out is answered.
+    """
     route = query.route
     allowed_ms = route.timeout_ms
     if time_left_ms is not None:
         allowed_ms = min(allowed_ms, time_left_ms - DEADLINE_MARGIN_MS)
     query.expires_at_ms = query.started_at_ms + max(0.0, allowed_ms)
     query.legs_expire_at_ms = query.expires_at_ms
-    early_ms = route.latency_target_ms - ANSWER_MARGIN_MS
+    early_ms = max(0.0, route.latency_target_ms - margin_ms)
     waited = caller_waited_ms(query.latency, time_left_ms)
     if waited < early_ms:
         min_ms = min(early_ms, EARLY_ANSWER_MIN_HEDGE_DELAYS * query.latency.hedge_delay_ms)
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -27,6 +27,10 @@
         Legs that are no longer needed, with the time in ms at which their connection is closed.
     active : set of Query
         Requests in progress.
+    capacity_cores : float
+        Processing capacity of this instance.
+    timer_delay_ms : float
+        Moving average of the delay of early answers behind their time.
     gatherers : GathererDirectory
         Gatherers of the local zone.
     isolated_since_ms : float or None
@@ -48,6 +52,7 @@
         log: EventLog,
         counters: Counters,
         rng: random.Random,
+        capacity_cores: float = 1.0,
     ) -> None:
         self.loop = loop
         self.instance = instance
@@ -62,6 +67,8 @@
         self.log = log
         self.counters = counters
         self.rng = rng
+        self.capacity_cores = capacity_cores
+        self.timer_delay_ms = 0.0
         self.latencies: dict[str, RouteLatency] = {}
         self.abandoned: dict[Leg, float] = {}
         self.active: set[Query] = set()
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -90,6 +90,7 @@
             log,
             self.counters,
             rng,
+            settings.cpu_share * settings.cpu_speed,
         )
         self.discovery = discovery.DiscoveryState(
             loop,
--- a/tests/wisteriarock/dispatch/test_parts.py
+++ b/tests/wisteriarock/dispatch/test_parts.py
@@ -3,8 +3,14 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from wisteriarock.dispatch.budget import ExtraLegBudget, credit_request, has_budget, try_spend
-from wisteriarock.dispatch.const import ANSWER_MARGIN_MS, EARLY_ANSWER_MIN_HEDGE_DELAYS
+from wisteriarock.dispatch.const import (
+    ANSWER_MARGIN_MS,
+    EARLY_ANSWER_MIN_HEDGE_DELAYS,
+    TIMER_DELAY_MAX_MS,
+)
 from wisteriarock.dispatch.decide import (
+    answer_margin_ms,
+    average_timer_delay_ms,
     create_latency,
     needed_parts,
     record_latency,
@@ -108,7 +114,7 @@
     head = RequestHead(b"r", "shop.example", "/blend/1", time_left_ms)
     route = make_fan_out_route(4)
     query = Query(request, head, route, route.shards, latency, lambda answer: None)
-    set_query_times(query, time_left_ms)
+    set_query_times(query, time_left_ms, 22.0)
     return query
 
 
@@ -147,4 +153,17 @@
     assert retry_after_ms(rng, 1_500.0, 0.0) == 500.0
 
 
+def test_slow_instances_answer_earlier():
+    """Guards against early answers that a slow or busy processor sends after the target."""
+    assert answer_margin_ms(1.0, 0.0) == answer_margin_ms(2.15, 0.0) == ANSWER_MARGIN_MS
+    assert 5.0 < answer_margin_ms(0.12, 0.0) - ANSWER_MARGIN_MS < 15.0
+    delay_ms = 0.0
+    for _ in range(30):
+        delay_ms = average_timer_delay_ms(delay_ms, 25.0)
+    assert 24.0 < delay_ms <= 25.0
+    assert answer_margin_ms(1.0, delay_ms) == ANSWER_MARGIN_MS + delay_ms
+    assert average_timer_delay_ms(0.0, 1e6) <= TIMER_DELAY_MAX_MS
+    assert average_timer_delay_ms(0.0, -5.0) == 0.0
+
+
 load_tests = function_suite(globals())
