--- a/packages/wisteriarock/src/wisteriarock/balancing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/decide.py
@@ -64,8 +64,8 @@
 ) -> Endpoint | None:
     """Return the endpoint with the lowest estimated cost, None if there is no candidate.
 
-    Unreachable endpoints and those whose ids are in `excluded` are skipped. An idle connection makes
-    an endpoint preferable, so that connections stay in use where there are few queries.
+    Unreachable endpoints and those whose ids are in `excluded` are skipped. An idle connection
+    makes an endpoint preferable, so that connections stay in use where there are few queries.
     """
     best = None
     best_cost = math.inf
--- a/packages/wisteriarock/src/wisteriarock/discovery/const.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/const.py
@@ -19,6 +19,10 @@
 # Backoff after a failed call to the store: doubled up to the maximum, with jitter.
 RETRY_BACKOFF_MIN_MS = 50.0
 RETRY_BACKOFF_MAX_MS = 400.0
+# Number of instances up to which that maximum applies; beyond, it grows in proportion, for all but
+# relays, as the store counts refused calls as well.
+RETRY_BACKOFF_INSTANCES = 25
+RETRY_BACKOFF_LIMIT_MS = 2_500.0
 # Wait of the first watch after a full load, which returns at once with what has changed since.
 CATCH_UP_WAIT_MS = 1
 # Interval at which an instance that follows relays checks that it still receives changes from them.
--- a/packages/wisteriarock/src/wisteriarock/discovery/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/controller.py
@@ -7,7 +7,12 @@
 from wisteriarock.catalog.decide import adopt
 from wisteriarock.catalog.models import Catalog, Configuration
 from wisteriarock.feed.const import RELAY_KEY_PREFIX, RELAY_WAIT_MS
-from wisteriarock.feed.decide import apply_relay_item, record_changes, reset_history
+from wisteriarock.feed.decide import (
+    apply_relay_item,
+    count_instances,
+    record_changes,
+    reset_history,
+)
 from wisteriarock.feed.models import FeedAnswer, FeedState
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
@@ -20,12 +25,18 @@
     FEED_CHECK_INTERVAL_MS,
     LAPSE_WINDOW_MS,
     READ_TIMEOUT_MS,
-    RETRY_BACKOFF_MAX_MS,
     RETRY_BACKOFF_MIN_MS,
     WATCH_SLACK_MS,
     WATCH_WAIT_MS,
 )
-from .decide import apply_entry, changes_since, expire_lapsed, remove_entry, resync
+from .decide import (
+    apply_entry,
+    changes_since,
+    expire_lapsed,
+    remove_entry,
+    resync,
+    retry_backoff_max_ms,
+)
 from .models import Directory, DirectoryChange, EndpointEntry
 
 
@@ -204,6 +215,7 @@
     outcome = await state.check_client.call(call, timeout_ms)
     if not isinstance(outcome, StoreError):
         state.is_store_silent = False
+        state.last_answer_at_ms = state.last_direct_answer_at_ms = _now_ms(state)
         return True
     if outcome.kind is StoreErrorKind.REFUSED:
         state.is_store_silent = False
@@ -314,7 +326,10 @@
     now_ms = _now_ms(state)
     state.last_answer_at_ms = max(state.last_answer_at_ms, now_ms - answer["store_age_ms"])
     if answer["calm_ms"] < LAPSE_WINDOW_MS:
-        state.outage_ended_at_ms = max(state.outage_ended_at_ms, now_ms - answer["calm_ms"])
+        outage_ended_at_ms = now_ms - answer["calm_ms"]
+        state.outage_ended_at_ms = max(state.outage_ended_at_ms, outage_ended_at_ms)
+        # A relay that follows another one passes the outage on to its own followers.
+        state.failure_free_since_ms = max(state.failure_free_since_ms, outage_ended_at_ms)
     if state.is_store_down and answer["calm_ms"] > 0:
         state.is_store_down = False
         state.log.record("store_regained", by="relay", calm_ms=answer["calm_ms"])
@@ -378,7 +393,9 @@
             continue
         _record_failure(state, error)
         await asyncio.sleep(backoff_ms * (0.5 + state.rng.random()) / 1000)
-        backoff_ms = min(backoff_ms * 2, RETRY_BACKOFF_MAX_MS)
+        instances = count_instances(state.feed, _now_ms(state))
+        max_ms = retry_backoff_max_ms(instances, is_relay=state.is_relay())
+        backoff_ms = min(backoff_ms * 2, max_ms)
 
 
 def start(state: DiscoveryState) -> list[asyncio.Task[None]]:
--- a/packages/wisteriarock/src/wisteriarock/discovery/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/decide.py
@@ -5,7 +5,12 @@
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.store.models import Item, Snapshot
 
-from .const import LAPSE_GRACE_MS
+from .const import (
+    LAPSE_GRACE_MS,
+    RETRY_BACKOFF_INSTANCES,
+    RETRY_BACKOFF_LIMIT_MS,
+    RETRY_BACKOFF_MAX_MS,
+)
 from .models import Directory, DirectoryChange, EndpointEntry
 
 
@@ -127,6 +132,20 @@
     return changes
 
 
+def retry_backoff_max_ms(instances: int | None, *, is_relay: bool) -> float:
+    """Return the longest backoff after failed calls to the store.
+
+    Parameters
+    ----------
+    instances : int or None
+        Number of instances in all zones, None if it is not known.
+    """
+    if is_relay or instances is None:
+        return RETRY_BACKOFF_MAX_MS
+    factor = max(1.0, instances / RETRY_BACKOFF_INSTANCES)
+    return min(RETRY_BACKOFF_LIMIT_MS, RETRY_BACKOFF_MAX_MS * factor)
+
+
 def changes_since(revision: int, known_keys: Iterable[str], snapshot: Snapshot) -> list[Item]:
     """Return the changes between the known keys at a revision and a snapshot.
 
--- a/packages/wisteriarock/src/wisteriarock/feed/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/controller.py
@@ -267,7 +267,7 @@
     is_behind = False
     while True:
         relays = choose_relays(feed.state, feed.zone, feed.instance)
-        if is_relay(feed) or len(relays) <= rank or feed.state.revision == 0:
+        if len(relays) <= rank or feed.state.revision == 0:
             feed.state.relay_answered_at_ms.pop(rank, None)
             await asyncio.sleep(RELAY_RETRY_BACKOFF_MS / 1000)
             continue
--- a/packages/wisteriarock/src/wisteriarock/feed/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/decide.py
@@ -202,11 +202,23 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+def is_root(state: FeedState) -> bool:
+    """Return whether this instance is the relay that watches the store for the other relays.
+
+    That is the relay of the first zone in alphabetical order. A relay follows only relays of zones
+    before its own, so that relays never follow each other in a circle.
+    """
+    return state.lease is not None and state.zone <= min(state.relays, default=state.zone)
+
+
 def choose_relays(state: FeedState, zone: str, instance: str) -> list[Relay]:
     """Return the relays to follow: the relay of the local zone, then one of another zone.
 
     The other zone is the next one in alphabetical order, so that the zones follow different relays.
+    A relay follows only the root.
     """
+    if state.lease is not None:
+        return [] if is_root(state) else [state.relays[min(state.relays)]]
     chosen = []
     own = state.relays.get(zone)
     if own is not None and own.instance != instance:
@@ -224,7 +236,7 @@
     False as soon as every relay refuses: the store may serve this instance although the relays are
     cut off from it.
     """
-    if state.lease is not None:
+    if is_root(state):
         return False
     return any(
         now_ms - answered_at_ms < FEED_TIMEOUT_MS
--- a/tests/wisteriarock/discovery/test_decide.py
+++ b/tests/wisteriarock/discovery/test_decide.py
@@ -1,12 +1,17 @@
 """Tests of the endpoint directory."""
 
-from wisteriarock.discovery.const import LAPSE_GRACE_MS
+from wisteriarock.discovery.const import (
+    LAPSE_GRACE_MS,
+    RETRY_BACKOFF_LIMIT_MS,
+    RETRY_BACKOFF_MAX_MS,
+)
 from wisteriarock.discovery.decide import (
     apply_entry,
     changes_since,
     expire_lapsed,
     remove_entry,
     resync,
+    retry_backoff_max_ms,
 )
 from wisteriarock.discovery.models import Directory
 from wisteriarock.store.models import Item, Snapshot
@@ -112,4 +117,16 @@
     assert changes_since(15, ["servers/old", "servers/new"], snapshot) == []
 
 
+def test_many_instances_retry_more_slowly():
+    """Guards against hundreds of instances that load a store which refuses them.
+
+    Pattern: the store turns some machines away, so that a zone's instances have no relay.
+    """
+    assert retry_backoff_max_ms(9, is_relay=False) == RETRY_BACKOFF_MAX_MS
+    assert retry_backoff_max_ms(None, is_relay=False) == RETRY_BACKOFF_MAX_MS
+    assert retry_backoff_max_ms(100, is_relay=False) == 4 * RETRY_BACKOFF_MAX_MS
+    assert retry_backoff_max_ms(5_000, is_relay=False) == RETRY_BACKOFF_LIMIT_MS
+    assert retry_backoff_max_ms(5_000, is_relay=True) == RETRY_BACKOFF_MAX_MS
+
+
 load_tests = function_suite(globals())
--- a/tests/wisteriarock/feed/test_decide.py
+++ b/tests/wisteriarock/feed/test_decide.py
@@ -13,9 +13,11 @@
     RELAY_KEY_PREFIX,
 )
 from wisteriarock.feed.decide import (
+    accept_gatherers,
     apply_relay_item,
     changes_after,
     choose_relays,
+    count_gatherers,
     count_instances,
     count_own_zone_instances,
     decode_answer,
@@ -23,11 +25,14 @@
     encode_relay_value,
     encoded_changes,
     has_live_feed,
+    is_root,
     record_changes,
     reset_history,
     standby_answer,
+    update_gatherers,
 )
 from wisteriarock.feed.models import FeedState
+from wisteriarock.gathering.models import FanOutShape, Gatherer
 from wisteriarock.store.models import Item
 
 from tests.common import function_suite
@@ -198,4 +203,59 @@
     assert count_own_zone_instances(state, "a", FOLLOWER_TIMEOUT_MS + 1) == 2
 
 
+def test_relays_follow_the_root():
+    """Guards against a watch of the store by the relay of each zone, and against a circle."""
+    state = FeedState("zone-b")
+    for zone in ("zone-a", "zone-b", "zone-c"):
+        _add_relay(state, zone, 4)
+    assert not is_root(state)
+    state.lease = 7
+    assert [relay.zone for relay in choose_relays(state, "zone-b", "front-zone-b")] == ["zone-a"]
+    state.relay_answered_at_ms[0] = 1_000.0
+    assert has_live_feed(state, 1_200.0)
+    assert not has_live_feed(state, 1_000.0 + FEED_TIMEOUT_MS)
+    del state.relays["zone-a"]
+    assert is_root(state) and not has_live_feed(state, 1_200.0)
+    assert choose_relays(state, "zone-b", "front-zone-b") == []
+
+
+def test_new_relay_counts_itself_before_its_registration_arrives():
+    """Guards against two new relays that follow each other, so that none watches the store."""
+    state = FeedState("zone-a")
+    state.lease = 7
+    _add_relay(state, "zone-b", 4)
+    assert is_root(state) and choose_relays(state, "zone-a", "front-zone-a") == []
+
+
+def test_gatherers_pass_from_the_relay_to_its_zone():
+    """Guards against gatherers of another zone, and against an incomplete choice by a new relay."""
+    relay, follower = FeedState("zone-a"), FeedState("zone-a")
+    relay.lease, relay.relay_since_ms = 7, 0.0
+    own = Gatherer("front-1", "10.0.0.1", 7_380, 1.0)
+    shape = FanOutShape(87, 120)
+    update_gatherers(relay, own, shape, 195, FOLLOWER_TIMEOUT_MS - 1)
+    assert relay.gatherers is None
+    update_gatherers(relay, own, shape, 195, FOLLOWER_TIMEOUT_MS + 1)
+    assert relay.gatherers == (own,)
+    answer = changes_after(relay, 0, 0.0, 0.0)
+    assert answer is not None
+    decoded = decode_answer(encode_answer(answer))
+    assert decoded is not None and accept_gatherers(follower, decoded[1])
+    assert follower.gatherers == (own,)
+    other_zone = FeedState("zone-b")
+    assert accept_gatherers(other_zone, decoded[1]) and other_zone.gatherers is None
+    malformed = decoded[1] | {"gatherers": [["front-1"]]}
+    assert not accept_gatherers(follower, malformed)
+
+
+def test_gatherers_are_counted_over_all_zones():
+    """Guards against budget shares for fewer gatherers than there are."""
+    state = FeedState("zone-a")
+    value = encode_relay_value("front-a", "10.0.0.1", 7_380, 40, 3)
+    apply_relay_item(state, Item(RELAY_KEY_PREFIX + "zone-a", value, 5), 0.0)
+    _add_relay(state, "zone-b", 2)
+    assert count_instances(state, 0.0) == 42
+    assert count_gatherers(state, 0.0) == 5
+
+
 load_tests = function_suite(globals())
--- a/tests/wisteriarock/front/test_settings.py
+++ b/tests/wisteriarock/front/test_settings.py
@@ -41,6 +41,8 @@
         ("extra_ratio", -1),
         ("extra_fixed", True),
         ("extra_window_s", 0),
+        ("cpu_share", 0),
+        ("cpu_speed", "fast"),
         ("zone", ""),
     ):
         settings = parse_settings(json.dumps({**GOOD, name: value}))
@@ -64,6 +66,8 @@
         "{{bounds.budget_ratio}}": "0.2",
         "{{bounds.budget_extra}}": "56",
         "{{bounds.budget_window_s}}": "10",
+        "{{limits.cpu_share}}": "0.537",
+        "{{limits.cores}}": "2",
     }
     text = template.read_text(encoding="utf-8")
     for placeholder, value in values.items():
