Hedge a leg in comparison with the other legs of its query

Cause: on instances with few queries the hedge delay has no samples, or those of a busy processor: answers of 28 of 29 parts had no hedge after 150 ms, and others hedged all 42 legs at one moment.

Change: a fan-out of more than three legs is hedged when half of its legs are back, after twice the time that this half took or after the estimated delay, whichever is shorter.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -106,6 +106,8 @@
     for timer in query.timers:
         timer.cancel()
     query.timers.clear()
+    if query.hedge_timer is not None:
+        query.hedge_timer.cancel()
     for fragment in query.fragments:
         abandon_fragment(state, fragment)
     for shard in query.shards:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/const.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/const.py
@@ -35,6 +35,11 @@
 INITIAL_HEDGE_SHARE_PLAIN = 0.7
 # Quantile of leg latency that the hedge delay estimates.
 HEDGE_QUANTILE = 0.92
+# A fan-out of more legs than this is hedged only when at least half of its legs are back: while
+# most are missing, the cause is common to them. A leg is then slow at this multiple of the time
+# that half of the legs took, or at the hedge delay if that is shorter.
+HEDGE_WAVE_LEGS = 3
+HEDGE_RELATIVE_FACTOR = 2.0
 # Relative step of the quantile estimate per sample.
 HEDGE_QUANTILE_STEP = 0.04
 # Weight of a new sample in the expected latency.
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -15,10 +15,12 @@
     answer_margin_ms,
     average_timer_delay_ms,
     create_latency,
+    hedge_delay_ms,
     is_hedge_due,
     may_send_another_leg,
     needed_parts,
     record_latency,
+    record_own_part,
     record_shed,
     set_query_times,
 )
@@ -117,8 +119,7 @@
     if route.shards and query.early_answer_at_ms < query.expires_at_ms:
         _set_timer(state, query, query.early_answer_at_ms, lambda: _answer_early(state, query))
     if route.idempotent:
-        hedge_at_ms = query.started_at_ms + latency.hedge_delay_ms
-        _set_timer(state, query, hedge_at_ms, lambda: _send_hedges(state, query))
+        _schedule_hedges(state, query, query.started_at_ms + latency.hedge_delay_ms)
     local_shards, fragments = plan_fragments(state, query)
     for fragment in fragments:
         _send_fragment(state, fragment)
@@ -128,6 +129,7 @@
 
 def _send_first_legs(state: DispatchState, query: Query, shards: list[Shard]) -> None:
     now_ms = loop_time_ms(state)
+    query.own_legs += len(shards)
     for shard in shards:
         if query.is_done:
             return
@@ -157,12 +159,7 @@
                 _retry_leg(state, query, shard)
         _answer_if_finished(state, query)
         return
-    _set_timer(
-        state,
-        query,
-        loop_time_ms(state) + query.latency.hedge_delay_ms,
-        lambda: _send_hedges(state, query),
-    )
+    _schedule_hedges(state, query, loop_time_ms(state) + query.latency.hedge_delay_ms)
     _send_first_legs(state, query, fragment.shards)
 
 
@@ -208,6 +205,10 @@
         shard.part = outcome
         shard.proof = head.proof
         query.parts += 1
+        if record_own_part(query, now_ms) and query.route.idempotent:
+            delay_ms = hedge_delay_ms(query)
+            if delay_ms is not None:
+                _schedule_hedges(state, query, query.started_at_ms + delay_ms)
         for other in shard.legs[:]:
             abandon_leg(state, other, now_ms)
         _answer_if_finished(state, query)
@@ -263,8 +264,19 @@
     return True
 
 
+def _schedule_hedges(state: DispatchState, query: Query, at_ms: float) -> None:
+    """Check for legs to hedge at a time, unless an earlier check is scheduled."""
+    if query.hedges_at_ms is not None and query.hedges_at_ms <= at_ms:
+        return
+    if query.hedge_timer is not None:
+        query.hedge_timer.cancel()
+    query.hedges_at_ms = at_ms
+    query.hedge_timer = state.loop.call_at(at_ms / 1000, lambda: _send_hedges(state, query))
+
+
 def _send_hedges(state: DispatchState, query: Query) -> None:
     """Hedge slow legs, retry shards that have no leg, and schedule the next check."""
+    query.hedges_at_ms = None
     if query.is_done:
         return
     now_ms = loop_time_ms(state)
@@ -298,9 +310,7 @@
                 endpoint=shard.legs[-1].endpoint.endpoint_id,
             )
     if may_send_more:
-        _set_timer(
-            state, query, now_ms + HEDGE_CHECK_INTERVAL_MS, lambda: _send_hedges(state, query)
-        )
+        _schedule_hedges(state, query, now_ms + HEDGE_CHECK_INTERVAL_MS)
 
 
 def _answer_if_finished(state: DispatchState, query: Query) -> None:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
@@ -14,6 +14,8 @@
     HEDGE_DELAY_MIN_MS,
     HEDGE_QUANTILE,
     HEDGE_QUANTILE_STEP,
+    HEDGE_RELATIVE_FACTOR,
+    HEDGE_WAVE_LEGS,
     INITIAL_EXPECTED_SHARE_FAN_OUT,
     INITIAL_EXPECTED_SHARE_PLAIN,
     INITIAL_HEDGE_SHARE_FAN_OUT,
@@ -130,10 +132,34 @@
 
 
 def is_hedge_due(query: Query, shard: Shard, now_ms: float) -> bool:
-    """Return whether a shard's only outstanding leg has taken longer than the hedge delay."""
+    """Return whether a shard's only outstanding leg is slow.
+
+    In a larger fan-out, a leg is slow in comparison with the other legs; none is while more than
+    half of them are missing.
+    """
     if not query.route.idempotent or not may_send_another_leg(query, shard) or len(shard.legs) != 1:
         return False
-    return now_ms - shard.legs[0].sent_at_ms >= query.latency.hedge_delay_ms
+    delay_ms = hedge_delay_ms(query)
+    return delay_ms is not None and now_ms - shard.legs[0].sent_at_ms >= delay_ms
+
+
+def hedge_delay_ms(query: Query) -> float | None:
+    """Return the age at which a leg of a query is hedged, None while no leg may be."""
+    if query.own_legs <= HEDGE_WAVE_LEGS:
+        return query.latency.hedge_delay_ms
+    if query.half_time_ms is None:
+        return None
+    relative_ms = max(HEDGE_DELAY_MIN_MS, HEDGE_RELATIVE_FACTOR * query.half_time_ms)
+    return min(query.latency.hedge_delay_ms, relative_ms)
+
+
+def record_own_part(query: Query, now_ms: float) -> bool:
+    """Count a part of a leg sent from here; return whether half of these parts are in now."""
+    query.own_parts += 1
+    if query.half_time_ms is not None or 2 * query.own_parts < query.own_legs:
+        return False
+    query.half_time_ms = now_ms - query.started_at_ms
+    return True
 
 
 def record_shed(shard: Shard, now_ms: float) -> None:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -211,6 +211,12 @@
         Number of parts received.
     may_have_run : bool
         Whether any leg has run or may have run.
+    own_legs, own_parts : int
+        Number of shards queried from here, and of those that have their part.
+    half_time_ms : float or None
+        Time that half of these took.
+    hedges_at_ms : float or None
+        Time of the next check for legs to hedge, by `hedge_timer`.
     fragments : list of Fragment
         Fragments that were offered to gatherers.
     is_fragment : bool
@@ -223,7 +229,10 @@
         "early_answer_at_ms",
         "expires_at_ms",
         "fragments",
+        "half_time_ms",
+        "hedge_timer",
         "hedges",
+        "hedges_at_ms",
         "is_cancelled",
         "is_done",
         "is_early_answer_due",
@@ -232,6 +241,8 @@
         "legs_expire_at_ms",
         "may_have_run",
         "needed_parts",
+        "own_legs",
+        "own_parts",
         "parts",
         "request",
         "request_id",
@@ -270,6 +281,11 @@
         self.hedges = 0
         self.retries = 0
         self.may_have_run = False
+        self.own_legs = 0
+        self.own_parts = 0
+        self.half_time_ms: float | None = None
+        self.hedge_timer: Timer | None = None
+        self.hedges_at_ms: float | None = None
         self.fragments: list[Fragment] = []
         self.is_fragment = False
         self.is_cancelled = False
--- a/tests/wisteriarock/dispatch/test_parts.py
+++ b/tests/wisteriarock/dispatch/test_parts.py
@@ -12,8 +12,10 @@
     answer_margin_ms,
     average_timer_delay_ms,
     create_latency,
+    hedge_delay_ms,
     needed_parts,
     record_latency,
+    record_own_part,
     retry_after_ms,
     set_query_times,
 )
@@ -166,4 +168,32 @@
     assert average_timer_delay_ms(0.0, -5.0) == 0.0
 
 
+def test_hedges_wait_for_half_of_the_legs():
+    """Guards against a hedge for each leg of a fan-out whose legs are all late for one reason.
+
+    Pattern: few queries for each instance; connections are not open yet and estimates are empty.
+    """
+    query = _make_query(1_500.0, create_latency(make_fan_out_route(8)))
+    query.own_legs = 8
+    query.latency.hedge_delay_ms = 60.0
+    assert hedge_delay_ms(query) is None
+    assert [record_own_part(query, 1_000.0 + 10.0 * number) for number in range(1, 6)] == [
+        False,
+        False,
+        False,
+        True,
+        False,
+    ]
+    assert query.half_time_ms == 40.0 and hedge_delay_ms(query) == 60.0
+    query.latency.hedge_delay_ms = 150.0
+    assert hedge_delay_ms(query) == 80.0
+
+
+def test_small_fan_outs_are_hedged_by_the_estimate():
+    """Guards against a plain request that is never hedged, as it has no legs to compare with."""
+    query = _make_query(1_500.0, create_latency(make_fan_out_route(2)))
+    query.own_legs = 2
+    assert hedge_delay_ms(query) == query.latency.hedge_delay_ms
+
+
 load_tests = function_suite(globals())
