Cut off replies whose headers, trailers or interim responses never end

Cause: only the bytes of a body were counted. Headers, a header line, 1xx responses, chunk extensions and trailers without end were read until the leg expired, and kept in memory.

Change: what surrounds a body is limited to 64 KB and the size of the body, a part of a fan-out to 256 KB. The connection is closed and the endpoint's error rate rises, as for any incomplete reply.

test_replies_without_end_are_cut_off failed before (the connection went on reading), and passes.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from wisteriarock.balancing.decide import choose_endpoint, observe_abandoned_leg
+from wisteriarock.http.const import PART_MAX_BYTES
 from wisteriarock.http.models import Exchange, ExchangeFailure, Headers, Reply
 
 from .const import ABANDONED_LEG_GRACE_MS
@@ -58,6 +59,8 @@
         state.counters.count("legs")
 
     leg.exchange = Exchange(encode, accepts, lambda outcome: on_end(leg, outcome), on_sent)
+    if query.route.shards:
+        leg.exchange.reply_max_bytes = PART_MAX_BYTES
     state.pool_of(endpoint).send(leg.exchange)
     return True
 
--- a/packages/wisteriarock/src/wisteriarock/http/const.py
+++ b/packages/wisteriarock/src/wisteriarock/http/const.py
@@ -2,8 +2,13 @@
 
 # Timeout of a connection attempt: two round trips between zones and the accept by the endpoint.
 CONNECT_TIMEOUT_MS = 400.0
-# Maximum size of a reply; larger ones are not buffered and fail the exchange.
+# Maximum size of the body of a reply, and of a part of a fan-out, of which many arrive at the same
+# time; larger ones are not buffered and fail the exchange.
 REPLY_MAX_BYTES = 4 * 1024 * 1024
+PART_MAX_BYTES = 256 * 1024
+# Maximum size of headers, interim responses, chunk sizes and trailers, in addition to the size of the
+# body.
+REPLY_OVERHEAD_MAX_BYTES = 64 * 1024
 # Share of the idle timeout announced by an endpoint during which an idle connection is reused.
 IDLE_TIMEOUT_SHARE = 0.7
 # Idle time after which a connection is not reused if the endpoint announces no idle timeout.
--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from .const import IDLE_LIMIT_DEFAULT_MS, IDLE_TIMEOUT_SHARE, REPLY_MAX_BYTES
+from .const import IDLE_LIMIT_DEFAULT_MS, IDLE_TIMEOUT_SHARE, REPLY_OVERHEAD_MAX_BYTES
 from .models import Exchange, ExchangeFailure, Headers, Reply
 
 _FRAMING = (b"content-length", b"transfer-encoding")
@@ -45,6 +45,7 @@
         "on_idle",
         "on_stray_bytes",
         "parser",
+        "received_bytes",
         "reply",
         "size_bytes",
         "transport",
@@ -67,6 +68,7 @@
         self.headers: Headers = []
         self.body: list[bytes] = []
         self.size_bytes = 0
+        self.received_bytes = 0
         self.reply: Reply | None = None
         self.has_headers = False
         self.has_framing = False
@@ -91,6 +93,7 @@
         """Send the request of an exchange."""
         assert self.transport is not None and self.exchange is None
         self.exchange = exchange
+        self.received_bytes = 0
         exchange.connection = self
         self.transport.write(data)
 
@@ -132,6 +135,7 @@
             self.on_stray_bytes(self, "bytes without request")
             self.close("stray bytes")
             return
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -143,9 +147,19 @@
                 return
         if self.reply is not None:
             self._deliver_reply()
-        elif self.size_bytes > REPLY_MAX_BYTES:
+        elif self._is_reply_too_large():
             self.close("reply too large")
 
+    def _is_reply_too_large(self) -> bool:
+        """Return whether the body, or what surrounds it, exceeds its limit."""
+        if self.exchange is None:
+            return False
+        overhead_bytes = self.received_bytes - self.size_bytes
+        return (
+            self.size_bytes > self.exchange.reply_max_bytes
+            or overhead_bytes > REPLY_OVERHEAD_MAX_BYTES + self.size_bytes
+        )
+
     # Parser callbacks
 
     def on_message_begin(self) -> None:
--- a/packages/wisteriarock/src/wisteriarock/http/models.py
+++ b/packages/wisteriarock/src/wisteriarock/http/models.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from .const import REPLY_MAX_BYTES
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -52,6 +54,8 @@
     on_continue : callable or None
         Returns the body of a request that was sent without it, once the peer asks for it with
         status 100; None if it must no longer be sent.
+    reply_max_bytes : int
+        Largest body of a reply.
     """
 
     __slots__ = (
@@ -62,6 +66,7 @@
         "on_continue",
         "on_end",
         "on_sent",
+        "reply_max_bytes",
     )
 
     def __init__(
@@ -77,5 +82,6 @@
         self.on_end = on_end
         self.on_sent = on_sent
         self.on_continue = on_continue
+        self.reply_max_bytes = REPLY_MAX_BYTES
         self.is_cancelled = False
         self.connection: object | None = None
--- a/tests/wisteriarock/http/test_link.py
+++ b/tests/wisteriarock/http/test_link.py
@@ -253,4 +253,70 @@
     assert connect_results == [False]
 
 
+async def _receive_endless(start: bytes, block: bytes, reply_max_bytes: int) -> tuple[int, str]:
+    """Send blocks after a start until the connection is closed.
+
+    Returns
+    -------
+    tuple
+        Number of bytes that the peer could send (16 MB at most), and the reason of the failure.
+    """
+    sent_bytes = 0
+    async with _create_harness() as harness:
+        harness.start()
+        assert harness.connection.exchange is not None
+        harness.connection.exchange.reply_max_bytes = reply_max_bytes
+        with contextlib.suppress(ConnectionError):
+            harness.peer.writer.write(start)
+            while not harness.outcomes and sent_bytes < 16 * 1024 * 1024:
+                harness.peer.writer.write(block)
+                sent_bytes += len(block)
+                await harness.peer.writer.drain()
+                await asyncio.sleep(0)
+        await harness.wait_until(lambda: harness.outcomes or sent_bytes >= 16 * 1024 * 1024)
+        assert harness.outcomes, "the connection went on reading"
+        (outcome,) = harness.outcomes
+        assert isinstance(outcome, ExchangeFailure) and outcome.was_sent
+        assert harness.connection.is_closed and harness.idle_count == 0
+        return sent_bytes, outcome.reason
+
+
+async def test_replies_without_end_are_cut_off():
+    """Guards against memory and processor time spent on bytes that never become an answer.
+
+    Played: endless headers, a header line without end, interim responses, a body without framing,
+    a chunked body, chunk extensions and trailers.
+    """
+    ok = b"HTTP/1.1 200 OK\r\n"
+    chunked = ok + b"Transfer-Encoding: chunked\r\n\r\n"
+    for start, block in (
+        (ok, b"X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaa\r\n" * 500),
+        (ok + b"X-Filler: ", b"a" * 16_000),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 500),
+        (b"", b"HTTP/1.1 100 Continue\r\nX-Filler: a\r\n\r\n" * 400),
+        (ok + b"\r\n", b"b" * 16_000),
+        (chunked, b"3e80\r\n" + b"b" * 16_000 + b"\r\n"),
+        (chunked, b"1\r\nb\r\n" * 2_000),
+        (chunked + b"1;", b"x" * 16_000),
+        (chunked + b"0\r\n", b"X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaa\r\n" * 500),
+    ):
+        sent_bytes, reason = await _receive_endless(start, block, 100_000)
+        # What the sockets buffer may be sent on top of what is read.
+        assert sent_bytes < 8 * 1024 * 1024, (start, block[:40], sent_bytes)
+        assert reason == "reply too large", (start, block[:40], reason)
+
+
+async def test_replies_of_the_largest_size_are_read():
+    """Guards against a limit that cuts off proper replies."""
+    async with _create_harness() as harness:
+        harness.start()
+        assert harness.connection.exchange is not None
+        harness.connection.exchange.reply_max_bytes = 100_000
+        head = b"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 100000\r\n\r\n"
+        harness.peer.writer.write(head + b"b" * 100_000)
+        await harness.wait_until(lambda: harness.outcomes)
+        (outcome,) = harness.outcomes
+        assert isinstance(outcome, Reply) and len(outcome.body) == 100_000
+
+
 load_tests = function_suite(globals())
