--- a/packages/wisteriarock/src/wisteriarock/http/const.py
+++ b/packages/wisteriarock/src/wisteriarock/http/const.py
@@ -6,8 +6,8 @@
 # time; larger ones are not buffered and fail the exchange.
 REPLY_MAX_BYTES = 4 * 1024 * 1024
 PART_MAX_BYTES = 256 * 1024
-# Maximum size of headers, interim responses, chunk sizes and trailers, in addition to the size of the
-# body.
+# Maximum size of headers, interim responses, chunk sizes and trailers, in addition to the size of
+# the body.
 REPLY_OVERHEAD_MAX_BYTES = 64 * 1024
 # Share of the idle timeout announced by an endpoint during which an idle connection is reused.
 IDLE_TIMEOUT_SHARE = 0.7
