Count fragments in the metrics, and callers that left only once

The counters of fragments were not rendered, and a gatherer counted and logged a caller of another instance as its own when that instance gave a fragment up.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -362,11 +362,13 @@
 
 
 def _cancel(state: DispatchState, query: Query) -> None:
-    """End a query whose caller has disconnected."""
+    """End a query whose caller, or the instance that handed it over, has disconnected."""
     if query.is_done:
         return
     query.is_cancelled = True
     end_query(state, query)
+    if query.is_fragment:
+        return
     state.counters.count("callers_left", query.route.name)
     state.log.record(
         "caller_left",
--- a/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
@@ -54,15 +54,16 @@
             local = part
         elif part:
             fragments.append(Fragment(query, gatherer, part))
+    for fragment in fragments:
+        query.fragments.append(fragment)
+        for shard in fragment.shards:
+            shard.fragment = fragment
     return local, fragments
 
 
 def send_fragment(state: DispatchState, fragment: Fragment, on_end: OnFragmentEnd) -> None:
     """Offer a fragment to its gatherer; `on_end` is called once with the outcome."""
     query = fragment.query
-    query.fragments.append(fragment)
-    for shard in fragment.shards:
-        shard.fragment = fragment
     head = (
         f"POST {FRAGMENT_PATH} HTTP/1.1\r\nHost: {fragment.gatherer.name}\r\n"
         "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -20,6 +20,8 @@
     "refusals": ("Requests that were not started", ("status",)),
     "bad_requests": ("Input that was no proper request", ("status",)),
     "missing_parts": ("Parts left out of answers", ("route",)),
+    "fragments": ("Parts of requests answered to other instances", ("route",)),
+    "fragment_failures": ("Parts of requests that a gatherer did not answer", ()),
     "legs": ("Legs sent to endpoints", ()),
     "hedges": ("Second legs sent because the first took too long", ()),
     "retries": ("Legs sent after one failed", ()),
