--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -8,6 +8,7 @@
 ROOT = Path(__file__).parent.parent
 HANG_LIMIT_S = 1_800
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+_IMPORT_FAILURE_PREFIX = "unittest.loader._FailedTest."
 
 
 def _read_known_failures() -> set[str]:
@@ -28,11 +29,32 @@
     return cases
 
 
+def select_cases(
+    cases: list[unittest.TestCase], prefixes: tuple[str, ...]
+) -> list[unittest.TestCase]:
+    """Return the tests whose id starts with a prefix, or all of them if there is none.
+
+    A module that cannot be imported appears as one failing test. It is selected if its name starts
+    with a prefix, or if a prefix names a test in it.
+    """
+    if not prefixes:
+        return cases
+    selected = []
+    for case in cases:
+        name = case.id().removeprefix(_IMPORT_FAILURE_PREFIX)
+        is_failed_module = name != case.id()
+        if name.startswith(prefixes) or (
+            is_failed_module and any(prefix.startswith(f"{name}.") for prefix in prefixes)
+        ):
+            selected.append(case)
+    return selected
+
+
 def main() -> int:
     """Run the tests named on the command line as dotted prefixes, or all of them."""
     prefixes = tuple(sys.argv[1:])
     suite = unittest.TestLoader().discover(str(ROOT / "tests"), "test_*.py", str(ROOT))
-    cases = [case for case in _flatten(suite) if not prefixes or case.id().startswith(prefixes)]
+    cases = select_cases(_flatten(suite), prefixes)
     # If the run hangs, print the stacks of all threads and exit instead of blocking CI.
     faulthandler.dump_traceback_later(HANG_LIMIT_S, exit=True)
     result = unittest.TextTestRunner(verbosity=1).run(unittest.TestSuite(cases))
