--- a/tests/wisteriarock/http/test_link.py
+++ b/tests/wisteriarock/http/test_link.py
@@ -319,4 +319,74 @@
         assert isinstance(outcome, Reply) and len(outcome.body) == 100_000
 
 
+async def _outcome_after_close(data: bytes, *, with_reset: bool) -> Reply | ExchangeFailure:
+    """Send data as the reply, close or reset the connection, and return the outcome."""
+    async with _create_harness() as harness:
+        harness.start()
+        harness.peer.writer.write(data)
+        await harness.peer.writer.drain()
+        if with_reset:
+            harness.peer.writer.transport.abort()
+        else:
+            harness.peer.writer.write_eof()
+        await harness.wait_until(lambda: harness.outcomes)
+        return harness.outcomes[0]
+
+
+async def test_reply_cut_at_each_byte_is_no_success():
+    """Guards against an answer that breaks off halfway and counts as complete."""
+    head = b"HTTP/1.1 200 OK\r\nId: a\r\n"
+    for reply in (
+        head + b"Content-Length: 10\r\n\r\nbody...end",
+        head + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n3\r\nend\r\n0\r\n\r\n",
+        b"HTTP/1.1 102 Processing\r\n\r\n" + head + b"Content-Length: 3\r\n\r\nend",
+    ):
+        for length in range(1, len(reply)):
+            for with_reset in (False, True):
+                outcome = await _outcome_after_close(reply[:length], with_reset=with_reset)
+                assert isinstance(outcome, ExchangeFailure), (reply, length, with_reset)
+                assert outcome.was_sent
+
+
+async def test_reply_without_length_needs_its_whole_head():
+    """Guards against an answer without length whose head breaks off and counts as complete."""
+    reply = b"HTTP/1.1 200 OK\r\nId: a\r\n\r\n"
+    for length in range(1, len(reply)):
+        cut = await _outcome_after_close(reply[:length], with_reset=False)
+        assert isinstance(cut, ExchangeFailure), length
+
+
+async def test_late_copy_split_at_each_byte_is_never_the_next_reply():
+    """Guards against a second copy of an answer on a connection that is in use again.
+
+    The first bytes of the copy come with the answer, while the connection is idle or after the next
+    request; the rest and the next answer follow.
+    """
+    first, second = GOOD % b"a", GOOD % b"b"
+    for split in range(len(first) + 1):
+        for when in ("with answer", "while idle", "after request"):
+            async with _create_harness() as harness:
+                harness.start(b"a")
+                early, late = first[:split], first[split:]
+                harness.peer.writer.write(first + (early if when == "with answer" else b""))
+                await harness.wait_until(lambda: harness.outcomes)
+                if when == "while idle":
+                    harness.peer.writer.write(early)
+                    await harness.peer.writer.drain()
+                    await asyncio.sleep(0.002)
+                if harness.connection.is_closed:
+                    continue
+                harness.start(b"b")
+                if when == "after request":
+                    harness.peer.writer.write(early)
+                    await asyncio.sleep(0)
+                harness.peer.writer.write(late + second)
+                await harness.wait_until(lambda: len(harness.outcomes) == 2)
+                outcome = harness.outcomes[1]
+                if isinstance(outcome, Reply):
+                    assert dict(outcome.headers)[b"Id"] == b"b", (split, when)
+                else:
+                    assert outcome.was_sent
+
+
 load_tests = function_suite(globals())
