--- a/packages/wisteriarock/src/wisteriarock/gathering/const.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/const.py
@@ -10,9 +10,10 @@
 # Processing capacity of the gatherers of a zone: a minimum in cores, and a share of the zone's.
 GATHERER_CORES_MIN = 1.0
 GATHERER_CORES_SHARE = 0.25
-# Share of the fixed budget for extra legs that instances other than gatherers may use. They hold
+# Share of the fixed budget for extra legs that instances other than gatherers may hold. They hold
 # one token each, or none if there are more of them than that share covers.
 OTHERS_BUDGET_SHARE = 0.45
+# Share of the fixed budget that they gain evenly over the window.
 OTHERS_STEADY_SHARE = 0.05
 # Share of the fixed budget in use; the rest allows for instances that are not yet counted.
 BUDGET_USED_SHARE = 0.8
