Part the feed into state, serving, following and the relay's lease

Cause: feed/controller.py had grown to 461 lines and did four jobs.

Change: functions moved to modules of their own, the clock function renamed as in dispatch, and the timeout of a store call to const.py. No decision changed.

--- a/packages/wisteriarock/src/wisteriarock/feed/const.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/const.py
@@ -18,6 +18,8 @@
 # Lifetime of the relay's lease, and the interval at which it is renewed.
 LEASE_TTL_MS = 5_000
 LEASE_RENEWAL_INTERVAL_MS = 1_500.0
+# Timeout of a call to the store for the lease.
+STORE_CALL_TIMEOUT_MS = 600.0
 # Longest random delay before an instance claims the lease of a zone without a relay.
 CLAIM_DELAY_MAX_MS = 1_000.0
 # Longest time that an instance waits for a relay after its first load.
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -13,7 +13,7 @@
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.discovery import controller as discovery
 from wisteriarock.dispatch.legs import close_abandoned_legs
-from wisteriarock.feed import controller as feed
+from wisteriarock.feed.following import report_lost_zones
 from wisteriarock.http.const import TIMEOUT_CHECK_INTERVAL_MS
 
 from .const import (
@@ -97,7 +97,7 @@
         endpoints = instance.directory.by_id.values()
         zones = find_unreachable_zones(endpoints, instance.settings.zone)
         if zones:
-            _spawn(instance, feed.report_lost_zones(instance.feed, zones))
+            _spawn(instance, report_lost_zones(instance.feed, zones))
     instance.was_isolated = is_isolated
 
 
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -20,9 +20,10 @@
 from wisteriarock.dispatch.controller import handle_fragment, handle_request
 from wisteriarock.dispatch.models import WireFormat
 from wisteriarock.dispatch.state import DispatchState
-from wisteriarock.feed import controller as feed
 from wisteriarock.feed.decide import count_gatherers, count_instances, has_live_feed
 from wisteriarock.feed.models import FeedState
+from wisteriarock.feed.serving import handle_follower_request
+from wisteriarock.feed.state import Feed, is_relay, wake_followers
 from wisteriarock.gathering.const import CONNECTIONS_MAX, FRAGMENT_PATH, IDLE_LIMIT_MS
 from wisteriarock.gathering.decide import find_fan_out_shape, replace_gatherers, share_budget
 from wisteriarock.gathering.models import Gatherer
@@ -105,7 +106,7 @@
             self.counters,
             rng,
         )
-        self.feed = feed.Feed(
+        self.feed = Feed(
             loop,
             self.feed_state,
             store_format,
@@ -124,7 +125,7 @@
             lambda: find_fan_out_shape(self.catalog),
         )
         self.discovery.has_live_feed = lambda: has_live_feed(self.feed_state, loop.time() * 1000)
-        self.discovery.is_relay = lambda: feed.is_relay(self.feed)
+        self.discovery.is_relay = lambda: is_relay(self.feed)
         self.discovery.on_history_updated = lambda: on_history_updated(self)
         self.peer_listener = ListenerState(
             loop,
@@ -164,7 +165,7 @@
 ) -> Callable[[], None]:
     """Handle a request of another instance: a fragment of a query, or a call for the feed."""
     if request.target != FRAGMENT_PATH.encode():
-        return feed.handle_follower_request(instance.feed, request, respond)
+        return handle_follower_request(instance.feed, request, respond)
     if instance.phase is not Phase.RUNNING or not instance.discovery.is_loaded:
         respond(Answer(503, [], b"not serving"))
         return _do_nothing
@@ -246,7 +247,7 @@
 
 def on_history_updated(instance: Instance) -> None:
     """Pass changes on to followers, and start held requests after the first load."""
-    feed.wake_followers(instance.feed)
+    wake_followers(instance.feed)
     instance.loop.call_soon(release_held_requests, instance)
 
 
--- a/tests/wisteriaplatform/test_gatherers.py
+++ b/tests/wisteriaplatform/test_gatherers.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections.abc import AsyncIterator
 
-from wisteriarock.feed.controller import is_relay
+from wisteriarock.feed.state import is_relay
 from wisteriarock.front.instance import Instance
 from wisteriarock.front.readiness import Phase
 from wisteriarock.gathering.decide import replace_gatherers
--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -6,8 +6,9 @@
 import os
 
 from wisteriarock.balancing.decide import apply_reported_zone_loss
-from wisteriarock.feed.controller import is_relay, load_relays
 from wisteriarock.feed.controller import stop as stop_feed
+from wisteriarock.feed.lease import load_relays
+from wisteriarock.feed.state import is_relay
 from wisteriarock.front.app import drain
 from wisteriarock.front.housekeeping import verify_lost_zones
 from wisteriarock.front.instance import update_readiness
