Test that a report of lost zones reaches the relay

Cause: the linter found a wrong name in this call while the feed was parted; no test ran it over a connection.

Change: a test with two instances on loopback. It passes; no code changed.

Measured: tests.wisteriaplatform.test_whole_path.test_lost_zones_are_reported_to_the_relay passes.

--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -7,6 +7,7 @@
 
 from wisteriarock.balancing.decide import apply_reported_zone_loss
 from wisteriarock.feed.controller import stop as stop_feed
+from wisteriarock.feed.following import report_lost_zones
 from wisteriarock.feed.lease import load_relays
 from wisteriarock.feed.state import is_relay
 from wisteriarock.front.app import drain
@@ -353,4 +354,15 @@
         assert any("event=answered" in line and "status=503" in line for line in request_lines)
 
 
+async def test_lost_zones_are_reported_to_the_relay():
+    """Guards against a report of a cut-off instance that never reaches its zone's relay."""
+    async with deployment() as running, another_instance(running, "front-2") as other:
+        await wait_until(lambda: is_relay(running.instance.feed) or is_relay(other.feed))
+        relay = running.instance if is_relay(running.instance.feed) else other
+        follower = other if relay is running.instance else running.instance
+        await wait_until(lambda: "zone-a" in follower.feed_state.relays)
+        await report_lost_zones(follower.feed, ["zone-b", "zone-c"])
+        assert relay.feed_state.lost_zones == ("zone-b", "zone-c")
+
+
 load_tests = function_suite(globals())
