Log and count legs to endpoints that name a rate limit

Change: the limit is decoded (ReplyHead.rate_limit_per_s) and kept with the endpoint; events endpoint_limited, endpoint_limit_changed and endpoint_limit_lifted, the counter limited_legs by kind, the gauge endpoints_limited, and the limit in the state dump. No leg is sent differently.

--- a/packages/wisteriarock/src/wisteriarock/balancing/models.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/models.py
@@ -1,5 +1,7 @@
 """Endpoint state as observed by this instance."""
 
+from wisteriarock.limits.endpoint_limit import EndpointLimit
+
 
 class Endpoint:
     """An endpoint with its observed latency, failures and reachability.
@@ -18,6 +20,8 @@
         Whether the endpoint is unreachable because its whole zone is.
     last_reply_at_ms : float
         Time of the last reply.
+    rate_limit : EndpointLimit or None
+        The rate limit that the endpoint names in its replies, None if it names none.
     silent_since_ms : float or None
         Send time of the first leg abandoned without a reply since the last reply.
     """
@@ -37,6 +41,7 @@
         "next_probe_at_ms",
         "observed_at_ms",
         "port",
+        "rate_limit",
         "service",
         "silent_since_ms",
         "slots",
@@ -63,6 +68,7 @@
         self.slow_ratio = 1.0
         self.error_rate = 0.0
         self.observed_at_ms = 0.0
+        self.rate_limit: EndpointLimit | None = None
         self.silent_since_ms: float | None = None
         self.connect_failures = 0
         self.next_probe_at_ms = 0.0
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -31,8 +31,8 @@
     plan_fragments,
     send_fragment,
 )
-from .legs import abandon_leg, send_leg
-from .models import Fragment, Leg, Query, RequestHead, Shard
+from .legs import abandon_leg, record_rate_limit, send_leg
+from .models import Fragment, Leg, LegKind, Query, RequestHead, Shard
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
 
@@ -134,7 +134,7 @@
         if query.is_done:
             return
         credit_request(state.budget, shard.service)
-        _send_leg(state, query, shard, now_ms)
+        _send_leg(state, query, shard, LegKind.FIRST, now_ms)
     _answer_if_finished(state, query)
 
 
@@ -169,11 +169,13 @@
     query.timers.append(state.loop.call_at(at_ms / 1000, callback))
 
 
-def _send_leg(state: DispatchState, query: Query, shard: Shard, now_ms: float) -> bool:
+def _send_leg(
+    state: DispatchState, query: Query, shard: Shard, kind: LegKind, now_ms: float
+) -> bool:
     def on_end(leg: Leg, outcome: Reply | ExchangeFailure) -> None:
         _on_leg_end(state, leg, outcome)
 
-    return send_leg(state, query, shard, now_ms, on_end)
+    return send_leg(state, query, shard, kind, now_ms, on_end)
 
 
 def _on_leg_end(state: DispatchState, leg: Leg, outcome: Reply | ExchangeFailure) -> None:
@@ -194,6 +196,8 @@
         return
     head = state.wire_format.read_reply(outcome.status, outcome.headers)
     is_success = 200 <= outcome.status < 300 and bool(head.proof) and not head.is_encoded
+    if not head.is_misdirected:
+        record_rate_limit(state, leg, head.rate_limit_per_s, is_success=is_success, now_ms=now_ms)
     observe_reply(
         endpoint, elapsed_ms, query.latency.expected_ms, is_error=not is_success, now_ms=now_ms
     )
@@ -255,7 +259,8 @@
     if is_extra and not has_budget(state.budget, shard.service, now_ms):
         state.log.detail("budget_exhausted", request=query.request_id, service=shard.service)
         return False
-    if not _send_leg(state, query, shard, now_ms):
+    kind = LegKind.RETRY if is_extra else LegKind.FIRST
+    if not _send_leg(state, query, shard, kind, now_ms):
         return False
     if is_extra:
         try_spend(state.budget, shard.service, now_ms)
@@ -295,7 +300,7 @@
                 shard.tried_endpoint_ids.clear()
                 _retry_leg(state, query, shard)
         elif is_hedge_due(query, shard, now_ms) and has_budget(state.budget, shard.service, now_ms):
-            if not _send_leg(state, query, shard, now_ms):
+            if not _send_leg(state, query, shard, LegKind.HEDGE, now_ms):
                 continue
             try_spend(state.budget, shard.service, now_ms)
             query.hedges += 1
--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -5,17 +5,18 @@
 from wisteriarock.balancing.decide import choose_endpoint, observe_abandoned_leg
 from wisteriarock.http.const import PART_MAX_BYTES
 from wisteriarock.http.models import Exchange, ExchangeFailure, Headers, Reply
+from wisteriarock.limits.endpoint_limit import count_limited_leg, update_limit
 
 from .const import ABANDONED_LEG_GRACE_MS
 from .decide import record_latency
-from .models import Leg, Query, Shard
+from .models import Leg, LegKind, Query, Shard
 from .state import NO_ENDPOINTS, DispatchState
 
 OnEnd = Callable[[Leg, Reply | ExchangeFailure], None]
 
 
 def send_leg(
-    state: DispatchState, query: Query, shard: Shard, now_ms: float, on_end: OnEnd
+    state: DispatchState, query: Query, shard: Shard, kind: LegKind, now_ms: float, on_end: OnEnd
 ) -> bool:
     """Send a leg to the best endpoint not yet tried and return whether there was one.
 
@@ -34,7 +35,7 @@
     )
     if endpoint is None:
         return False
-    leg = Leg(query, shard, endpoint, now_ms)
+    leg = Leg(query, shard, endpoint, kind, now_ms)
     shard.tried_endpoint_ids.add(endpoint.endpoint_id)
     shard.legs.append(leg)
     shard.possible_runs += 1
@@ -57,6 +58,9 @@
     def on_sent() -> None:
         shard.sent_legs += 1
         state.counters.count("legs")
+        if endpoint.rate_limit is not None:
+            count_limited_leg(endpoint.rate_limit, kind.value)
+            state.counters.count("limited_legs", kind.value)
 
     leg.exchange = Exchange(encode, accepts, lambda outcome: on_end(leg, outcome), on_sent)
     if query.route.shards:
@@ -65,6 +69,33 @@
     return True
 
 
+def record_rate_limit(
+    state: DispatchState, leg: Leg, per_s: float | None, *, is_success: bool, now_ms: float
+) -> None:
+    """Record whether the reply to a leg names a rate limit of its endpoint, and log changes."""
+    endpoint = leg.endpoint
+    before = endpoint.rate_limit
+    before_per_s = before.per_s if before is not None else None
+    limit = endpoint.rate_limit = update_limit(
+        before, per_s, leg.sent_at_ms, now_ms, is_success=is_success
+    )
+    names = {"endpoint": endpoint.endpoint_id, "service": endpoint.service}
+    if limit is None and before is not None:
+        state.log.record(
+            "endpoint_limit_lifted",
+            **names,
+            per_s=before.per_s,
+            limited_ms=now_ms - before.first_named_at_ms,
+            **{f"{kind}_legs": count for kind, count in before.legs.items()},
+        )
+    elif limit is not None and before is None:
+        state.log.record("endpoint_limited", **names, per_s=limit.per_s)
+    elif limit is not None and limit.per_s != before_per_s:
+        state.log.detail(
+            "endpoint_limit_changed", **names, per_s=limit.per_s, before_per_s=before_per_s
+        )
+
+
 def abandon_leg(state: DispatchState, leg: Leg, now_ms: float) -> None:
     """Abandon a leg; its connection is reused if the reply arrives within the grace period."""
     if leg.is_done or leg.is_abandoned:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -1,5 +1,6 @@
 """Models of requests in progress."""
 
+import enum
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -35,6 +36,9 @@
         Whether the address now belongs to another endpoint.
     is_encoded : bool
         Whether the body has a content encoding.
+    rate_limit_per_s : float or None
+        Requests per second that the endpoint takes from all instances together; None if it names
+        no limit.
     """
 
     request_id: bytes
@@ -42,6 +46,7 @@
     was_not_run: bool
     is_misdirected: bool
     is_encoded: bool
+    rate_limit_per_s: float | None = None
 
 
 class WireFormat(NamedTuple):
@@ -103,15 +108,35 @@
         self.samples = 0
 
 
+class LegKind(enum.Enum):
+    """Reason for which a leg is sent."""
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
 class Leg:
     """One request sent to one endpoint for a shard of a query."""
 
-    __slots__ = ("endpoint", "exchange", "is_abandoned", "is_done", "query", "sent_at_ms", "shard")
+    __slots__ = (
+        "endpoint",
+        "exchange",
+        "is_abandoned",
+        "is_done",
+        "kind",
+        "query",
+        "sent_at_ms",
+        "shard",
+    )
 
-    def __init__(self, query: "Query", shard: "Shard", endpoint: Endpoint, now_ms: float) -> None:
+    def __init__(
+        self, query: "Query", shard: "Shard", endpoint: Endpoint, kind: LegKind, now_ms: float
+    ) -> None:
         self.query = query
         self.shard = shard
         self.endpoint = endpoint
+        self.kind = kind
         self.sent_at_ms = now_ms
         self.exchange: Exchange | None = None
         self.is_done = False
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -39,6 +39,7 @@
                 "in_flight": len(endpoint.in_flight),
                 "slow_ratio": round(endpoint.slow_ratio, 2),
                 "error_rate": round(endpoint.error_rate, 2),
+                "rate_limit_per_s": endpoint.rate_limit.per_s if endpoint.rate_limit else None,
             }
             for endpoint in instance.directory.by_id.values()
         },
@@ -50,6 +51,7 @@
     configuration = instance.catalog.configuration
     endpoints = instance.directory.by_id.values()
     unreachable = sum(endpoint.is_unreachable for endpoint in endpoints)
+    limited = sum(endpoint.rate_limit is not None for endpoint in endpoints)
     now_s = instance.loop.time()
     return {
         "ready": ("Whether the instance is in rotation", float(bool(instance.was_ready))),
@@ -68,4 +70,5 @@
         ),
         "endpoints": ("Endpoints known", float(len(endpoints))),
         "endpoints_unreachable": ("Endpoints that cannot be reached", float(unreachable)),
+        "endpoints_limited": ("Endpoints that name a rate limit", float(limited)),
     }
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -23,6 +23,7 @@
     "fragments": ("Parts of requests answered to other instances", ("route",)),
     "fragment_failures": ("Parts of requests that a gatherer did not answer", ()),
     "legs": ("Legs sent to endpoints", ()),
+    "limited_legs": ("Legs sent to endpoints that name a rate limit", ("kind",)),
     "hedges": ("Second legs sent because the first took too long", ()),
     "retries": ("Legs sent after one failed", ()),
     "leg_failures": ("Legs that ended without a usable reply", ("reason",)),
--- a/tests/wisteriarock/dispatch/emulator.py
+++ b/tests/wisteriarock/dispatch/emulator.py
@@ -85,12 +85,15 @@
     mode : str
         `ok`, `silent` (no reply), `error` (status 500), `shed` (503, not run), `refuse` (no
         connection), `other` (another endpoint has the address) or `reset` (the reply is lost).
+    limit_per_s : float or None
+        Rate limit that every reply names.
     """
 
     def __init__(self, loop: VirtualLoop, work_ms: Callable[[], float]) -> None:
         self.loop = loop
         self.work_ms = work_ms
         self.mode = "ok"
+        self.limit_per_s: float | None = None
         self.busy = 0
         self.queue: list[tuple[float, Exchange, bytes]] = []
         self.paused_until_ms = 0.0
@@ -140,6 +143,8 @@
         if exchange.connection is None:
             return
         exchange.connection = None
+        if isinstance(outcome, Reply) and self.limit_per_s is not None:
+            outcome.headers.append((b"limit", b"%.2f" % self.limit_per_s))
         exchange.on_end(outcome)
 
 
@@ -262,7 +267,12 @@
 def _read_reply(status: int, headers: Headers) -> ReplyHead:
     header_values = dict(headers)
     return ReplyHead(
-        b"", header_values.get(b"proof", b""), b"not-run" in header_values, status == 421, False
+        b"",
+        header_values.get(b"proof", b""),
+        b"not-run" in header_values,
+        status == 421,
+        False,
+        float(header_values[b"limit"]) if b"limit" in header_values else None,
     )
 
 
