--- a/tests/wisteriarock/dispatch/emulator.py
+++ b/tests/wisteriarock/dispatch/emulator.py
@@ -87,6 +87,10 @@
         connection), `other` (another endpoint has the address) or `reset` (the reply is lost).
     limit_per_s : float or None
         Rate limit that every reply names.
+    senders : list of tuple
+        Time in ms and instance of each arrival.
+    told_at_ms : dict
+        Time of the first reply that named the limit, by instance.
     """
 
     def __init__(self, loop: VirtualLoop, work_ms: Callable[[], float]) -> None:
@@ -98,6 +102,8 @@
         self.queue: list[tuple[float, Exchange, bytes]] = []
         self.paused_until_ms = 0.0
         self.arrivals: list[tuple[float, bytes]] = []
+        self.senders: list[tuple[float, str]] = []
+        self.told_at_ms: dict[str, float] = {}
         self.runs: list[bytes] = []
 
     def receive(self, exchange: Exchange, request_id: bytes, time_left_ms: float) -> None:
@@ -106,6 +112,8 @@
         if self.mode == "silent":
             return
         self.arrivals.append((now_ms, request_id))
+        if isinstance(exchange.connection, EmulatedConnection):
+            self.senders.append((now_ms, exchange.connection.sender))
         if self.mode == "other":
             self._end_exchange(exchange, Reply(421, [], b"", True))
         elif self.mode == "shed" or len(self.queue) >= QUEUE_MAX:
@@ -142,17 +150,20 @@
     def _end_exchange(self, exchange: Exchange, outcome: Reply | ExchangeFailure) -> None:
         if exchange.connection is None:
             return
-        exchange.connection = None
+        connection, exchange.connection = exchange.connection, None
         if isinstance(outcome, Reply) and self.limit_per_s is not None:
             outcome.headers.append((b"limit", b"%.2f" % self.limit_per_s))
+            if isinstance(connection, EmulatedConnection):
+                self.told_at_ms.setdefault(connection.sender, self.loop.time() * 1000)
         exchange.on_end(outcome)
 
 
 class EmulatedConnection:
     """The emulated connection of one exchange."""
 
-    def __init__(self, exchange: Exchange) -> None:
+    def __init__(self, exchange: Exchange, sender: str) -> None:
         self.exchange = exchange
+        self.sender = sender
         self.on_close: Callable[[], None] = lambda: None
 
     def close(self, reason: str = "closed") -> None:
@@ -185,7 +196,7 @@
         if data is None:
             exchange.on_end(ExchangeFailure("not sent", False))
             return
-        exchange.connection = EmulatedConnection(exchange)
+        exchange.connection = EmulatedConnection(exchange, self.emulator.name)
         exchange.on_sent()
         request_id, time_left_ms = data.split(b" ")
         self.emulator.loop.after_ms(
@@ -216,7 +227,7 @@
         if exchange.encode() is None:
             exchange.on_end(ExchangeFailure("not sent", False))
             return
-        exchange.connection = EmulatedConnection(exchange)
+        exchange.connection = EmulatedConnection(exchange, "")
         if self.mode != "frozen":
             self.gatherer.loop.after_ms(0.4, lambda: self._accept(exchange))
 
@@ -304,6 +315,7 @@
         extra: float = 50.0,
         name: str = "front-1",
         shared: "Emulator | None" = None,
+        instances: int = 10,
     ) -> None:
         self.loop = shared.loop if shared is not None else VirtualLoop()
         self.name = name
@@ -332,7 +344,7 @@
                     if shared is None
                     else shared.endpoints[name]
                 )
-        self.budget = ExtraLegBudget(0.2, extra, 10.0, 10)
+        self.budget = ExtraLegBudget(0.2, extra, 10.0, instances)
         self.state = DispatchState(
             self.loop,  # type: ignore[arg-type]
             name,
