Keep to the rate limits that endpoints name

Cause: the limit is a statement of a peer on what it takes from all instances together. Such a statement has to be read, and divided: each instance alone stays below it. max_conns and the budget for extra legs are divided among the counted instances, this header was not known. Change: each instance keeps a share of a named limit, a token bucket that starts empty; a leg of any kind is taken from it when its endpoint is chosen, or when it is sent if the limit was named while it waited for a connection; a leg that was not sent is returned. Shares are equal among the counted instances; for shards with gatherers, among the gatherers of the shard, one for each zone. A share of less than one request is rounded at random. Requests for which too few shards have an endpoint within its limit are refused at once; a gatherer names the shards that it withheld, so that no other instance queries them in its place.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -31,7 +31,7 @@
     plan_fragments,
     send_fragment,
 )
-from .legs import abandon_leg, record_rate_limit, send_leg
+from .legs import abandon_leg, can_send_leg, record_rate_limit, return_unsent_leg, send_leg
 from .models import Fragment, Leg, LegKind, Query, RequestHead, Shard
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
@@ -75,15 +75,13 @@
     query.version = state.catalog.configuration.version if state.catalog.configuration else 0
     margin_ms = answer_margin_ms(state.capacity_cores, state.timer_delay_ms)
     set_query_times(query, head.time_left_ms, margin_ms)
-    endpoints_by_service = state.directory.by_service
-    missing = [
-        service
-        for service in services
-        if not has_reachable(endpoints_by_service.get(service, NO_ENDPOINTS))
-    ]
-    reachable = len(services) - len(missing)
-    if reachable < query.needed_parts:
-        reason = f"only {reachable} of {query.needed_parts} needed shards have a reachable endpoint"
+    now_ms = loop_time_ms(state)
+    missing = [service for service in services if not can_send_leg(state, service, now_ms)]
+    available = len(services) - len(missing)
+    if available < query.needed_parts:
+        reason = (
+            f"only {available} of {query.needed_parts} needed shards have an available endpoint"
+        )
         refuse_request(
             state,
             respond,
@@ -94,11 +92,16 @@
             route=route.name,
             version=query.version,
             missing=",".join(missing[:LOGGED_NAMES_MAX]),
+            limited=sum(_is_reachable(state, service) for service in missing),
         )
         return _do_nothing
     return _run_query(state, query)
 
 
+def _is_reachable(state: DispatchState, service: str) -> bool:
+    return has_reachable(state.directory.by_service.get(service, NO_ENDPOINTS))
+
+
 def handle_fragment(
     state: DispatchState, request: CallerRequest, respond: Respond
 ) -> Callable[[], None]:
@@ -190,7 +193,9 @@
         shard.legs.remove(leg)
     elapsed_ms = now_ms - leg.sent_at_ms
     if isinstance(outcome, ExchangeFailure):
-        if outcome.was_sent and not leg.is_abandoned:
+        if not outcome.was_sent:
+            return_unsent_leg(leg)
+        elif not leg.is_abandoned:
             observe_incomplete_reply(endpoint, now_ms)
         _on_leg_failure(state, leg, outcome.reason, may_have_run=outcome.was_sent)
         return
@@ -344,7 +349,7 @@
         bool(query.route.shards)
         and may_send_another_leg(query, shard)
         and has_budget(state.budget, shard.service, loop_time_ms(state))
-        and has_reachable(state.directory.by_service.get(shard.service, NO_ENDPOINTS))
+        and _is_reachable(state, shard.service)
     )
 
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
@@ -125,9 +125,14 @@
 
 
 def may_send_another_leg(query: Query, shard: Shard) -> bool:
-    """Return whether the route allows another leg for a shard."""
+    """Return whether the route allows another leg for a shard.
+
+    A gatherer that withheld a leg is the instance with the share in the rate limits for it.
+    """
     if shard.part is not None or shard.possible_runs >= query.route.max_attempts:
         return False
+    if shard.is_withheld_by_gatherer:
+        return False
     return query.route.idempotent or shard.possible_runs == 0
 
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
@@ -198,13 +198,14 @@
     The records of a fragment are merged, so the first part holds them all.
     """
     proofs = dict(answer["parts"])
-    may_have_run = set(answer["may_have_run"])
+    may_have_run, withheld = set(answer["may_have_run"]), set(answer["withheld"])
     body = bytes.fromhex(answer["records"])
     for shard in fragment.shards:
         proof = proofs.get(shard.service)
         if proof is None:
             if shard.service not in may_have_run:
                 _uncount_runs(shard)
+            shard.is_withheld_by_gatherer = shard.service in withheld
             continue
         if shard.part is None:
             query.parts += 1
@@ -284,5 +285,8 @@
             for shard in query.shards
             if shard.part is None and shard.possible_runs > 0
         ],
+        "withheld": [
+            shard.service for shard in query.shards if shard.part is None and shard.is_withheld
+        ],
     }
     return Answer(200, [], encode_fragment_answer(answer))
--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -3,14 +3,21 @@
 from collections.abc import Callable
 
 from wisteriarock.balancing.decide import choose_endpoint, observe_abandoned_leg
+from wisteriarock.balancing.models import Endpoint
 from wisteriarock.http.const import PART_MAX_BYTES
 from wisteriarock.http.models import Exchange, ExchangeFailure, Headers, Reply
-from wisteriarock.limits.endpoint_limit import count_limited_leg, update_limit
+from wisteriarock.limits.endpoint_limit import (
+    count_limited_leg,
+    may_send,
+    return_unsent,
+    try_acquire,
+    update_limit,
+)
 
 from .const import ABANDONED_LEG_GRACE_MS
 from .decide import record_latency
 from .models import Leg, LegKind, Query, Shard
-from .state import NO_ENDPOINTS, DispatchState
+from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
 OnEnd = Callable[[Leg, Reply | ExchangeFailure], None]
 
@@ -22,20 +29,11 @@
 
     `on_end` is called once with the outcome of the leg.
     """
-    endpoints = state.directory.by_service.get(shard.service, NO_ENDPOINTS)
-    expected_ms = query.latency.expected_ms
-    endpoint = choose_endpoint(
-        endpoints,
-        shard.tried_endpoint_ids,
-        state.zone,
-        expected_ms,
-        now_ms,
-        state.rng,
-        lambda endpoint: state.pool_of(endpoint).has_idle_connection(now_ms),
-    )
+    endpoint = _choose_within_limit(state, query, shard, now_ms)
     if endpoint is None:
         return False
     leg = Leg(query, shard, endpoint, kind, now_ms)
+    leg.limit = endpoint.rate_limit
     shard.tried_endpoint_ids.add(endpoint.endpoint_id)
     shard.legs.append(leg)
     shard.possible_runs += 1
@@ -45,7 +43,7 @@
 
     def encode() -> bytes | None:
         time_left_ms = query.legs_expire_at_ms - state.loop.time() * 1000
-        if query.is_done or time_left_ms < 1:
+        if query.is_done or time_left_ms < 1 or not _acquire_if_limited_since(state, leg):
             return None
         return wire_format.encode_leg(
             query.template, endpoint.endpoint_id, time_left_ms, query.request.body
@@ -69,6 +67,71 @@
     return True
 
 
+def _choose_within_limit(
+    state: DispatchState, query: Query, shard: Shard, now_ms: float
+) -> Endpoint | None:
+    """Choose the best endpoint not yet tried whose rate limit, if any, allows another leg."""
+    endpoints = state.directory.by_service.get(shard.service, NO_ENDPOINTS)
+    excluded = shard.tried_endpoint_ids
+    while True:
+        endpoint = choose_endpoint(
+            endpoints,
+            excluded,
+            state.zone,
+            query.latency.expected_ms,
+            now_ms,
+            state.rng,
+            lambda endpoint: state.pool_of(endpoint).has_idle_connection(now_ms),
+        )
+        if endpoint is None:
+            if excluded is not shard.tried_endpoint_ids and not shard.is_withheld:
+                shard.is_withheld = True
+                state.counters.count("shards_withheld")
+                state.log.detail("withheld", request=query.request_id, service=shard.service)
+            return None
+        if _acquire(state, endpoint, now_ms):
+            return endpoint
+        excluded = excluded | {endpoint.endpoint_id}
+
+
+def _acquire(state: DispatchState, endpoint: Endpoint, now_ms: float) -> bool:
+    """Take a leg from the rate limit of an endpoint; return False if it is used up."""
+    limit = endpoint.rate_limit
+    if limit is None:
+        return True
+    return try_acquire(limit, state.limit_sharers(endpoint.service), now_ms, state.rng)
+
+
+def _acquire_if_limited_since(state: DispatchState, leg: Leg) -> bool:
+    """Take a leg that waited for a connection from a limit named meanwhile."""
+    limit = leg.endpoint.rate_limit
+    if limit is None or leg.limit is not None:
+        return True
+    if not _acquire(state, leg.endpoint, loop_time_ms(state)):
+        return False
+    leg.limit = limit
+    return True
+
+
+def return_unsent_leg(leg: Leg) -> None:
+    """Return a leg that was not sent to the rate limit from which it was taken."""
+    limit, leg.limit = leg.limit, None
+    if limit is not None:
+        return_unsent(limit)
+
+
+def can_send_leg(state: DispatchState, service: str, now_ms: float) -> bool:
+    """Return whether a service has a reachable endpoint whose rate limit allows a leg now."""
+    return any(
+        not endpoint.is_unreachable
+        and (
+            endpoint.rate_limit is None
+            or may_send(endpoint.rate_limit, state.limit_sharers(service), now_ms)
+        )
+        for endpoint in state.directory.by_service.get(service, NO_ENDPOINTS)
+    )
+
+
 def record_rate_limit(
     state: DispatchState, leg: Leg, per_s: float | None, *, is_success: bool, now_ms: float
 ) -> None:
@@ -106,6 +169,7 @@
         # The leg was never sent, so it has not run.
         exchange.is_cancelled = True
         leg.is_done = True
+        return_unsent_leg(leg)
         leg.shard.possible_runs -= 1
         leg.endpoint.in_flight.pop(id(leg), None)
         if leg in leg.shard.legs:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -9,6 +9,7 @@
 from wisteriarock.gathering.models import Gatherer
 from wisteriarock.http.front import Answer, CallerRequest
 from wisteriarock.http.models import Exchange, Headers, Reply
+from wisteriarock.limits.endpoint_limit import EndpointLimit
 
 
 class RequestHead(NamedTuple):
@@ -117,7 +118,13 @@
 
 
 class Leg:
-    """One request sent to one endpoint for a shard of a query."""
+    """One request sent to one endpoint for a shard of a query.
+
+    Attributes
+    ----------
+    limit : EndpointLimit or None
+        The rate limit of the endpoint from which the leg was acquired.
+    """
 
     __slots__ = (
         "endpoint",
@@ -125,6 +132,7 @@
         "is_abandoned",
         "is_done",
         "kind",
+        "limit",
         "query",
         "sent_at_ms",
         "shard",
@@ -137,6 +145,7 @@
         self.shard = shard
         self.endpoint = endpoint
         self.kind = kind
+        self.limit: EndpointLimit | None = None
         self.sent_at_ms = now_ms
         self.exchange: Exchange | None = None
         self.is_done = False
@@ -182,6 +191,10 @@
         The successful reply that is used in the answer.
     failure_reply : Reply or None
         The last failure reply of an endpoint.
+    is_withheld : bool
+        Whether a leg was not sent because all endpoints name a rate limit that is used up.
+    is_withheld_by_gatherer : bool
+        Whether a gatherer sent no leg for this reason.
     shed_count : int
         Number of legs that endpoints refused to run.
     retry_at_ms : float
@@ -192,6 +205,8 @@
         "failure_reply",
         "fragment",
         "fragment_runs",
+        "is_withheld",
+        "is_withheld_by_gatherer",
         "legs",
         "part",
         "possible_runs",
@@ -214,6 +229,8 @@
         self.part: Reply | None = None
         self.proof = b""
         self.failure_reply: Reply | None = None
+        self.is_withheld = False
+        self.is_withheld_by_gatherer = False
         self.shed_count = 0
         self.retry_at_ms = 0.0
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -33,6 +33,8 @@
         Moving average of the delay of early answers behind their time.
     gatherers : GathererDirectory
         Gatherers of the local zone.
+    limit_sharers : callable
+        Returns the number of instances that share the rate limits of the endpoints of a service.
     isolated_since_ms : float or None
         Time at which this instance became isolated and not ready, None if it is not isolated.
     """
@@ -73,6 +75,7 @@
         self.abandoned: dict[Leg, float] = {}
         self.active: set[Query] = set()
         self.gatherers = GathererDirectory()
+        self.limit_sharers: Callable[[str], float] = lambda service: 1.0
         self.isolated_since_ms: float | None = None
 
 
--- a/packages/wisteriarock/src/wisteriarock/feed/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/decide.py
@@ -317,6 +317,20 @@
     return True
 
 
+def count_assigned_instances(state: FeedState, now_ms: float) -> int | None:
+    """Return the number of instances that usually query a given shard, or None if it is not known.
+
+    In a zone with gatherers this is one, in other zones it is every instance.
+    """
+    if count_instances(state, now_ms) is None:
+        return None
+    return sum(
+        1 if state.gatherer_counts.get(zone) else count
+        for zone, (count, counted_at_ms) in state.instance_counts.items()
+        if now_ms - counted_at_ms < INSTANCE_COUNT_TTL_MS
+    )
+
+
 def count_gatherers(state: FeedState, now_ms: float) -> int | None:
     """Return the number of instances that query endpoints, or None if it is not known.
 
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -20,12 +20,24 @@
 from wisteriarock.dispatch.controller import handle_fragment, handle_request
 from wisteriarock.dispatch.models import WireFormat
 from wisteriarock.dispatch.state import DispatchState
-from wisteriarock.feed.decide import count_gatherers, count_instances, has_live_feed
+from wisteriarock.feed.decide import (
+    count_assigned_instances,
+    count_gatherers,
+    count_instances,
+    has_live_feed,
+)
 from wisteriarock.feed.models import FeedState
 from wisteriarock.feed.serving import handle_follower_request
 from wisteriarock.feed.state import Feed, is_relay, wake_followers
 from wisteriarock.gathering.const import CONNECTIONS_MAX, FRAGMENT_PATH, IDLE_LIMIT_MS
-from wisteriarock.gathering.decide import find_fan_out_shape, replace_gatherers, share_budget
+from wisteriarock.gathering.decide import (
+    count_limit_sharers,
+    find_fan_out_shape,
+    is_assigned,
+    replace_gatherers,
+    share_budget,
+    usable_gatherers,
+)
 from wisteriarock.gathering.models import Gatherer
 from wisteriarock.http.front import Answer, CallerRequest, ListenerState, Respond
 from wisteriarock.http.pool import Pool
@@ -106,6 +118,7 @@
             self.counters,
             rng,
         )
+        self.dispatch.limit_sharers = lambda service: limit_sharers(self, service)
         self.feed = Feed(
             loop,
             self.feed_state,
@@ -270,6 +283,21 @@
     return max(1, int(definition.max_connections * CONNECTION_CAP_SHARE / count))
 
 
+def limit_sharers(instance: Instance, service: str) -> float:
+    """Return the number of instances that share the rate limits of a service's endpoints."""
+    count = instance.instance_count
+    if service not in instance.gathered_services or instance.gatherer_count >= count:
+        return float(count)
+    now_ms = instance.loop.time() * 1000
+    gatherers = usable_gatherers(instance.dispatch.gatherers, now_ms)
+    assigned = count_assigned_instances(instance.feed_state, now_ms)
+    return count_limit_sharers(
+        count,
+        count if assigned is None else assigned,
+        is_assigned=not gatherers or is_assigned(gatherers, service, instance.settings.instance),
+    )
+
+
 def pool_of_gatherer(instance: Instance, gatherer: Gatherer) -> Pool:
     """Return the connection pool of a gatherer, created at first use."""
     pool = instance.gatherer_pools.get(gatherer)
--- a/packages/wisteriarock/src/wisteriarock/gathering/const.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/const.py
@@ -15,6 +15,9 @@
 OTHERS_BUDGET_SHARE = 0.45
 # Share of the fixed budget that they gain evenly over the window.
 OTHERS_STEADY_SHARE = 0.05
+# Share of the rate limit of an endpoint for instances other than the gatherers of its shard, which
+# query it only when these fail.
+OTHERS_LIMIT_SHARE = 0.1
 # Share of the fixed budget in use; the rest allows for instances that are not yet counted.
 BUDGET_USED_SHARE = 0.8
 # Parts of a gatherer's share that are held as a burst and refilled evenly over the window.
--- a/packages/wisteriarock/src/wisteriarock/gathering/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/decide.py
@@ -18,6 +18,7 @@
     GATHERERS_MIN,
     LEG_COST_MS,
     OTHERS_BUDGET_SHARE,
+    OTHERS_LIMIT_SHARE,
     OTHERS_STEADY_SHARE,
 )
 from .models import FanOutShape, FragmentAnswer, FragmentRequest, Gatherer, GathererDirectory
@@ -127,6 +128,27 @@
     return assigned
 
 
+def is_assigned(gatherers: Sequence[Gatherer], shard: str, name: str) -> bool:
+    """Return whether a shard is assigned to the named one of the usable gatherers of a zone."""
+    return max(gatherers, key=lambda each: _score(each, shard)).name == name
+
+
+def count_limit_sharers(instances: int, assigned: int, *, is_assigned: bool) -> float:
+    """Return the number of instances whose shares of an endpoint's rate limit equal this one's.
+
+    Parameters
+    ----------
+    assigned : int
+        Number of instances, in all zones, that usually query the endpoint.
+    """
+    others = instances - assigned
+    if others <= 0:
+        return float(max(1, instances))
+    if is_assigned:
+        return assigned / (1.0 - OTHERS_LIMIT_SHARE)
+    return others / OTHERS_LIMIT_SHARE
+
+
 def replace_gatherers(directory: GathererDirectory, gatherers: tuple[Gatherer, ...]) -> bool:
     """Replace the gatherers; return whether they have changed."""
     if gatherers == directory.gatherers:
@@ -241,6 +263,7 @@
             "parts": [(str(shard), str(proof)) for shard, proof in data["parts"]],
             "records": str(data["records"]),
             "may_have_run": [str(shard) for shard in data["may_have_run"]],
+            "withheld": [str(shard) for shard in data.get("withheld", ())],
         }
     except (ValueError, KeyError, TypeError):
         return None
--- a/packages/wisteriarock/src/wisteriarock/gathering/models.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/models.py
@@ -67,11 +67,15 @@
         The greatest records of these parts, in hexadecimal.
     may_have_run : list of str
         Shards without a part on which a leg has run or may have run.
+    withheld : list of str
+        Shards without a part for which a leg was not sent, as the rate limits of all endpoints
+        were used up.
     """
 
     parts: list[tuple[str, str]]
     records: str
     may_have_run: list[str]
+    withheld: list[str]
 
 
 class GathererDirectory:
--- a/packages/wisteriarock/src/wisteriarock/limits/endpoint_limit.py
+++ b/packages/wisteriarock/src/wisteriarock/limits/endpoint_limit.py
@@ -1,4 +1,13 @@
-"""Rate limit that an endpoint names in its replies, for all instances together."""
+"""Rate limit that an endpoint names in its replies, for all instances together.
+
+Each instance keeps to its share of the limit, so that no coordination is needed for each request.
+A share starts empty when the limit is first named.
+"""
+
+import random
+
+from .const import BURST_FIXED, BURST_S, RATE_MIN_PER_S, RATE_SHARE
+from .token_bucket import TokenBucket, refill, try_consume
 
 
 class EndpointLimit:
@@ -10,16 +19,19 @@
         Requests per second that the endpoint takes from all instances together.
     first_named_at_ms, named_at_ms : float
         Times of the first and the last reply that named a limit.
+    bucket : TokenBucket
+        Share of this instance.
     legs : dict
         Number of legs sent since the limit was first named, by kind.
     """
 
-    __slots__ = ("first_named_at_ms", "legs", "named_at_ms", "per_s")
+    __slots__ = ("bucket", "first_named_at_ms", "legs", "named_at_ms", "per_s")
 
     def __init__(self, per_s: float, now_ms: float) -> None:
         self.per_s = per_s
         self.first_named_at_ms = now_ms
         self.named_at_ms = now_ms
+        self.bucket = TokenBucket(0.0, 0.0, 0.0, now_ms)
         self.legs: dict[str, int] = {}
 
 
@@ -61,3 +73,43 @@
 def count_limited_leg(limit: EndpointLimit, kind: str) -> None:
     """Count a leg sent to an endpoint that names a limit."""
     limit.legs[kind] = limit.legs.get(kind, 0) + 1
+
+
+def _refill_share(limit: EndpointLimit, sharers: float, now_ms: float) -> TokenBucket:
+    bucket, per_s = limit.bucket, max(RATE_MIN_PER_S, limit.per_s)
+    bucket.rate_per_s = RATE_SHARE * per_s / sharers
+    bucket.burst = (BURST_S * per_s + BURST_FIXED) / sharers
+    refill(bucket, now_ms)
+    return bucket
+
+
+def may_send(limit: EndpointLimit, sharers: float, now_ms: float) -> bool:
+    """Return whether the share of this instance may allow another request now.
+
+    Parameters
+    ----------
+    sharers : float
+        Number of instances that share the limit.
+    """
+    bucket = _refill_share(limit, sharers, now_ms)
+    return bucket.tokens >= (1.0 if bucket.burst >= 1.0 else bucket.burst / 2)
+
+
+def try_acquire(limit: EndpointLimit, sharers: float, now_ms: float, rng: random.Random) -> bool:
+    """Take one request from the share of this instance; return False if it is used up.
+
+    A share that never holds a whole request is rounded at random: the request is sent with a
+    probability of what the share holds, and the share is empty in both cases. The instances
+    together then send what their shares add up to, on average.
+    """
+    bucket = _refill_share(limit, sharers, now_ms)
+    if bucket.burst >= 1.0:
+        return try_consume(bucket, 1.0, now_ms)
+    probability, bucket.tokens = bucket.tokens, 0.0
+    return rng.random() < probability
+
+
+def return_unsent(limit: EndpointLimit) -> None:
+    """Return a request that was acquired and not sent to the share of this instance."""
+    bucket = limit.bucket
+    bucket.tokens = min(bucket.burst, bucket.tokens + 1.0)
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -24,6 +24,7 @@
     "fragment_failures": ("Parts of requests that a gatherer did not answer", ()),
     "legs": ("Legs sent to endpoints", ()),
     "limited_legs": ("Legs sent to endpoints that name a rate limit", ("kind",)),
+    "shards_withheld": ("Shards that were not queried as rate limits were used up", ()),
     "hedges": ("Second legs sent because the first took too long", ()),
     "retries": ("Legs sent after one failed", ()),
     "leg_failures": ("Legs that ended without a usable reply", ("reason",)),
--- a/tests/wisteriarock/dispatch/emulator.py
+++ b/tests/wisteriarock/dispatch/emulator.py
@@ -360,6 +360,7 @@
             Counters(),
             random.Random(seed),
         )
+        self.state.limit_sharers = lambda service: float(instances)
         self._run_housekeeping()
 
     def _randomise_work_ms(self, work_ms: float) -> Callable[[], float]:
--- a/tests/wisteriarock/dispatch/test_fragments.py
+++ b/tests/wisteriarock/dispatch/test_fragments.py
@@ -119,4 +119,19 @@
     assert not any(pool.accepted for pool in pools.values())
 
 
+def test_legs_withheld_by_a_gatherer_are_not_sent_from_here():
+    """Guards against a limited endpoint that is queried by every instance on top of its gatherer.
+
+    Pattern: all endpoints of a shard name a rate limit; the gatherer has used up its share.
+    """
+    entry, pools = _create_zone()
+    for number in range(2):
+        entry.endpoints[f"shard-3/{number}"].limit_per_s = 1.0
+    entry.send_requests(40, 100.0)
+    limited = [entry.endpoints[f"shard-3/{number}"] for number in range(2)]
+    senders = {instance for endpoint in limited for _, instance in endpoint.senders}
+    assert senders and senders <= set(pools), senders
+    assert entry.mean_answer_score(0, 40) > 0.9
+
+
 load_tests = function_suite(globals())
--- a/tests/wisteriarock/dispatch/test_rate_limits.py
+++ b/tests/wisteriarock/dispatch/test_rate_limits.py
@@ -3,6 +3,9 @@
 import bisect
 
 from wisteriarock.catalog.models import Route
+from wisteriarock.http.front import Answer
+from wisteriarock.http.models import Exchange
+from wisteriarock.limits.endpoint_limit import EndpointLimit
 
 from tests.common import function_suite
 from tests.wisteriarock.dispatch.emulator import EmulatedEndpoint, Emulator
@@ -14,6 +17,21 @@
 LIMITED_FROM_MS = 4_000.0
 
 
+class WaitingPool:
+    """Connection pool without a connection: exchanges wait."""
+
+    def __init__(self, waiting: list[Exchange]) -> None:
+        self.waiting = waiting
+
+    def has_idle_connection(self, now_ms: float) -> bool:
+        """Return whether an exchange could start at once."""
+        return False
+
+    def send(self, exchange: Exchange) -> None:
+        """Queue an exchange."""
+        self.waiting.append(exchange)
+
+
 def _create_instances(route: Route, count: int, replicas: int, work_ms: float) -> list[Emulator]:
     first = Emulator(route, replicas, work_ms, instances=count)
     others = [
@@ -68,6 +86,10 @@
         assert got <= allowed, f"{got} legs in 4 s, {allowed:.1f} allowed, at {end_ms:.0f} ms"
 
 
+def _answers(instances: list[Emulator]) -> dict[bytes, tuple[float, Answer]]:
+    return {key: value for instance in instances for key, value in instance.answers.items()}
+
+
 def test_limited_shard_endpoint_is_not_sent_more_by_all_instances():
     """Guards against legs beyond a named limit (LIMIT on the day `capped`): fan-out."""
     instances = _create_instances(make_fan_out_route(20), 8, 2, 20.0)
@@ -99,4 +121,105 @@
         _check_limit(endpoint)
 
 
+def test_requests_beyond_the_limits_of_a_service_are_refused_at_once():
+    """Guards against requests that wait for a limit, and against a limit that is hardly used.
+
+    Pattern: every endpoint of a service names half of the rate that callers ask for.
+    """
+    instances = _create_instances(make_single_service_route(), 8, 3, 50.0)
+    limited = list(instances[0].endpoints.values())
+    for endpoint in limited:
+        _limit(endpoint, 5.0)
+    _send_requests(instances, 30.0, 24_000.0)
+    for endpoint in limited:
+        _check_limit(endpoint)
+    ran = {request_id for endpoint in limited for request_id in endpoint.runs}
+    refused = {
+        request_id: took_ms
+        for request_id, (took_ms, answer) in _answers(instances).items()
+        if answer.status == 503 and b"retry" in dict(answer.headers)
+    }
+    assert max(refused.values()) < 50.0 and not ran & set(refused)
+    served = sum(
+        LIMITED_FROM_MS + WINDOW_MS <= at_ms < 24_000.0
+        for endpoint in limited
+        for at_ms, _ in endpoint.senders
+    )
+    assert served / 16.0 > 0.7 * 3 * 5.0, served
+
+
+def test_fan_out_is_refused_at_once_if_too_many_shards_have_used_up_their_limits():
+    """Guards against fan-outs that use up the limits of some shards and miss those of others.
+
+    Pattern: every endpoint of four out of ten shards names half of the rate that callers ask for.
+    """
+    instances = _create_instances(make_fan_out_route(10, min_coverage=0.9), 8, 2, 10.0)
+    for number in range(4):
+        for replica in range(2):
+            _limit(instances[0].endpoints[f"shard-{number}/{replica}"], 5.0)
+    _send_requests(instances, 20.0, 24_000.0)
+    answers = _answers(instances)
+    refused = [took for took, answer in answers.values() if answer.status == 503]
+    assert refused and max(refused) < 5.0
+    served = sum(answer.status == 200 for _, answer in answers.values())
+    assert served + len(refused) >= 0.95 * len(answers), (served, len(refused), len(answers))
+    for number in range(4):
+        for replica in range(2):
+            _check_limit(instances[0].endpoints[f"shard-{number}/{replica}"])
+
+
+def test_endpoint_gets_its_full_load_again_after_its_limit_has_ended():
+    """Guards against an endpoint that is left unused after it no longer names a limit."""
+    instances = _create_instances(make_fan_out_route(4), 8, 2, 10.0)
+    endpoint = instances[0].endpoints["shard-0/0"]
+    _limit(endpoint, 2.0)
+
+    def end_limit() -> None:
+        endpoint.limit_per_s = None
+
+    endpoint.loop.call_at(12.0, end_limit)
+    _send_requests(instances, 30.0, 30_000.0)
+    before = sum(at_ms < LIMITED_FROM_MS for at_ms, _ in endpoint.senders) / 4.0
+    after = sum(22_000.0 <= at_ms < 30_000.0 for at_ms, _ in endpoint.senders) / 8.0
+    assert after > 0.8 * before, (before, after)
+    assert all(each.directory.by_id["shard-0/0"].rate_limit is None for each in instances)
+
+
+def test_limit_named_by_another_endpoint_at_the_address_is_ignored():
+    """Guards against applying the limit of an endpoint that has taken over an address."""
+    (instance,) = _create_instances(make_fan_out_route(4), 1, 2, 10.0)
+    endpoint = instance.endpoints["shard-0/0"]
+    endpoint.mode, endpoint.limit_per_s = "other", 1.0
+    instance.send_requests(10, 100.0)
+    assert endpoint.senders and instance.directory.by_id["shard-0/0"].rate_limit is None
+
+
+def test_leg_that_waits_for_a_connection_keeps_to_a_limit_named_meanwhile():
+    """Guards against legs sent beyond a limit because they were chosen before it was named."""
+    (instance,) = _create_instances(make_single_service_route(), 1, 1, 10.0)
+    waiting: list[Exchange] = []
+    instance.state.pool_of = lambda _: WaitingPool(waiting)  # type: ignore[assignment,return-value]
+    for number in range(3):
+        instance.request(number)
+    endpoint = instance.directory.by_id["invoicing/0"]
+    endpoint.rate_limit = EndpointLimit(1.0, 0.0)
+    assert [exchange.encode() for exchange in waiting] == [None, None, None]
+    instance.loop.run_until_ms(1_200.0)
+    assert sum(exchange.encode() is not None for exchange in waiting) == 1
+
+
+def test_leg_that_is_not_sent_does_not_count_towards_the_limit():
+    """Guards against a limit that is used up by legs that never reached the endpoint."""
+    (instance,) = _create_instances(make_single_service_route(), 1, 1, 10.0)
+    waiting: list[Exchange] = []
+    instance.state.pool_of = lambda _: WaitingPool(waiting)  # type: ignore[assignment,return-value]
+    endpoint = instance.directory.by_id["invoicing/0"]
+    endpoint.rate_limit = EndpointLimit(1.0, 0.0)
+    instance.loop.run_until_ms(2_000.0)
+    for number in range(20):
+        disconnect = instance.request(number)
+        assert len(waiting) == number + 1, "the limit is used up"
+        disconnect()
+
+
 load_tests = function_suite(globals())
