Refuse requests that cannot end before a planned stop, and answer the rest

Report of operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated. Cause: a request was handled in the same way at any time of a stop. Connections that are idle are closed after 2.6 s, but one on which half a request has come, or that was accepted just then, was served as before; at 92 in 100 of the grace the process ended with whatever was running. The wait for the store's answer to the release of the lease came on top of the 2.6 s. Ruled out: kept connections, which are closed with their next answer. Change: while it stops, an instance refuses at once (503, not run) what is not expected to end in time; at the end, running requests are answered as if they had expired; the listener closes at a fixed time; a new connection is given 100 ms for its first request.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/const.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/const.py
@@ -60,6 +60,10 @@
 # over the published window. Their sum is below 1 to allow for instances that are not yet counted.
 BUDGET_BURST_SHARE = 0.45
 BUDGET_STEADY_SHARE = 0.35
+# Time that a request is expected to take at most, in latency targets: it is refused if the process
+# stops sooner. A request that cannot be repeated must not be cut off.
+EXPECTED_TARGETS = 1.0
+EXPECTED_TARGETS_NOT_IDEMPOTENT = 3.0
 # Minimum and random spread of Retry-After when no endpoint is reachable.
 RETRY_AFTER_MS = 300.0
 RETRY_AFTER_SPREAD_MS = 300.0
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -14,6 +14,7 @@
 from .decide import (
     answer_margin_ms,
     average_timer_delay_ms,
+    can_end_before,
     create_latency,
     hedge_delay_ms,
     is_hedge_due,
@@ -75,6 +76,10 @@
     query.version = state.catalog.configuration.version if state.catalog.configuration else 0
     margin_ms = answer_margin_ms(state.capacity_cores, state.timer_delay_ms)
     set_query_times(query, head.time_left_ms, margin_ms)
+    if state.stops_at_ms is not None and not can_end_before(query, state.stops_at_ms):
+        reason = "instance is stopping"
+        refuse_request(state, respond, head.request_id, 503, reason, head.time_left_ms)
+        return _do_nothing
     now_ms = loop_time_ms(state)
     missing = [service for service in services if not can_send_leg(state, service, now_ms)]
     available = len(services) - len(missing)
@@ -371,6 +376,15 @@
     answer_failure(state, query, "out of time")
 
 
+def expire_active_queries(state: DispatchState) -> int:
+    """Answer all queries in progress as if they had expired; return how many there were."""
+    active = list(state.active)
+    for query in active:
+        query.expires_at_ms = min(query.expires_at_ms, loop_time_ms(state))
+        _on_expiry(state, query)
+    return len(active)
+
+
 def _cancel(state: DispatchState, query: Query) -> None:
     """End a query whose caller, or the instance that handed it over, has disconnected."""
     if query.is_done:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
@@ -11,6 +11,8 @@
     CALLER_RETRY_MIN_WAIT_MS,
     DEADLINE_MARGIN_MS,
     EARLY_ANSWER_MIN_HEDGE_DELAYS,
+    EXPECTED_TARGETS,
+    EXPECTED_TARGETS_NOT_IDEMPOTENT,
     HEDGE_DELAY_MIN_MS,
     HEDGE_QUANTILE,
     HEDGE_QUANTILE_STEP,
@@ -112,6 +114,14 @@
         query.legs_expire_at_ms = query.early_answer_at_ms
 
 
+def can_end_before(query: Query, stops_at_ms: float) -> bool:
+    """Return whether a query can be expected to end before the process stops."""
+    route = query.route
+    targets = EXPECTED_TARGETS if route.idempotent else EXPECTED_TARGETS_NOT_IDEMPOTENT
+    expected_at_ms = query.started_at_ms + targets * route.latency_target_ms
+    return min(expected_at_ms, query.expires_at_ms) <= stops_at_ms
+
+
 def needed_parts(route: Route) -> int:
     """Return the minimum number of parts for a successful answer."""
     if not route.shards:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -35,6 +35,8 @@
         Gatherers of the local zone.
     limit_sharers : callable
         Returns the number of instances that share the rate limits of the endpoints of a service.
+    stops_at_ms : float or None
+        Time at which a process that is shutting down ends, None if it is not shutting down.
     isolated_since_ms : float or None
         Time at which this instance became isolated and not ready, None if it is not isolated.
     """
@@ -76,6 +78,7 @@
         self.active: set[Query] = set()
         self.gatherers = GathererDirectory()
         self.limit_sharers: Callable[[str], float] = lambda service: 1.0
+        self.stops_at_ms: float | None = None
         self.isolated_since_ms: float | None = None
 
 
--- a/packages/wisteriarock/src/wisteriarock/front/app.py
+++ b/packages/wisteriarock/src/wisteriarock/front/app.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from wisteriarock.discovery import controller as discovery
+from wisteriarock.dispatch.controller import expire_active_queries
 from wisteriarock.dispatch.models import WireFormat
 from wisteriarock.feed import controller as feed
 from wisteriarock.http.front import CallerConnection, ListenerState
@@ -16,7 +17,12 @@
 from wisteriarock.store.models import StoreFormat
 
 from . import housekeeping
-from .const import DRAIN_GRACE_SHARE, LISTEN_AFTER_STOP_MS
+from .const import (
+    DRAIN_GRACE_SHARE,
+    FIRST_REQUEST_WAIT_MS,
+    LAST_ANSWERS_MS,
+    LISTEN_AFTER_STOP_MS,
+)
 from .instance import Instance, update_readiness
 from .readiness import Phase
 from .settings import Address, FrontSettings, SettingsError, load_settings
@@ -56,25 +62,37 @@
 
 
 async def drain(instance: Instance, servers: list[asyncio.Server]) -> None:
-    """Shut down gracefully: fail readiness, and serve until callers disconnect or time is up."""
-    end_ms = instance.loop.time() * 1000 + instance.settings.drain_grace_ms * DRAIN_GRACE_SHARE
+    """Shut down gracefully: fail readiness, and serve until callers disconnect or time is up.
+
+    Requests that cannot be expected to end in time are refused; those that are still running at the
+    end are answered as failed.
+    """
+    now_ms = instance.loop.time() * 1000
+    end_ms = now_ms + instance.settings.drain_grace_ms * DRAIN_GRACE_SHARE
+    listen_until_ms = min(now_ms + LISTEN_AFTER_STOP_MS, end_ms)
+    instance.dispatch.stops_at_ms = end_ms
     instance.phase = Phase.DRAINING
     instance.log.record("stopping", active=len(instance.dispatch.active))
     update_readiness(instance)
     await feed.stop(instance.feed)
-    await asyncio.sleep(LISTEN_AFTER_STOP_MS / 1000)
+    await asyncio.sleep(max(0.0, listen_until_ms / 1000 - instance.loop.time()))
     servers[0].close()
     _close_idle_callers(instance)
     while instance.caller_listener.connections and instance.loop.time() * 1000 < end_ms:
         await asyncio.sleep(0.02)
         _close_idle_callers(instance)
-    instance.log.record("stopped", cut=len(instance.dispatch.active))
+    expired = expire_active_queries(instance.dispatch)
+    # Lets the event loop send the last answers.
+    await asyncio.sleep(LAST_ANSWERS_MS / 1000 if expired else 0.0)
+    instance.log.record("stopped", expired=expired, cut=len(instance.dispatch.active))
     instance.log.flush()
 
 
 def _close_idle_callers(instance: Instance) -> None:
+    """Close idle connections, except new ones, whose first request may be on its way."""
+    idle_since_ms = instance.loop.time() * 1000 - FIRST_REQUEST_WAIT_MS
     for connection in list(instance.caller_listener.connections):
-        if connection.is_idle():
+        if connection.is_idle() and connection.wait_started_at_ms <= idle_since_ms:
             connection.close()
 
 
--- a/packages/wisteriarock/src/wisteriarock/front/const.py
+++ b/packages/wisteriarock/src/wisteriarock/front/const.py
@@ -10,6 +10,10 @@
 # Time after a stop signal during which new connections are still accepted: the load balancer checks
 # readiness once a second and removes an instance after two failed checks.
 LISTEN_AFTER_STOP_MS = 2_600.0
+# Time for which a new connection waits for its first request while draining.
+FIRST_REQUEST_WAIT_MS = 100.0
+# Time to send the answers to requests that are still in progress when draining ends.
+LAST_ANSWERS_MS = 50.0
 # Share of the grace period after which draining ends, even if requests are still in progress.
 DRAIN_GRACE_SHARE = 0.92
 # Interval of the checks of endpoints, abandoned legs and the store.
--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -12,7 +12,8 @@
 from wisteriarock.feed.state import is_relay
 from wisteriarock.front.app import drain
 from wisteriarock.front.housekeeping import verify_lost_zones
-from wisteriarock.front.instance import update_readiness
+from wisteriarock.front.instance import Instance, update_readiness
+from wisteriarock.http.front import CallerConnection
 from wisteriastandins.users.response import read_response
 from wisteriastandins.users.store_server import StoreServer
 
@@ -219,6 +220,58 @@
         await stop
 
 
+async def test_request_late_in_a_planned_stop_is_refused_and_not_passed_on():
+    """Guards against a request that is taken late in a stop and cut off at its end.
+
+    The caller's connection is not idle when the listener closes, as half of its request is there.
+    """
+    async with deployment() as running:
+        instance = running.instance
+        instance.settings = instance.settings._replace(drain_grace_ms=3_200.0)
+        for number in range(2):
+            running.endpoints[f"invoicing.{number}"].service_ms = 1_500.0
+        reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
+        raw = request_bytes("/book/1", "r-late", "POST", b"body")
+        writer.write(raw[:40])
+        await wait_until(lambda: any(not each.is_idle() for each in _callers(instance)))
+        stop = asyncio.create_task(drain(instance, running.servers))
+        await asyncio.sleep(2.7)
+        writer.write(raw[40:])
+        response = await read_response(reader)
+        assert response.status == 503 and response.headers["connection"] == "close"
+        await stop
+        assert not any(endpoint.requests for endpoint in running.endpoints.values())
+        writer.close()
+
+
+async def test_requests_still_running_at_the_end_of_a_planned_stop_are_answered():
+    """Guards against a planned stop that ends with connections closed without an answer."""
+    async with deployment() as running:
+        instance = running.instance
+        instance.settings = instance.settings._replace(drain_grace_ms=1_500.0)
+        patient = operator_configuration(4)
+        for route in patient["routes"]:
+            route["timeout_ms"] = 20_000
+        running.store.put("op/config", patient)
+        await wait_until(lambda: instance.catalog.configuration.version == 4)
+        for number in range(2):
+            running.endpoints[f"invoicing.{number}"].mode = "silent"
+        reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
+        raw = request_bytes("/book/1", "r-1", "POST", b"body")
+        writer.write(raw.replace(b"Deadline-Ms: 2000", b"Deadline-Ms: 20000"))
+        await wait_until(lambda: instance.dispatch.active)
+        await drain(instance, running.servers)
+        for connection in list(_callers(instance)):
+            connection.close()
+        response = await read_response(reader)
+        assert response.status == 504 and response.headers["connection"] == "close"
+        writer.close()
+
+
+def _callers(instance: Instance) -> set[CallerConnection]:
+    return instance.caller_listener.connections
+
+
 async def test_second_instance_follows_the_relay_of_the_first():
     """Guards against every instance watching the store, and a stopped relay without successor."""
     async with deployment() as running:
