Refuse requests on the own interface that may outlast a planned stop

Report of operators: in a planned stop, requests that came late in the grace were taken, and cut with no answer at its end. Cause: an entry instance answers queries for drain_grace_ms after its stop signal, whatever their deadlines. A query that came late, or one with a long deadline, was still running when the process ended. The same holds for a query that a peer forwards to the instance that keeps its ticket. Change: from the stop signal on, a query whose deadline is later than the end of the stop is answered at once: not run, code draining, with a time to come back. Its ticket becomes void, so that "not run" stays true; a copy of a query that already runs waits for its answer as before.

--- a/packages/wisteriarock/src/wisteriarock/admission/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/admission/decide.py
@@ -19,6 +19,7 @@
     MAX_LOOP_LAG_MS,
     MAX_SHARDS,
     MIN_RETRY_AFTER_MS,
+    NOT_READY_RETRY_AFTER_MS,
     OVERLOAD_RETRY_AFTER_MS,
     REQUEST_ID_PATTERN,
 )
@@ -196,6 +197,24 @@
     return Rejection(429, "overloaded", message, "$", OVERLOAD_RETRY_AFTER_MS)
 
 
+def check_stop(deadline_ms: float, stops_at_ms: float | None, now_ms: float) -> Rejection | None:
+    """Reject a request that may still run when the process stops.
+
+    Parameters
+    ----------
+    deadline_ms : float
+        Time that the caller gives the request, in milliseconds.
+    stops_at_ms : float or None
+        Monotonic time at which the process stops, None if it is not shutting down.
+    now_ms : float
+        Monotonic time in milliseconds.
+    """
+    if stops_at_ms is None or now_ms + deadline_ms <= stops_at_ms:
+        return None
+    message = "The instance stops before the deadline of the request."
+    return Rejection(503, "draining", message, "$", NOT_READY_RETRY_AFTER_MS)
+
+
 def admit(
     state: AdmissionState,
     bundle: ActiveBundle,
--- a/packages/wisteriarock/src/wisteriarock/app.py
+++ b/packages/wisteriarock/src/wisteriarock/app.py
@@ -269,13 +269,16 @@
     log_event(EVENT_UNHANDLED, message=context.get("message", ""), error=repr(error), trace=trace)
 
 
-async def _drain(controllers: Controllers, lifecycle: Lifecycle, grace_ms: float) -> None:
+async def _drain(
+    board: Blackboard, controllers: Controllers, lifecycle: Lifecycle, grace_ms: float
+) -> None:
     """Hand over the endpoints and wait for running requests to finish, up to a limit."""
+    board.stops_at_ms = monotonic_ms() + DRAIN_ACCEPT_MS + grace_ms
     lifecycle.fire(TRIGGER_DRAIN)
-    # The load balancer notices the change with a delay; requests that it still sends are answered.
+    # The load balancer notices the change with a delay; requests that it still sends are answered
+    # if they end in time.
     await asyncio.sleep(DRAIN_ACCEPT_MS / 1000)
-    deadline_ms = monotonic_ms() + grace_ms
-    while controllers.requests.in_flight() and monotonic_ms() < deadline_ms:
+    while controllers.requests.in_flight() and monotonic_ms() < board.stops_at_ms:
         await asyncio.sleep(READINESS_INTERVAL_MS / 1000)
 
 
@@ -354,7 +357,7 @@
 
     await stop.wait()
     if exit_code == EXIT_OK:
-        await _drain(controllers, lifecycle, settings.tunables.drain_grace_ms)
+        await _drain(board, controllers, lifecycle, settings.tunables.drain_grace_ms)
     public.should_exit = True
     await asyncio.wait({public_task})
     await controllers.requests.tickets.hand_over()
--- a/packages/wisteriarock/src/wisteriarock/blackboard/models.py
+++ b/packages/wisteriarock/src/wisteriarock/blackboard/models.py
@@ -22,6 +22,9 @@
         Identifier of this run of the process. Owner: composition root.
     phase : Phase
         Phase of the instance's lifecycle. Owner: lifecycle.
+    stops_at_ms : float or None
+        Monotonic time at which a process that is shutting down ends, in milliseconds; None if it is
+        not shutting down. Owner: composition root.
     bundle : ActiveBundle or None
         The bundle in force. Owner: bundle controller.
     head_seen : Head or None
@@ -59,6 +62,7 @@
     settings: Settings
     incarnation: str
     phase: Phase = Phase.STARTING
+    stops_at_ms: float | None = None
     bundle: ActiveBundle | None = None
     head_seen: Head | None = None
     members: dict[str, Member] = field(default_factory=dict)
--- a/packages/wisteriarock/src/wisteriarock/requests/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/requests/answers.py
@@ -8,8 +8,6 @@
 from wisteriarock.admission.models import Rejection
 from wisteriarock.query.models import Outcome, QueryAnswer, QueryBody
 
-NOT_READY_RETRY_AFTER_MS = 500
-
 
 def empty_answer(
     request_id: str, outcome: Outcome, code: str, message: str, path: str, revision: int
--- a/packages/wisteriarock/src/wisteriarock/requests/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/requests/controller.py
@@ -5,10 +5,16 @@
 
 from returns.result import Failure, Result, Success
 
-from wisteriarock.admission.const import MAX_CALLER_BODY_BYTES
-from wisteriarock.admission.decide import admit, current_demand, find_caller, index_bundle
+from wisteriarock.admission.const import MAX_CALLER_BODY_BYTES, NOT_READY_RETRY_AFTER_MS
+from wisteriarock.admission.decide import (
+    admit,
+    check_stop,
+    current_demand,
+    find_caller,
+    index_bundle,
+)
 from wisteriarock.admission.diagnostics import admission_diagnostics
-from wisteriarock.admission.models import AdmissionState, InstanceLoad, Rejection
+from wisteriarock.admission.models import AdmissionState, Admitted, InstanceLoad, Rejection
 from wisteriarock.blackboard.models import Blackboard
 from wisteriarock.bundle.models import ActiveBundle
 from wisteriarock.codec.decode import decode
@@ -17,7 +23,7 @@
 from wisteriarock.query.models import Outcome, QueryAnswer, QueryBody, QueryRequest
 from wisteriarock.tickets.controller import Post, TicketsController, create_tickets_controller
 
-from .answers import NOT_READY_RETRY_AFTER_MS, http_status, rejected_answer, unknown_answer
+from .answers import http_status, rejected_answer, unknown_answer
 from .models import Reply, TicketAnswer, TicketBody
 
 MAX_TICKETS_PER_CALL = 100
@@ -117,6 +123,22 @@
 
     tickets = create_tickets_controller(board, run_admitted, post, now_ms)
 
+    def admit_query(
+        caller: str, body: QueryBody, bundle: ActiveBundle
+    ) -> Result[Admitted, Rejection]:
+        """Admit a query, unless it may still run when the process stops."""
+        if rejection := check_stop(body["deadline_ms"], board.stops_at_ms, now_ms()):
+            return Failure(rejection)
+        return admit(
+            state,
+            bundle,
+            caller,
+            body,
+            InstanceLoad(running_count, tunables.max_queries, board.loop_lag_ms),
+            peer_demands_per_s(caller),
+            now_ms(),
+        )
+
     async def handle_query(raw: bytes, authorization: str) -> Reply:
         reply = await answer_query(raw, authorization)
         error = reply.answer["error"]
@@ -145,15 +167,7 @@
         body = decoded.unwrap()
         # Only the owner of a ticket knows whether another copy of the request runs.
         has_ticket = not body["repeatable"] and bool(body.get("ticket"))
-        admitted = admit(
-            state,
-            bundle,
-            caller,
-            body,
-            InstanceLoad(running_count, tunables.max_queries, board.loop_lag_ms),
-            peer_demands_per_s(caller),
-            now_ms(),
-        )
+        admitted = admit_query(caller, body, bundle)
         if isinstance(admitted, Success):
             if has_ticket:
                 return await tickets.run_with_ticket(caller, body, bundle, True)
@@ -161,9 +175,7 @@
             return Reply(http_status(answer), answer)
         rejection = admitted.failure()
         if has_ticket:
-            ticket_reply = await tickets.run_with_ticket(caller, body, bundle, False)
-            if ticket_reply.answer["outcome"] != Outcome.NOT_RUN:
-                return ticket_reply
+            return await tickets.reject_with_ticket(caller, body, bundle, rejection)
         answer = rejected_answer(body["request_id"], rejection, bundle.revision)
         return Reply(rejection.status, answer)
 
--- a/packages/wisteriarock/src/wisteriarock/tickets/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/tickets/controller.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Result, Success
 
+from wisteriarock.admission.decide import check_stop
 from wisteriarock.admission.models import Rejection
 from wisteriarock.blackboard.models import Blackboard
 from wisteriarock.bundle.models import ActiveBundle
@@ -15,7 +16,7 @@
 from wisteriarock.membership.decide import live_members, rank_instances
 from wisteriarock.membership.models import Member, Phase
 from wisteriarock.observability.logs import log_event
-from wisteriarock.query.models import QueryAnswer, QueryBody
+from wisteriarock.query.models import Outcome, QueryAnswer, QueryBody
 from wisteriarock.requests.answers import fingerprint, http_status, rejected_answer, unknown_answer
 from wisteriarock.requests.models import ForwardedQuery, Reply
 
@@ -54,6 +55,9 @@
         Takes the caller's name and a count; issues tickets to the caller.
     run_with_ticket : callable
         Takes the caller, the body, the bundle and whether the request may run; returns its reply.
+    reject_with_ticket : callable
+        Takes the caller, the body, the bundle and the reason not to run the request; returns its
+        reply.
     on_forwarded : callable
         Handles a request that a peer forwards.
     hand_over : callable
@@ -68,6 +72,7 @@
 
     issue_for: Callable[[str, int], list[str]]
     run_with_ticket: Callable[[str, QueryBody, ActiveBundle, bool], Awaitable[Reply]]
+    reject_with_ticket: Callable[[str, QueryBody, ActiveBundle, Rejection], Awaitable[Reply]]
     on_forwarded: Callable[[ForwardedQuery], Awaitable[QueryAnswer]]
     hand_over: Callable[[], Awaitable[None]]
     on_handover: Callable[[HandoverBody], bool]
@@ -183,12 +188,24 @@
             return await run_locally(book, caller, body, bundle, may_run)
         return await forward(claims, caller, body, bundle, may_run)
 
+    async def reject_with_ticket(
+        caller: str, body: QueryBody, bundle: ActiveBundle, rejection: Rejection
+    ) -> Reply:
+        """Reject a request, unless another copy of it runs or has run."""
+        reply = await run_with_ticket(caller, body, bundle, False)
+        if reply.answer["outcome"] != Outcome.NOT_RUN:
+            return reply
+        answer = rejected_answer(body["request_id"], rejection, bundle.revision)
+        return Reply(rejection.status, answer)
+
     async def on_forwarded(forwarded: ForwardedQuery) -> QueryAnswer:
         body, caller = forwarded["query"], forwarded["caller"]
         bundle = board.bundle
         if bundle is None or caller not in bundle.content["callers"]:
             message = "The issuer does not know the caller."
             return unknown_answer(body, "unknown_caller", message, 0)
+        if rejection := check_stop(body["deadline_ms"], board.stops_at_ms, now_ms()):
+            return (await reject_with_ticket(caller, body, bundle, rejection)).answer
         return (await run_with_ticket(caller, body, bundle, forwarded["may_run"])).answer
 
     async def hand_over_books() -> None:
@@ -234,6 +251,7 @@
     return TicketsController(
         issue_for,
         run_with_ticket,
+        reject_with_ticket,
         on_forwarded,
         hand_over_books,
         on_handover,
--- a/tests/wisteriarock/requests/test_controller.py
+++ b/tests/wisteriarock/requests/test_controller.py
@@ -223,4 +223,37 @@
     assert (await controller.handle_query(_make_body(), BEARER)).status == 200
 
 
+async def test_request_that_may_outlast_a_planned_stop_is_not_run() -> None:
+    """Guards against a request that is taken late in a stop and cut off at its end."""
+    cluster = FakeCluster()
+    controller, board = cluster.add_instance("e1")
+    ticket = _issue_ticket(controller)
+    board.phase = Phase.DRAINING
+    board.stops_at_ms = 1_000.0 + 2_000.0
+    for body in (_make_body(deadline_ms=2_100), _make_body(ticket, deadline_ms=2_100)):
+        reply = await controller.handle_query(body, BEARER)
+        assert _summarise(reply) == (503, "not_run", "draining")
+        assert reply.answer["retry_after_ms"] is not None
+    assert not cluster.runs
+    reply = await controller.handle_query(_make_body(deadline_ms=1_900), BEARER)
+    assert _summarise(reply)[1] == "complete" and cluster.runs == ["r1"]
+
+
+async def test_forwarded_request_that_may_outlast_a_planned_stop_is_not_run() -> None:
+    """Guards against a request cut off because the instance that keeps its ticket stops."""
+    cluster = FakeCluster()
+    first, first_board = cluster.add_instance("e1")
+    second, second_board = cluster.add_instance("e2")
+    _add_member(second_board, first_board)
+    tickets = [_issue_ticket(first) for _ in range(2)]
+    first_board.phase = Phase.DRAINING
+    first_board.stops_at_ms = 1_000.0 + 2_000.0
+    reply = await second.handle_query(_make_body(tickets[0], deadline_ms=2_100), BEARER)
+    assert _summarise(reply) == (503, "not_run", "draining") and not cluster.runs
+    reply = await second.handle_query(_make_body(tickets[0], deadline_ms=100), BEARER)
+    assert _summarise(reply)[1] == "not_run" and not cluster.runs
+    reply = await second.handle_query(_make_body(tickets[1], deadline_ms=1_900), BEARER)
+    assert _summarise(reply)[1] == "complete" and cluster.runs == ["r1"]
+
+
 load_tests = function_suite(globals())
