Go on without the log once nothing reads it

Seen: "Bad file descriptor" from the flush timer in a green test run. Cause: a write to a closed output raised out of EventLog.flush. The timer was not set again, so that nothing was written from then on, and in a planned stop the error would have ended the drain. Change: the lines of the failed write count as dropped, and the next flush tries again. Result: test_closed_output_does_not_stop_the_process failed before (BrokenPipeError) and passes.

--- a/packages/wisteriarock/src/wisteriarock/observability/event_log.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/event_log.py
@@ -111,6 +111,10 @@
                 written = os.write(self._descriptor, chunk)
             except BlockingIOError:
                 written = 0
+            except OSError:
+                # The reader has closed the output: the process goes on without its log.
+                self.dropped_total += chunk.count(b"\n")
+                return
             if written < len(chunk):
                 unwritten = bytes(chunk[written:])
                 self._lines.appendleft(unwritten)
--- a/tests/wisteriarock/observability/test_event_log.py
+++ b/tests/wisteriarock/observability/test_event_log.py
@@ -77,6 +77,17 @@
     assert all(line.startswith("time_s=") for line in lines), "a line was cut"
 
 
+def test_closed_output_does_not_stop_the_process():
+    """Guards against an error in a timer or a stop because nothing reads the log any more."""
+    reading, writing = os.pipe()
+    log = EventLog(writing, Clock())
+    os.close(reading)
+    for number in range(3):
+        log.record("refused", number=number)
+    log.flush()
+    assert log.dropped_total == 3
+
+
 def test_dropped_lines_are_reported():
     """Guards against gaps in the log that are not visible in it."""
     reading, writing = os.pipe()
