Close the connections that tests leave open

Seen: "StreamWriter.__del__ ... Event loop is closed", nine times in a green test run. Cause: four tests ended with an open connection, whose writer was collected after its loop was closed. Ruled out: connections of the product and of the load tool; they are closed at the end of each test. Change: these tests close what they opened; no check is changed. Result: each test function of the three modules was run on its own loop with an unraisable hook: nine errors before, none after.

--- a/tests/wisteriarock/endpoints/test_connection.py
+++ b/tests/wisteriarock/endpoints/test_connection.py
@@ -10,6 +10,7 @@
 from aiosonic.pools import PoolConfig
 from wisteriarock.endpoints.connection import (
     EndpointConnection,
+    close_connection,
     create_connection,
     fetch_report,
     send_leg,
@@ -167,6 +168,7 @@
             result = await send_test_leg(connection, make_leg())
             assert result == LegResult(outcome, False, True)
             assert connection.state is ConnectionState.IDLE
+            close_connection(connection)
 
 
 async def test_no_leg_is_written_after_its_deadline() -> None:
@@ -221,7 +223,9 @@
 async def test_a_report_of_another_endpoint_is_rejected() -> None:
     """Guards against holdings of one endpoint published as those of another."""
     async with run_endpoint_server() as server:
-        assert (await fetch_report(make_connection(server.port), "a", 500)).unwrap()["slots"] == 2
+        connection = make_connection(server.port)
+        assert (await fetch_report(connection, "a", 500)).unwrap()["slots"] == 2
+        close_connection(connection)
         assert (await fetch_report(make_connection(server.port), "b", 500)).failure() == "failed"
         server.muted = {3}
         assert (await fetch_report(make_connection(server.port), "a", 50)).failure() == "silent"
--- a/tests/wisteriarock/http/test_link.py
+++ b/tests/wisteriarock/http/test_link.py
@@ -233,6 +233,8 @@
     assert all(isinstance(end, Reply) for end in outcomes)
     assert len(open_connections) == 2
     pool.close()
+    for writer in open_connections:
+        writer.close()
     server.close()
 
 
--- a/tests/wisteriastandins/load/test_client.py
+++ b/tests/wisteriastandins/load/test_client.py
@@ -67,8 +67,9 @@
         await connect(connection, *args)
         task.cancel()
 
-    async def never_answer(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+    async def never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.read()
+        writer.close()
 
     server = await asyncio.start_server(never_answer, "127.0.0.1", 0)
     url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
