Let soak endpoints spoil replies and name rate limits

Change: four kinds of faults at endpoints, by a connection of the stand-in that spoils its answers; a check that instances that were told a limit keep to it in sum.

--- a/packages/standins/src/wisteriastandins/soak/checks.py
+++ b/packages/standins/src/wisteriastandins/soak/checks.py
@@ -18,12 +18,16 @@
     MAX_CONNECTIONS,
     MIN_COVERAGE,
     MIN_RECOVERED_SHARE,
+    RATE_LIMIT_FACTOR,
+    RATE_LIMIT_FIXED,
+    RATE_LIMIT_REACTION_MS,
+    RATE_LIMIT_WINDOW_MS,
     RECOVERY_MS,
     ROLLBACK_SLACK_MS,
     STABILIZATION_MS,
     TOP_K,
 )
-from .models import Arrival, Attempt, Observations, RequestKind, Violation
+from .models import Arrival, Attempt, Observations, RateLimit, RequestKind, Violation
 
 RECORD_BYTES = 16
 # Statuses that guarantee that a request has not run and never will.
@@ -257,6 +261,54 @@
     return bisect.bisect_right(times_ms, to_ms) - bisect.bisect_left(times_ms, from_ms)
 
 
+def check_rate_limits(observations: Observations) -> Iterator[Violation]:
+    """Check that instances that were told the rate limit of an endpoint keep to it in sum."""
+    attempts = {attempt.request_id: attempt for attempt in observations.attempts}
+    for limit in observations.rate_limits:
+        told_ms = _told_times_ms(observations, limit, attempts)
+        if not told_ms:
+            continue
+        named_ms = min(told_ms.values())
+        arrivals_ms = sorted(
+            arrival.at_ms
+            for arrival in observations.arrivals
+            if arrival.endpoint_id == limit.endpoint_id
+            and arrival.request_id in attempts
+            and limit.from_ms <= arrival.at_ms <= limit.to_ms
+            and _has_to_keep_limit(observations, attempts[arrival.request_id], arrival, told_ms)
+        )
+        allowed = RATE_LIMIT_FACTOR * limit.per_s * RATE_LIMIT_WINDOW_MS / 1000 + RATE_LIMIT_FIXED
+        for end_ms in arrivals_ms:
+            count = _count_between(arrivals_ms, end_ms - RATE_LIMIT_WINDOW_MS, end_ms)
+            if end_ms >= named_ms + RATE_LIMIT_WINDOW_MS and count > allowed:
+                detail = f"{count} arrivals at {limit.endpoint_id}, which takes {limit.per_s}/s"
+                yield Violation("rate_limit", detail, end_ms)
+                break
+
+
+def _told_times_ms(
+    observations: Observations, limit: RateLimit, attempts: dict[str, Attempt]
+) -> dict[int, float]:
+    """Return the time at which each instance was first told a rate limit."""
+    told_ms: dict[int, float] = {}
+    for notice in observations.limit_notices:
+        is_of_limit = notice.endpoint_id == limit.endpoint_id
+        if is_of_limit and limit.from_ms <= notice.at_ms <= limit.to_ms:
+            attempt = attempts.get(notice.request_id)
+            if attempt is not None:
+                told_ms.setdefault(attempt.instance, notice.at_ms)
+    return told_ms
+
+
+def _has_to_keep_limit(
+    observations: Observations, attempt: Attempt, arrival: Arrival, told_ms: dict[int, float]
+) -> bool:
+    instance_told_ms = told_ms.get(attempt.instance)
+    if instance_told_ms is None or arrival.at_ms < instance_told_ms + RATE_LIMIT_REACTION_MS:
+        return False
+    return is_undisturbed(observations, attempt.instance, instance_told_ms, arrival.at_ms)
+
+
 def check_connections(observations: Observations) -> Iterator[Violation]:
     """Check that all instances together stay within the connection limit of each endpoint."""
     for endpoint_id, peak in observations.peak_connections.items():
@@ -307,6 +359,7 @@
         *check_draining(observations),
         *check_planned_stops(observations),
         *check_configuration(observations),
+        *check_rate_limits(observations),
         *check_answer_times(observations),
         *check_recovery(observations, end_ms),
     ]
--- a/packages/standins/src/wisteriastandins/soak/const.py
+++ b/packages/standins/src/wisteriastandins/soak/const.py
@@ -14,6 +14,12 @@
 EXTRA_FIXED = 56.0
 EXTRA_WINDOW_S = 10.0
 MAX_CONNECTIONS = 26
+# Rate limit that an endpoint names: requests allowed in the time window, and the time after which
+# an instance that was told has to keep to it.
+RATE_LIMIT_WINDOW_MS = 4_000.0
+RATE_LIMIT_FACTOR = 1.5
+RATE_LIMIT_FIXED = 5.0
+RATE_LIMIT_REACTION_MS = 500.0
 MAX_ATTEMPTS = 2
 # Time that a caller waits, and the tolerance for a late answer.
 CALLER_TIMEOUT_MS = 1_500.0
--- a/packages/standins/src/wisteriastandins/soak/faults.py
+++ b/packages/standins/src/wisteriastandins/soak/faults.py
@@ -14,10 +14,11 @@
 )
 from wisteriastandins.relay.models import NewWhenCut
 from wisteriastandins.users.endpoint import StubEndpoint
+from wisteriastandins.users.faulty import ReplyFault
 from wisteriastandins.users.store import end_lease
 
 from .const import DRAIN_GRACE_MS, ENDPOINT_DRAIN_MS, NEW_SHARDS, SHARDS, ZONES
-from .models import Disturbance, DrainingEndpoint, Fault, FaultKind
+from .models import Disturbance, DrainingEndpoint, Fault, FaultKind, RateLimit
 from .programs import Program
 from .world import REPLICAS, SoakDeployment, add_endpoint, configure, register, remove_endpoint
 
@@ -28,6 +29,10 @@
 ENTRY_TTL_S = 2.0
 # Time that new shards run before a configuration version refers to them.
 RESHARD_WARM_UP_S = 1.0
+# Rate limits that endpoints name, per second, and the time that they hold beyond that of the fault:
+# they are checked only after a while.
+RATE_LIMITS_PER_S = (0.5, 2.0, 5.0, 12.0)
+RATE_LIMIT_HOLD_S = 6.0
 
 
 def _target_program(deployment: SoakDeployment, fault: Fault) -> Program:
@@ -164,6 +169,30 @@
     return run
 
 
+def _reply_fault(reply_fault: ReplyFault) -> Callable[[SoakDeployment, Fault], Awaitable[None]]:
+    async def run(deployment: SoakDeployment, fault: Fault) -> None:
+        reply_faults = _target_endpoint(deployment, fault).reply_faults
+        reply_faults.current = reply_fault
+        await asyncio.sleep(fault.duration_s)
+        reply_faults.current = None
+
+    return run
+
+
+async def _name_rate_limit(deployment: SoakDeployment, fault: Fault) -> None:
+    endpoint = _target_endpoint(deployment, fault)
+    if endpoint.rate_limit_per_s is not None:
+        return
+    per_s = RATE_LIMITS_PER_S[fault.target % len(RATE_LIMITS_PER_S)]
+    from_ms = deployment.now_ms()
+    endpoint.rate_limit_per_s = per_s
+    await asyncio.sleep(fault.duration_s + RATE_LIMIT_HOLD_S)
+    endpoint.rate_limit_per_s = None
+    deployment.observations.rate_limits.append(
+        RateLimit(endpoint.endpoint_id, per_s, from_ms, deployment.now_ms())
+    )
+
+
 async def _drain_endpoint(deployment: SoakDeployment, endpoint: StubEndpoint) -> None:
     """Drain an endpoint and stop it after the published drain time."""
     register(deployment, endpoint, state="draining")
@@ -249,6 +278,10 @@
     FaultKind.ENDPOINT_SHED: _endpoint_mode_fault("shed"),
     FaultKind.ENDPOINT_ERROR: _endpoint_mode_fault("error"),
     FaultKind.ENDPOINT_MUTE: _endpoint_mode_fault("silent"),
+    FaultKind.ENDPOINT_CUT_OFF: _reply_fault(ReplyFault.CUT_OFF),
+    FaultKind.ENDPOINT_COPY: _reply_fault(ReplyFault.COPY),
+    FaultKind.ENDPOINT_ENDLESS: _reply_fault(ReplyFault.ENDLESS),
+    FaultKind.ENDPOINT_LIMIT: _name_rate_limit,
     FaultKind.ENDPOINT_DRAIN: _replace_endpoint,
     FaultKind.ENDPOINT_MOVE: _reassign_address,
     FaultKind.CONFIGURE: _configure,
--- a/packages/standins/src/wisteriastandins/soak/models.py
+++ b/packages/standins/src/wisteriastandins/soak/models.py
@@ -27,6 +27,10 @@
     ENDPOINT_SHED = "endpoint_shed"
     ENDPOINT_ERROR = "endpoint_error"
     ENDPOINT_MUTE = "endpoint_mute"
+    ENDPOINT_CUT_OFF = "endpoint_cut_off"
+    ENDPOINT_COPY = "endpoint_copy"
+    ENDPOINT_ENDLESS = "endpoint_endless"
+    ENDPOINT_LIMIT = "endpoint_limit"
     ENDPOINT_DRAIN = "endpoint_drain"
     ENDPOINT_MOVE = "endpoint_move"
     CONFIGURE = "configure"
@@ -122,6 +126,23 @@
     confirmed_ms: float
 
 
+class RateLimit(NamedTuple):
+    """A rate limit that an endpoint named in all replies of a period."""
+
+    endpoint_id: str
+    per_s: float
+    from_ms: float
+    to_ms: float
+
+
+class LimitNotice(NamedTuple):
+    """A reply in which an endpoint named its rate limit."""
+
+    endpoint_id: str
+    request_id: str
+    at_ms: float
+
+
 class Observations:
     """What callers, endpoints and the operator observed in a run."""
 
@@ -132,6 +153,8 @@
         self.disturbances: list[Disturbance] = []
         self.lifetimes: list[ProcessLifetime] = []
         self.draining_endpoints: list[DrainingEndpoint] = []
+        self.rate_limits: list[RateLimit] = []
+        self.limit_notices: list[LimitNotice] = []
         self.kill_all_times_ms: list[float] = []
         self.malformed_ids: set[str] = set()
         self.peak_connections: dict[str, int] = {}
--- a/packages/standins/src/wisteriastandins/soak/world.py
+++ b/packages/standins/src/wisteriastandins/soak/world.py
@@ -25,7 +25,14 @@
     TOP_K,
     ZONES,
 )
-from .models import Arrival, ConfigurationVersion, Disturbance, Observations, ProcessLifetime
+from .models import (
+    Arrival,
+    ConfigurationVersion,
+    Disturbance,
+    LimitNotice,
+    Observations,
+    ProcessLifetime,
+)
 from .programs import RESTART_DELAY_S, Program
 
 REPLICAS = 2
@@ -123,6 +130,9 @@
     endpoint.on_arrival = lambda request, stamp: _record_arrival(
         deployment, endpoint, request, stamp
     )
+    endpoint.on_limit_named = lambda request_id: deployment.observations.limit_notices.append(
+        LimitNotice(endpoint_id, request_id.decode(), deployment.now_ms())
+    )
     await endpoint.start()
     deployment.endpoints[endpoint_id] = endpoint
     deployment.links[endpoint_id] = await _create_link(deployment, endpoint_id, endpoint.port)
--- a/packages/standins/src/wisteriastandins/users/endpoint.py
+++ b/packages/standins/src/wisteriastandins/users/endpoint.py
@@ -4,8 +4,15 @@
 from collections.abc import Callable
 from typing import Any
 
-from wisteriarock.http.front import Answer, CallerRequest, Respond
+from wisteriarock.http.front import (
+    Answer,
+    CallerConnection,
+    CallerRequest,
+    ListenerState,
+    Respond,
+)
 
+from .faulty import FaultyConnection, ReplyFaults
 from .listener import Listener
 
 
@@ -27,6 +34,12 @@
     on_arrival : callable
         Called with each request that it received and the stamp of the reply, which is empty if the
         request did not run.
+    reply_faults : ReplyFaults
+        What it does to its replies.
+    rate_limit_per_s : float or None
+        Requests per second that it names in its replies as its limit, None to name none.
+    on_limit_named : callable
+        Called with the id of a request in whose reply it names its limit.
     """
 
     def __init__(
@@ -41,6 +54,13 @@
         self.service_ms = 1.0
         self.mode = "ok"
         self.requests: list[CallerRequest] = []
+        self.reply_faults = ReplyFaults(endpoint_id)
+        self.rate_limit_per_s: float | None = None
+        self.on_limit_named: Callable[[bytes], None] = lambda _: None
+
+    def create_connection(self, state: ListenerState) -> CallerConnection:
+        """Create a connection whose replies the endpoint may spoil."""
+        return FaultyConnection(state, self.reply_faults)
 
     def make_entry(self, **changes: Any) -> dict[str, Any]:
         """Return the entry that the endpoint registers in the store."""
@@ -74,13 +94,16 @@
         if self.mode == "silent":
             return _do_nothing
         body = self.reply_body if self.make_body is None else self.make_body(request_id)
-        reply = Answer(
-            500 if self.mode == "error" else 200,
-            [(b"Request-Id", request_id), (b"Server-Stamp", stamp)],
-            body,
-        )
-        timer = self.loop.call_later(self.service_ms / 1000, respond, reply)
-        return timer.cancel
+
+        def reply() -> None:
+            headers = [(b"Request-Id", request_id), (b"Server-Stamp", stamp)]
+            if self.rate_limit_per_s is not None:
+                headers.append((b"Server-Limit", b"%.1f" % self.rate_limit_per_s))
+                if self.reply_faults.current is None:
+                    self.on_limit_named(request_id)
+            respond(Answer(500 if self.mode == "error" else 200, headers, body))
+
+        return self.loop.call_later(self.service_ms / 1000, reply).cancel
 
 
 def _do_nothing() -> None:
--- a/packages/standins/src/wisteriastandins/users/listener.py
+++ b/packages/standins/src/wisteriastandins/users/listener.py
@@ -20,10 +20,14 @@
         self._server: asyncio.Server | None = None
         self._listener_state = ListenerState(loop, handle, lambda *_: None)
 
+    def create_connection(self, state: ListenerState) -> CallerConnection:
+        """Create the protocol of an accepted connection."""
+        return CallerConnection(state)
+
     async def start(self) -> None:
         """Listen on loopback, on a free port at the first start and on the same port later."""
         self._server = await self.loop.create_server(
-            lambda: CallerConnection(self._listener_state), "127.0.0.1", self.port
+            lambda: self.create_connection(self._listener_state), "127.0.0.1", self.port
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
--- a/tests/wisteriastandins/soak/test_checks.py
+++ b/tests/wisteriastandins/soak/test_checks.py
@@ -8,6 +8,7 @@
     check_connections,
     check_draining,
     check_planned_stops,
+    check_rate_limits,
     check_recovery,
     check_runs,
     make_records,
@@ -19,8 +20,10 @@
     ConfigurationVersion,
     Disturbance,
     DrainingEndpoint,
+    LimitNotice,
     Observations,
     ProcessLifetime,
+    RateLimit,
     RequestKind,
 )
 
@@ -151,6 +154,30 @@
     assert not list(check_configuration(observations))
 
 
+def test_rate_limits():
+    """Guards against missing more requests than an endpoint said that it takes."""
+    observations = _make_observations()
+    observations.rate_limits = [RateLimit("ledger-a.1", 1.0, 1_000.0, 12_000.0)]
+    observations.attempts = [_make_attempt(request_id=f"r{number}") for number in range(12)]
+    for number in range(12):
+        _add_arrival(observations, f"r{number}", "ledger-a", 4_000.0 + number * 300.0)
+    assert not list(check_rate_limits(observations)), "no instance was told"
+    observations.limit_notices = [LimitNotice("ledger-a.1", "r0", 2_000.0)]
+    assert [each.guarantee for each in check_rate_limits(observations)] == ["rate_limit"]
+    observations.attempts[:2] = [
+        _make_attempt(request_id=f"r{number}", instance=1) for number in range(2)
+    ]
+    observations.limit_notices.append(LimitNotice("ledger-a.1", "r2", 2_000.0))
+    assert list(check_rate_limits(observations)), "the sum of both instances counts"
+    observations.limit_notices[0] = LimitNotice("ledger-a.1", "r0", 11_000.0)
+    assert not list(check_rate_limits(observations)), "the other one was told later"
+    observations.attempts[:2] = [_make_attempt(request_id=f"r{number}") for number in range(2)]
+    observations.limit_notices = [LimitNotice("ledger-a.1", "r0", 2_000.0)]
+    assert list(check_rate_limits(observations))
+    observations.disturbances = [Disturbance(0, 2_000.0, 2_500.0, False)]
+    assert not list(check_rate_limits(observations))
+
+
 def test_budget_connections_time_and_recovery():
     """Guards against missing violations of limits on all instances together."""
     observations = _make_observations()
--- a/tests/wisteriastandins/soak/test_run.py
+++ b/tests/wisteriastandins/soak/test_run.py
@@ -77,4 +77,15 @@
     assert "configuration" in {violation.guarantee for violation in result.violations}
 
 
+def test_ignored_rate_limit_is_found():
+    """Guards against missing instances that send more than an endpoint takes."""
+    result = _run_copy(
+        "dispatch/legs.py",
+        "    limit = endpoint.rate_limit\n    if limit is None:\n        return True\n",
+        "    return True\n",
+        [Fault(0.5, FaultKind.ENDPOINT_LIMIT, 4, 1.0)],
+    )
+    assert "rate_limit" in {violation.guarantee for violation in result.violations}
+
+
 load_tests = function_suite(globals())
