Limit the replies that wisteriarock's own interface reads

The users' platform had limits; the own interface had none. Cause: aiosonic reads heads, bodies and chunks of any length, and copies all chunks read so far for each further one; a line without colon ends the head, so that a reply whose head is spoiled is a success without body. The stream of a peer's replies kept a line without end. Change: BoundedConnection (was WholeLineConnection) fails a head over 64 KB, a body over 16 MB or of 20,000 chunks, and a line of the head that is no header; bodies are joined once; a streamed line has the same limits. Used by endpoints, peers, platform, wisteriactl and the load tool.

--- a/packages/standins/src/wisteriastandins/load/client.py
+++ b/packages/standins/src/wisteriastandins/load/client.py
@@ -9,7 +9,7 @@
 from aiosonic.exceptions import AiosonicError
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
-from wisteriarock.wire.connection import WholeLineConnection
+from wisteriarock.wire.connection import BoundedConnection
 
 from .models import SendError
 
@@ -26,7 +26,7 @@
     pool = PoolConfig(size=1, max_conn_requests=None, max_conn_idle_ms=_MAX_IDLE_MS)
     return aiosonic.HTTPClient(
         aiosonic.TCPConnector(
-            {":default": pool}, timeouts=timeouts, connection_cls=WholeLineConnection
+            {":default": pool}, timeouts=timeouts, connection_cls=BoundedConnection
         )
     )
 
--- a/packages/wisteriactl/src/wisteriactl/status.py
+++ b/packages/wisteriactl/src/wisteriactl/status.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 from wisteriarock.codec.decode import decode
 from wisteriarock.platform.client import EXCHANGE_ERRORS
-from wisteriarock.wire.connection import WholeLineConnection
+from wisteriarock.wire.connection import BoundedConnection
 
 from .const import MAX_REPLY_BYTES, REQUEST_TIMEOUT_MS, SILENT_AFTER_MS, ExitCode
 from .models import InstanceAddress, MemberStatus, Outcome, StatusReply
@@ -43,7 +43,7 @@
         connector = TCPConnector(
             pool_configs={":default": PoolConfig(size=1)},
             timeouts=Timeouts(sock_connect=timeout_s, sock_read=None, request_timeout=None),
-            connection_cls=WholeLineConnection,
+            connection_cls=BoundedConnection,
         )
         client = HTTPClient(connector=connector)
         headers = {"Authorization": f"Bearer {token}"}
--- a/packages/wisteriarock/src/wisteriarock/endpoints/connection.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/connection.py
@@ -13,6 +13,7 @@
     TrackedConnection,
     close_channel,
     create_channel,
+    read_content,
     request,
 )
 from wisteriarock.wire.silence import inactivity_timeout
@@ -136,7 +137,7 @@
         change_state(connection, "use")
     try:
         response = await request(connection.channel, method, path, body, before_write=before_write)
-        content: bytes = await response.content()
+        content = await read_content(response)
         status: int = response.status_code
     except BaseException:
         close_connection(connection)
--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -23,7 +23,13 @@
     SendLegs,
 )
 from wisteriarock.query.replies import reply_without_rows
-from wisteriarock.wire.connection import HttpChannel, close_channel, request
+from wisteriarock.wire.connection import (
+    HttpChannel,
+    close_channel,
+    read_content,
+    read_lines,
+    request,
+)
 from wisteriarock.wire.silence import inactivity_timeout
 
 from .auth import sign
@@ -138,7 +144,7 @@
     ) -> tuple[int, bytes]:
         response = await request(channel, method, path, body, sign_request(method, path, body))
         control_bytes_sent.inc(len(body))
-        content: bytes = await response.content()
+        content = await read_content(response)
         control_bytes_received.inc(len(content))
         return response.status_code, content
 
@@ -184,21 +190,21 @@
         body = _ENCODER.encode({"legs": legs})
         headers = sign_request("POST", LEGS_PATH, body)
         received_bytes = 0
+
+        def on_chunk(size_bytes: int) -> None:
+            nonlocal received_bytes
+            received_bytes += size_bytes
+            on_data()
+
         async with inactivity_timeout(tunables.peer_timeout_ms / 1000) as on_data:
             try:
                 response = await request(channel, "POST", LEGS_PATH, body, headers, stream=True)
                 on_data()
                 if response.status_code != 200:
-                    await response.content()
+                    await read_content(response)
                     return False
-                partial_line = b""
-                async for chunk in response.read_chunks():
-                    on_data()
-                    received_bytes += len(chunk)
-                    *lines, partial_line = (partial_line + chunk).split(b"\n")
-                    for line in lines:
-                        if line:
-                            on_line(line)
+                async for line in read_lines(response, on_chunk):
+                    on_line(line)
             finally:
                 leg_bytes_sent.inc(len(body) if channel.connection.written else 0)
                 leg_bytes_received.inc(received_bytes)
--- a/packages/wisteriarock/src/wisteriarock/platform/client.py
+++ b/packages/wisteriarock/src/wisteriarock/platform/client.py
@@ -16,7 +16,7 @@
 
 from wisteriarock.limits.token_bucket import create_bucket, try_consume
 from wisteriarock.observability.metrics import Metrics
-from wisteriarock.wire.connection import WholeLineConnection
+from wisteriarock.wire.connection import BoundedConnection
 
 from .const import (
     MAX_IDLE_CONNECTIONS,
@@ -88,7 +88,7 @@
     pools = {":default": PoolConfig(size=1)}
     return HTTPClient(
         connector=TCPConnector(
-            pool_configs=pools, timeouts=timeouts, connection_cls=WholeLineConnection
+            pool_configs=pools, timeouts=timeouts, connection_cls=BoundedConnection
         )
     )
 
--- a/packages/wisteriarock/src/wisteriarock/wire/connection.py
+++ b/packages/wisteriarock/src/wisteriarock/wire/connection.py
@@ -1,7 +1,7 @@
 """HTTP channel: an aiosonic client whose pool holds a single connection."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any, NamedTuple
 
 from aiosonic import HTTPClient, HttpResponse, TCPConnector
@@ -10,6 +10,10 @@
 from aiosonic.resolver import AbstractResolver
 from aiosonic.timeout import Timeouts
 
+HEAD_MAX_BYTES = 64 * 1024
+BODY_MAX_BYTES = 16_000_000
+CHUNKS_MAX = 20_000
+
 
 class NumericResolver(AbstractResolver):
     """Resolver for hosts that are IP addresses, which need no DNS lookup in a thread."""
@@ -27,13 +31,39 @@
     """The peer closed the connection, or sent unrequested bytes, before the request was written."""
 
 
-class WholeLineConnection(Connection):
-    """aiosonic connection on which a reply that ends within its head or its framing fails.
+class MalformedReplyError(ValueError):
+    """The peer sent bytes that are no reply, or a reply beyond the limits."""
+
+
+class BoundedConnection(Connection):
+    """aiosonic connection on which a reply fails that ends early, is malformed or goes on for long.
+
+    aiosonic takes the end of the stream, or a line without a colon, for the end of the head, and
+    the reply for one without body; it reads a head and a body of any length.
 
-    aiosonic takes the end of the stream for the end of the head, and the reply for one without
-    body.
+    Attributes
+    ----------
+    is_streaming : bool
+        Whether the body of the current reply is read piece by piece: the limit then holds for each
+        chunk instead of all.
     """
 
+    def __init__(self, pool: Any) -> None:
+        super().__init__(pool)
+        self.is_streaming = False
+        self._is_in_head = False
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._chunks = 0
+
+    async def readuntil(self, separator: bytes = b"\n") -> bytes:
+        """Read the status line."""
+        line: bytes = await super().readuntil(separator)
+        self._is_in_head = True
+        self._head_bytes = len(line)
+        self._body_bytes = self._chunks = 0
+        return line
+
     async def readline(self) -> bytes:
         """Read a line of the head or of the chunked framing.
 
@@ -41,14 +71,41 @@
         ------
         asyncio.IncompleteReadError
             The peer closed the connection before the end of the line.
+        MalformedReplyError
+            The line is no header, or the reply is too long.
         """
         line: bytes = await super().readline()
         if not line.endswith(b"\n"):
             raise asyncio.IncompleteReadError(line, None)
+        if not self._is_in_head:
+            self._chunks += 1
+            if self._chunks > CHUNKS_MAX and not self.is_streaming:
+                raise MalformedReplyError("the body has too many chunks")
+            return line
+        self._is_in_head = bool(line.strip())
+        if self._is_in_head and b":" not in line:
+            raise MalformedReplyError("a line of the head is no header")
+        self._head_bytes += len(line)
+        if self._head_bytes > HEAD_MAX_BYTES:
+            raise MalformedReplyError("the head is too long")
         return line
 
+    async def readexactly(self, size: int) -> bytes:
+        """Read a body of known length, or a chunk.
+
+        Raises
+        ------
+        MalformedReplyError
+            The reply is too long.
+        """
+        self._body_bytes = size + (0 if self.is_streaming else self._body_bytes)
+        if self._body_bytes > BODY_MAX_BYTES:
+            raise MalformedReplyError("the body is too long")
+        data: bytes = await super().readexactly(size)
+        return data
+
 
-class TrackedConnection(WholeLineConnection):
+class TrackedConnection(BoundedConnection):
     """aiosonic connection that records the progress of the current request.
 
     Headers and body are added in `write`, so that aiosonic sees a request without any and reuses
@@ -181,9 +238,55 @@
         Any exception of aiosonic; the channel must then be closed.
     """
     channel.connection.prepare(headers, body, before_write)
+    channel.connection.is_streaming = stream
     return await channel.client.request(channel.base_url + path, method, stream=stream)
 
 
+async def read_content(response: HttpResponse) -> bytes:
+    """Read the body of a reply.
+
+    aiosonic copies all chunks read so far for each further chunk.
+    """
+    if response.chunked:
+        return b"".join([chunk async for chunk in response.read_chunks()])
+    content: bytes = await response.content()
+    return content
+
+
+async def read_lines(
+    response: HttpResponse, on_chunk: Callable[[int], None]
+) -> AsyncIterator[bytes]:
+    """Read the lines of a streamed body as they arrive, except empty ones.
+
+    Parameters
+    ----------
+    response : HttpResponse
+        Reply to a request with `stream` set.
+    on_chunk : callable
+        Called with the number of bytes of each chunk.
+
+    Raises
+    ------
+    MalformedReplyError
+        A line is too long.
+    """
+    pieces: list[bytes] = []
+    line_bytes = 0
+    async for chunk in response.read_chunks():
+        on_chunk(len(chunk))
+        pieces.append(chunk)
+        line_bytes += len(chunk)
+        if b"\n" not in chunk:
+            if line_bytes > BODY_MAX_BYTES or len(pieces) > CHUNKS_MAX:
+                raise MalformedReplyError("a line is too long")
+            continue
+        *lines, rest = b"".join(pieces).split(b"\n")
+        pieces, line_bytes = [rest], len(rest)
+        for line in lines:
+            if line:
+                yield line
+
+
 def close_channel(channel: HttpChannel) -> None:
     """Close the connection at once; required if a reply was not read completely."""
     channel.connection.keep = False
