Play copies and cuts at each byte against the own interface's legs

Change: a late copy of a reply, split at each byte and sent with the reply, on the idle connection or after the next leg; a reply cut at each byte. The next leg is lost or gets its own rows, and a reply that broke off is lost.

--- a/tests/wisteriarock/endpoints/test_connection.py
+++ b/tests/wisteriarock/endpoints/test_connection.py
@@ -212,6 +212,68 @@
         assert connection.state is ConnectionState.CLOSED
 
 
+async def test_late_copy_split_at_each_byte_is_never_the_next_reply() -> None:
+    """Guards against a second copy of a reply on a connection that is in use again.
+
+    The first bytes of the copy come with the reply, while the connection is idle or after the next
+    leg; the rest and the next reply follow.
+    """
+    first = make_answer(dict(make_leg("r1.1")))
+    second = make_answer(dict(make_leg("r2.1")), rows=[{"lot": 2}])
+
+    async def case(split: int, when: str) -> None:
+        is_copying = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            writer.write(first + (first[:split] if when == "with reply" else b""))
+            if when == "while idle":
+                await is_copying.wait()
+                writer.write(first[:split])
+            await read_request(reader)
+            if when == "after leg":
+                writer.write(first[:split])
+                await asyncio.sleep(0)
+            writer.write(first[split:] + second)
+            await reader.read()
+
+        async with scripted_server(serve) as port:
+            connection = make_connection(port)
+            assert (await send_test_leg(connection, make_leg("r1.1"))).outcome is LegOutcome.OK
+            is_copying.set()
+            await asyncio.sleep(0.001)
+            if connection.state is ConnectionState.CLOSED:
+                return
+            result = await send_test_leg(connection, make_leg("r2.1"))
+            is_own = result.answer is not None and result.answer["rows"] == [{"lot": 2}]
+            assert is_own or result.outcome in (LegOutcome.LOST, LegOutcome.REFUSED), (split, when)
+            close_connection(connection)
+
+    for split in range(len(first) + 1):
+        for when in ("with reply", "while idle", "after leg"):
+            await case(split, when)
+
+
+async def test_reply_cut_at_each_byte_is_lost() -> None:
+    """Guards against a leg that counts as complete although its reply broke off."""
+    reply = make_answer(dict(make_leg()))
+
+    async def case(length: int) -> LegResult:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            writer.write(reply[:length])
+
+        async with scripted_server(serve) as port:
+            connection = make_connection(port)
+            result = await send_test_leg(connection, make_leg())
+            close_connection(connection)
+            return result
+
+    for length in range(len(reply)):
+        assert await case(length) == LegResult(LegOutcome.LOST, True, False), length
+    assert (await case(len(reply))).outcome is LegOutcome.OK
+
+
 async def test_a_failed_connect_is_reported_as_not_executed() -> None:
     """Guards against a leg reported as possibly run although nothing was written."""
     async with run_endpoint_server() as server:
