Keep to rate limits while all gatherers of a zone are suspended

Cause: an instance without a usable gatherer counted itself as the instance that usually queries a shard, as in a zone that has none. When all gatherers of a zone fail at once, each of its instances took a gatherer's share of a limit: on 195 instances in five zones, 39 times 0.18 of it. Change: while all gatherers of its zone are suspended, an instance has the share of the others, a tenth of the limit for all of them. Result: test_rate_limits_hold_in_sum_while_all_gatherers_of_a_zone_are_suspended failed before and passes. Deployments without gatherers are not concerned: they never come to this place.

--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -36,7 +36,6 @@
     is_assigned,
     replace_gatherers,
     share_budget,
-    usable_gatherers,
 )
 from wisteriarock.gathering.models import Gatherer
 from wisteriarock.http.front import Answer, CallerRequest, ListenerState, Respond
@@ -289,12 +288,13 @@
     if service not in instance.gathered_services or instance.gatherer_count >= count:
         return float(count)
     now_ms = instance.loop.time() * 1000
-    gatherers = usable_gatherers(instance.dispatch.gatherers, now_ms)
     assigned = count_assigned_instances(instance.feed_state, now_ms)
     return count_limit_sharers(
         count,
         count if assigned is None else assigned,
-        is_assigned=not gatherers or is_assigned(gatherers, service, instance.settings.instance),
+        is_assigned=is_assigned(
+            instance.dispatch.gatherers, service, instance.settings.instance, now_ms
+        ),
     )
 
 
--- a/packages/wisteriarock/src/wisteriarock/gathering/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/decide.py
@@ -128,9 +128,15 @@
     return assigned
 
 
-def is_assigned(gatherers: Sequence[Gatherer], shard: str, name: str) -> bool:
-    """Return whether a shard is assigned to the named one of the usable gatherers of a zone."""
-    return max(gatherers, key=lambda each: _score(each, shard)).name == name
+def is_assigned(directory: GathererDirectory, shard: str, name: str, now_ms: float) -> bool:
+    """Return whether the named instance usually queries a shard.
+
+    Without gatherers in the zone, every instance does; while all of them are suspended, none.
+    """
+    if not directory.gatherers:
+        return True
+    gatherers = usable_gatherers(directory, now_ms)
+    return bool(gatherers) and max(gatherers, key=lambda each: _score(each, shard)).name == name
 
 
 def count_limit_sharers(instances: int, assigned: int, *, is_assigned: bool) -> float:
--- a/tests/wisteriaplatform/test_gatherers.py
+++ b/tests/wisteriaplatform/test_gatherers.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator
 
 from wisteriarock.feed.state import is_relay
-from wisteriarock.front.instance import Instance
+from wisteriarock.front.instance import Instance, limit_sharers
 from wisteriarock.front.readiness import Phase
 from wisteriarock.gathering.decide import replace_gatherers
 from wisteriarock.gathering.models import Gatherer
@@ -127,4 +127,22 @@
         await wait_until(lambda: other.feed_state.gatherers == (chosen,))
 
 
+async def test_rate_limits_hold_in_sum_while_all_gatherers_of_a_zone_are_suspended():
+    """Guards against instances that all take a gatherer's share of a limit (LIMIT)."""
+    async with _deployment_with_gatherer() as (running, _):
+        instance = running.instance
+        instance.gathered_services = {"shard-0"}
+        instance.instance_count, instance.gatherer_count = 195, 15
+        now_ms = instance.loop.time() * 1000
+        zones = [instance.settings.zone, *(f"zone-{number}" for number in range(4))]
+        instance.feed_state.instance_counts = dict.fromkeys(zones, (39, now_ms))
+        instance.feed_state.gatherer_counts = dict.fromkeys(zones, 3)
+        suspended_until_ms = instance.dispatch.gatherers.suspended_until_ms
+        suspended_until_ms["front-2"] = now_ms + 60_000.0
+        share = 1.0 / limit_sharers(instance, "shard-0")
+        assert 39 * share < 0.25, "the zone takes more than its share"
+        instance.dispatch.gatherers.gatherers = ()
+        assert 1.0 / limit_sharers(instance, "shard-0") > 0.1, "no gatherers: queries itself"
+
+
 load_tests = function_suite(globals())
