--- a/tests/wisteriastandins/relay/test_control.py
+++ b/tests/wisteriastandins/relay/test_control.py
@@ -1,6 +1,7 @@
 """Tests of the link relay over sockets."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from typing import Any
@@ -34,8 +35,13 @@
 
 
 @asynccontextmanager
-async def run_relay(delay_ms: float = 0) -> AsyncIterator[tuple[int, int, list[bytes]]]:
-    """Run a relay to an echo server; yield its port, its control port and the received chunks."""
+async def run_relay(
+    delay_ms: float = 0, target_port: int | None = None
+) -> AsyncIterator[tuple[int, int, list[bytes]]]:
+    """Run a relay to an echo server; yield its port, its control port and the received chunks.
+
+    With `target_port`, the relay connects to that port instead.
+    """
     received: list[bytes] = []
     loop = asyncio.get_running_loop()
     server = await loop.create_server(lambda: EchoServer(received), "127.0.0.1", 0)
@@ -44,7 +50,7 @@
         listen_host="127.0.0.1",
         listen_port=0,
         target_host="127.0.0.1",
-        target_port=server.sockets[0].getsockname()[1],
+        target_port=target_port or server.sockets[0].getsockname()[1],
         delay_ms=delay_ms,
         jitter_ms=delay_ms,
     )
@@ -137,6 +143,20 @@
         assert not old.reader.at_eof() and not new.reader.at_eof()
 
 
+async def test_client_of_a_target_that_refuses_is_disconnected() -> None:
+    """Guards against a caller that waits for a target that is not there."""
+    with socket.socket() as target:
+        # A bound port without a listener refuses connections.
+        target.bind(("127.0.0.1", 0))
+        async with run_relay(target_port=target.getsockname()[1]) as (port, control, _):
+            connection = await connect(port)
+            connection.writer.write(b"x")
+            assert await read_end(connection) == b""
+            connection.writer.close()
+            record = await get_record(control)
+            assert (record["failed_connections"], record["open_connections"]) == (1, 0)
+
+
 async def test_silence_is_permanent_and_limited_to_open_connections() -> None:
     """Guards against silent connections that close or recover, and against silent new ones."""
     async with run_relay() as (port, control, received):
