--- a/tests/wisteriarock/endpoints/test_connection.py
+++ b/tests/wisteriarock/endpoints/test_connection.py
@@ -282,6 +282,22 @@
     assert result == LegResult(LegOutcome.REFUSED, False, False)
 
 
+async def test_report_that_arrives_byte_by_byte_without_end_times_out() -> None:
+    """Guards against a report that keeps its connection for as long as bytes arrive."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Filler: ")
+        while not writer.is_closing():
+            writer.write(b"a")
+            await asyncio.sleep(0.002)
+
+    async with scripted_server(serve) as port:
+        connection = make_connection(port)
+        assert (await fetch_report(connection, "a", 50)).failure() == "silent"
+        assert connection.state is ConnectionState.CLOSED
+
+
 async def test_a_report_of_another_endpoint_is_rejected() -> None:
     """Guards against holdings of one endpoint published as those of another."""
     async with run_endpoint_server() as server:
