--- a/tests/wisteriarock/dispatch/test_rate_limits.py
+++ b/tests/wisteriarock/dispatch/test_rate_limits.py
@@ -86,6 +86,17 @@
         assert got <= allowed, f"{got} legs in 4 s, {allowed:.1f} allowed, at {end_ms:.0f} ms"
 
 
+def _check_limited_service(count: int, *, limit_per_s: float, per_s: float, for_ms: float) -> None:
+    """Check that instances keep to the limits of two of the three endpoints of a service."""
+    instances = _create_instances(make_single_service_route(), count, 3, 190.0)
+    limited = [instances[0].endpoints[f"invoicing/{number}"] for number in range(2)]
+    for endpoint in limited:
+        _limit(endpoint, limit_per_s)
+    _send_requests(instances, per_s, for_ms)
+    for endpoint in limited:
+        _check_limit(endpoint)
+
+
 def _answers(instances: list[Emulator]) -> dict[bytes, tuple[float, Answer]]:
     return {key: value for instance in instances for key, value in instance.answers.items()}
 
@@ -101,24 +112,12 @@
 
 def test_limited_service_endpoints_are_not_sent_more_by_all_instances():
     """Guards against legs beyond a named limit (LIMIT on the day `capped`): plain service."""
-    instances = _create_instances(make_single_service_route(), 8, 3, 190.0)
-    limited = [instances[0].endpoints[f"invoicing/{number}"] for number in range(2)]
-    for endpoint in limited:
-        _limit(endpoint, 1.0)
-    _send_requests(instances, 11.3, 30_000.0)
-    for endpoint in limited:
-        _check_limit(endpoint)
+    _check_limited_service(8, limit_per_s=1.0, per_s=11.3, for_ms=30_000.0)
 
 
 def test_limit_holds_with_many_more_instances_than_it_allows_requests():
     """Guards against shares of less than one request each that add up to more than a limit."""
-    instances = _create_instances(make_single_service_route(), 60, 3, 190.0)
-    limited = [instances[0].endpoints[f"invoicing/{number}"] for number in range(2)]
-    for endpoint in limited:
-        _limit(endpoint, 0.8)
-    _send_requests(instances, 20.0, 60_000.0)
-    for endpoint in limited:
-        _check_limit(endpoint)
+    _check_limited_service(60, limit_per_s=0.8, per_s=20.0, for_ms=60_000.0)
 
 
 def test_requests_beyond_the_limits_of_a_service_are_refused_at_once():
