--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """An entry of another writer ends every instance, again after each restart."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -101,4 +102,10 @@
     return is_broken
 
 
-run_case(case)
+if __name__ == "__main__":
+    # TROUBLE=0 runs the case without its disruption.
+    run_case(
+        case,
+        record_path=Path(__file__).resolve().with_name("record.txt"),
+        with_trouble=os.environ.get("TROUBLE", "1") != "0",
+    )
--- a/review/standins.py
+++ b/review/standins.py
@@ -593,14 +593,13 @@
 Case = Callable[[Path, Record, bool, list[Instance]], Awaitable[bool]]
 
 
-def run_case(case: Case) -> None:
+def run_case(case: Case, record_path: Path, with_trouble: bool) -> None:
     """Run a case and exit with 1 if its rule was broken, 0 if it held, 2 if it could not run.
 
     The case gets a temporary folder, the record, whether to cause the disruption, and a list to
     which it adds the instances that it starts.
     """
-    record = Record(Path(sys.argv[0]).resolve().parent / "record.txt")
-    with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(record_path)
     record.write(f"disruption: {'yes' if with_trouble else 'no'}")
     instances: list[Instance] = []
 
