Decode values of other writers without unexpected exceptions

Cause: a decoder that raises something it is not known to raise ends the discovery task, and with it the process. `json.loads` raises RecursionError on deep nesting, `float` of a 400-digit integer raises OverflowError, and `int` raises ValueError for digits that are not decimal or more than 4,300. Others passed the decoder and raised later: a port or name that connect rejects, an id that no header can hold, infinities in calculations. A host name needed a lookup in a thread.

The same cause was found in registrations of relays, answers of relays, gatherers, fragments, the configuration, and on the own interface in replies of endpoints.

--- a/packages/wisteriarock/src/wisteriarock/endpoints/connection.py
+++ b/packages/wisteriarock/src/wisteriarock/endpoints/connection.py
@@ -171,7 +171,7 @@
                 return None
             return LegResult(LegOutcome.OK, True, True, answer)
         refusal = _REFUSAL_DECODER.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
     outcome = _REFUSAL_OUTCOMES.get(refusal["code"])
     if refusal["leg_id"] != leg["leg_id"] or outcome is None:
@@ -258,7 +258,7 @@
         return Failure("failed")
     try:
         report = _REPORT_DECODER.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         report = None
     if report is None or status != 200 or report["endpoint"] != endpoint:
         close_connection(connection)
--- a/packages/wisteriarock/src/wisteriarock/feed/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/decide.py
@@ -4,8 +4,10 @@
 import zlib
 from collections.abc import Sequence
 
+from wisteriarock.codec.json_text import is_printable, parse_json
 from wisteriarock.gathering.decide import choose_gatherers, decode_gatherers, encode_gatherers
 from wisteriarock.gathering.models import FanOutShape, Gatherer
+from wisteriarock.http.address import parse_ip_address
 from wisteriarock.store.models import Item
 
 from .const import (
@@ -138,7 +140,7 @@
     try:
         # The history of a relay is bounded, so a larger answer is malformed and fails to parse.
         text = zlib.decompressobj().decompress(body, ANSWER_MAX_BYTES)
-        data = json.loads(text)
+        data = parse_json(text)
         changes = data["changes"]
         items = (
             None
@@ -157,7 +159,7 @@
             "zone": str(data.get("zone", "")),
             "gatherers": data.get("gatherers"),
         }
-    except (zlib.error, ValueError, KeyError, TypeError, AttributeError):
+    except (zlib.error, ValueError, KeyError, TypeError, AttributeError, OverflowError):
         return None
     return items, answer
 
@@ -180,13 +182,16 @@
 
 def _decode_relay_value(zone: str, value: bytes, revision: int) -> Relay | None:
     try:
-        data: RelayValue = json.loads(value)
-        host, _, port = data["address"].rpartition(":")
+        data: RelayValue = parse_json(value)
+        address = parse_ip_address(data["address"])
         instances = max(0, int(data["instances"]))
         gatherers = max(0, int(data.get("gatherers", 0)))
-        return Relay(zone, str(data["instance"]), host, int(port), instances, gatherers, revision)
-    except (ValueError, KeyError, TypeError, AttributeError):
+        instance = data["instance"]
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError):
         return None
+    if address is None or not is_printable(instance):
+        return None
+    return Relay(zone, instance, *address, instances, gatherers, revision)
 
 
 def encode_relay_value(
--- a/packages/wisteriarock/src/wisteriarock/feed/serving.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/serving.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from urllib.parse import parse_qsl, urlsplit
 
-from wisteriarock.gathering.models import Gatherer
+from wisteriarock.gathering.decide import parse_gatherer
 from wisteriarock.http.front import Answer, CallerRequest, Respond
 
 from .const import POLL_WAIT_MS, RELAY_STORE_AGE_MAX_MS, STANDBY_DELAY_MS
@@ -78,12 +78,12 @@
 def _record_follower(feed: Feed, query: dict[str, str]) -> None:
     name = query.get("instance", "")
     feed.state.followers[name] = loop_time_ms(feed)
-    host, _, port = query.get("address", "").rpartition(":")
     try:
-        capacity_cores = float(query.get("capacity", "0"))
-        feed.state.candidates[name] = Gatherer(name, host, int(port), capacity_cores)
+        candidate = parse_gatherer(name, query.get("address"), query.get("capacity", "0"))
     except ValueError:
         feed.state.candidates.pop(name, None)
+    else:
+        feed.state.candidates[name] = candidate
 
 
 def _handle_lost_zones_report(feed: Feed, query: dict[str, str]) -> None:
--- a/packages/wisteriarock/src/wisteriarock/gathering/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/decide.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 
 from wisteriarock.catalog.models import Catalog
+from wisteriarock.codec.json_text import is_printable, parse_json
+from wisteriarock.http.address import parse_ip_address
 
 from .const import (
     BUDGET_USED_SHARE,
@@ -209,6 +211,27 @@
     return [[each.name, f"{each.host}:{each.port}", each.capacity_cores] for each in gatherers]
 
 
+def parse_gatherer(name: object, address: object, capacity_cores: object) -> Gatherer:
+    """Parse a gatherer from the fields of a message between instances.
+
+    Raises
+    ------
+    ValueError, TypeError
+        If a field is malformed.
+    """
+    parsed_address = parse_ip_address(address)
+    if parsed_address is None:
+        raise ValueError("address is not IP:PORT")
+    if not isinstance(name, str) or not is_printable(name):
+        raise ValueError("name is not printable text")
+    if not isinstance(capacity_cores, str | float | int):
+        raise TypeError("capacity is not a number")
+    cores = float(capacity_cores)
+    if not 0 <= cores < math.inf:
+        raise ValueError("capacity is out of range")
+    return Gatherer(name, *parsed_address, cores)
+
+
 def decode_gatherers(rows: object) -> tuple[Gatherer, ...]:
     """Decode gatherers.
 
@@ -221,8 +244,7 @@
         raise TypeError("gatherers are not a list")
     gatherers = []
     for name, address, capacity_cores in rows:
-        host, _, port = str(address).rpartition(":")
-        gatherers.append(Gatherer(str(name), host, int(port), float(capacity_cores)))
+        gatherers.append(parse_gatherer(name, address, capacity_cores))
     return tuple(gatherers)
 
 
@@ -234,7 +256,7 @@
 def decode_fragment_request(body: bytes) -> FragmentRequest | None:
     """Decode a fragment request; return None if it is malformed."""
     try:
-        data = json.loads(body)
+        data = parse_json(body)
         return {
             "route": str(data["route"]),
             "version": int(data["version"]),
@@ -251,7 +273,7 @@
             "answer_in_ms": float(data["answer_in_ms"]),
             "expires_in_ms": float(data["expires_in_ms"]),
         }
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, OverflowError):
         return None
 
 
@@ -263,7 +285,7 @@
 def decode_fragment_answer(body: bytes) -> FragmentAnswer | None:
     """Decode a fragment answer; return None if it is malformed."""
     try:
-        data = json.loads(body)
+        data = parse_json(body)
         bytes.fromhex(data["records"])
         return {
             "parts": [(str(shard), str(proof)) for shard, proof in data["parts"]],
@@ -271,5 +293,5 @@
             "may_have_run": [str(shard) for shard in data["may_have_run"]],
             "withheld": [str(shard) for shard in data.get("withheld", ())],
         }
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, OverflowError):
         return None
--- a/packages/wisteriarock/src/wisteriarock/settings/load.py
+++ b/packages/wisteriarock/src/wisteriarock/settings/load.py
@@ -137,6 +137,6 @@
         return Failure(SettingsError(str(path), f"{len(text)} bytes", f"{MAX_SETTINGS_BYTES}"))
     try:
         raw = json5.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Failure(SettingsError(str(path), str(error), "JSON with comments"))
     return check_settings(raw)
