--- a/tests/wisteriarock/observability/test_event_log.py
+++ b/tests/wisteriarock/observability/test_event_log.py
@@ -102,4 +102,17 @@
     assert any("event=lines_dropped" in line and "total=5" in line for line in _read_all(reading))
 
 
+def test_text_that_cannot_be_printed_is_escaped():
+    """Guards against a name from outside that raises in the log, or that starts another line."""
+    reading, writing = os.pipe()
+    log = EventLog(writing, Clock(), instance="i \udcff")
+    log.record("entry_bad", key="servers/\ud83d", reason="a\x0bb\x85c\u2028d\x00")
+    log.record("entry_bad", key="\u043a\u0430\u0444\u0435")
+    log.flush()
+    lines = _read_all(reading)
+    assert len(lines) == 2
+    assert lines[0].endswith('key="servers/\\ud83d" reason="a\\u000bb\\u0085c\\u2028d\\u0000"')
+    assert lines[1].endswith("key=\u043a\u0430\u0444\u0435")
+
+
 load_tests = function_suite(globals())
