Keep the process running when a background task fails

Callers saw no answers: any unexpected exception in the tasks that follow the store or a relay ended the process with status 70 (`_on_task_end`), and the next process met the same record.

Change: a record that raises is dropped alone; a task that raises is started again after 100 ms, doubled up to 2 s; periodic work goes on after an exception, which stopped it for good without a word; exceptions of callbacks are log events instead of tracebacks on standard error. All are counted in `wisteriarock_unexpected_errors_total` by part, and entries that name no endpoint in `wisteriarock_malformed_entries_total`.

--- a/packages/wisteriarock/src/wisteriarock/discovery/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/controller.py
@@ -16,6 +16,7 @@
 from wisteriarock.feed.models import FeedAnswer, FeedState
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
+from wisteriarock.observability.failures import FailureReporter, run_supervised
 from wisteriarock.store.client import StoreClient
 from wisteriarock.store.models import Item, Snapshot, StoreError, StoreErrorKind, StoreFormat
 
@@ -92,6 +93,7 @@
         self.on_configuration = on_configuration
         self.log = log
         self.counters = counters
+        self.failures = FailureReporter(log, counters)
         self.rng = rng
         self.last_answer_at_ms = 0.0
         self.outage_ended_at_ms = -LAPSE_WINDOW_MS
@@ -167,15 +169,17 @@
     state.on_configuration(configuration)
 
 
-def _decode_entries(state: DiscoveryState, items: list[Item]) -> list[EndpointEntry]:
-    entries = []
-    for item in items:
+def _decode_entry(state: DiscoveryState, item: Item) -> EndpointEntry | None:
+    """Decode the entry of an endpoint; log and count an entry that names none."""
+    reason = "unexpected error"
+    with state.failures.contain("decode_entry", key=item.key):
         entry = state.format.decode_endpoint(item.key, item.value or b"")
-        if isinstance(entry, str):
-            state.log.detail("entry_bad", key=item.key, reason=entry)
-        else:
-            entries.append(entry)
-    return entries
+        if not isinstance(entry, str):
+            return entry
+        reason = entry
+    state.counters.count("malformed_entries")
+    state.log.detail("entry_bad", key=item.key, reason=reason)
+    return None
 
 
 def _apply_event(state: DiscoveryState, item: Item) -> None:
@@ -186,9 +190,8 @@
             state.directory, endpoint_id, now_ms, may_have_lapsed=_is_near_outage(state, now_ms)
         )
     else:
-        entry = state.format.decode_endpoint(item.key, item.value)
-        if isinstance(entry, str):
-            state.log.detail("entry_bad", key=item.key, reason=entry)
+        entry = _decode_entry(state, item)
+        if entry is None:
             changes = remove_entry(state.directory, endpoint_id, now_ms, may_have_lapsed=False)
         else:
             changes = apply_entry(state.directory, entry, now_ms)
@@ -283,10 +286,11 @@
     state.feed.relays.clear()
     for item in snapshot.relays:
         apply_relay_item(state.feed, item, now_ms)
-    entries = _decode_entries(state, snapshot.endpoints)
+    decoded = [_decode_entry(state, item) for item in snapshot.endpoints]
+    entries = [entry for entry in decoded if entry is not None]
+    may_have_lapsed = _is_near_outage(state, now_ms)
     _notify_changes(
-        state,
-        resync(state.directory, entries, now_ms, may_have_lapsed=_is_near_outage(state, now_ms)),
+        state, resync(state.directory, entries, now_ms, may_have_lapsed=may_have_lapsed)
     )
     reset_history(state.feed, snapshot.revision)
 
@@ -312,15 +316,20 @@
 def apply_changes(state: DiscoveryState, items: list[Item], revision: int) -> None:
     """Apply all changes up to a revision, from the store or from a relay."""
     for item in record_changes(state.feed, items, revision):
-        if apply_relay_item(state.feed, item, _now_ms(state)):
-            state.log.detail("relay_changed", key=item.key, revision=item.revision)
-        elif item.key.startswith(state.format.endpoints_prefix):
-            _apply_event(state, item)
-        elif item.key == state.format.configuration_key and item.value is not None:
-            apply_configuration(state, item.value, item.revision)
+        with state.failures.contain("apply_change", key=item.key, revision=item.revision):
+            _apply_change(state, item)
     state.on_history_updated()
 
 
+def _apply_change(state: DiscoveryState, item: Item) -> None:
+    if apply_relay_item(state.feed, item, _now_ms(state)):
+        state.log.detail("relay_changed", key=item.key, revision=item.revision)
+    elif item.key.startswith(state.format.endpoints_prefix):
+        _apply_event(state, item)
+    elif item.key == state.format.configuration_key and item.value is not None:
+        apply_configuration(state, item.value, item.revision)
+
+
 def apply_feed_answer(state: DiscoveryState, items: list[Item], answer: FeedAnswer) -> None:
     """Apply the changes from a relay and its view of the store's availability."""
     now_ms = _now_ms(state)
@@ -365,9 +374,18 @@
 
 
 async def _follow_store(state: DiscoveryState) -> None:
-    """Load a snapshot and follow changes; reload when the store no longer has the history."""
+    """Load a snapshot and follow changes until the task is cancelled."""
     client = state.create_client()
-    needs_load, is_stale = True, True
+    try:
+        await _load_and_watch(state, client)
+    finally:
+        client.close("not followed")
+
+
+async def _load_and_watch(state: DiscoveryState, client: StoreClient) -> None:
+    """Load a snapshot and follow changes; reload when the store no longer has the history."""
+    # A stale snapshot may be older than what an earlier run of this task has loaded.
+    needs_load, is_stale = True, not state.feed.revision
     backoff_ms = RETRY_BACKOFF_MIN_MS
     while True:
         error: StoreError | None = None
@@ -400,4 +418,5 @@
 
 def start(state: DiscoveryState) -> list[asyncio.Task[None]]:
     """Start the task that follows the store."""
-    return [state.loop.create_task(_follow_store(state), name="discovery")]
+    work = run_supervised("discovery", lambda: _follow_store(state), state.failures)
+    return [state.loop.create_task(work, name="discovery")]
--- a/packages/wisteriarock/src/wisteriarock/feed/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/controller.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from wisteriarock.observability.failures import FailureReporter, run_supervised
+
 from .const import STORE_CALL_TIMEOUT_MS
 from .following import follow_relay
 from .lease import maintain_lease, monitor_store
@@ -10,11 +12,16 @@
 
 def start(feed: Feed) -> list[asyncio.Task[None]]:
     """Start the tasks that follow relays, maintain the lease and monitor the store."""
+    failures = FailureReporter(feed.log, feed.counters)
+    works = {
+        "feed-own-zone": lambda: follow_relay(feed, 0),
+        "feed-other-zone": lambda: follow_relay(feed, 1),
+        "feed-lease": lambda: maintain_lease(feed),
+        "feed-check": lambda: monitor_store(feed),
+    }
     return [
-        feed.loop.create_task(follow_relay(feed, 0), name="feed-own-zone"),
-        feed.loop.create_task(follow_relay(feed, 1), name="feed-other-zone"),
-        feed.loop.create_task(maintain_lease(feed), name="feed-lease"),
-        feed.loop.create_task(monitor_store(feed), name="feed-check"),
+        feed.loop.create_task(run_supervised(name, work, failures), name=name)
+        for name, work in works.items()
     ]
 
 
--- a/packages/wisteriarock/src/wisteriarock/feed/following.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/following.py
@@ -37,8 +37,7 @@
     outcome = await client.call(call, REPORT_TIMEOUT_MS)
     if isinstance(outcome, StoreError):
         feed.log.detail("report_failed", relay=relay.instance, kind=outcome.kind.value)
-    if client.connection is not None:
-        client.connection.close("reported")
+    client.close("reported")
 
 
 def _classify(status: int) -> StoreErrorKind | None:
@@ -60,8 +59,8 @@
             continue
         relay = relays[rank]
         if client is None or current is None or (relay.host, relay.port) != current[2:4]:
-            if client is not None and client.connection is not None:
-                client.connection.close("relay changed")
+            if client is not None:
+                client.close("relay changed")
             client = StoreClient(feed.loop, relay.host, relay.port, _classify, Counters())
         current = relay
         has_own_relay = has_live_relay(feed.state, 0, loop_time_ms(feed))
--- a/packages/wisteriarock/src/wisteriarock/front/app.py
+++ b/packages/wisteriarock/src/wisteriarock/front/app.py
@@ -36,9 +36,8 @@
 
 async def start(instance: Instance) -> list[asyncio.Server]:
     """Start the background tasks and listeners; return the servers, the one for callers first."""
-    for task in [*discovery.start(instance.discovery), *feed.start(instance.feed)]:
-        instance.tasks.add(task)
-        task.add_done_callback(lambda done: _on_task_end(instance, done))
+    instance.tasks.update(discovery.start(instance.discovery))
+    instance.tasks.update(feed.start(instance.feed))
     loop, settings = instance.loop, instance.settings
     servers = [
         await _listen(loop, instance.caller_listener, settings.front),
@@ -52,15 +51,6 @@
     return servers
 
 
-def _on_task_end(instance: Instance, task: "asyncio.Task[None]") -> None:
-    """Exit the process when a background task has failed."""
-    if task.cancelled() or task.exception() is None:
-        return
-    instance.log.record("task_ended", task=task.get_name(), error=repr(task.exception()))
-    instance.log.flush()
-    os._exit(70)
-
-
 async def drain(instance: Instance, servers: list[asyncio.Server]) -> None:
     """Shut down gracefully: fail readiness, and serve until callers disconnect or time is up.
 
@@ -106,6 +96,7 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, instance, path)
+    loop.set_exception_handler(instance.failures.handle_loop_error)
     log.record("started", pid=os.getpid(), zone=settings.zone)
     servers = await start(instance)
     gc.collect()
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -1,6 +1,6 @@
 """Periodic tasks of an instance."""
 
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from wisteriarock.balancing.const import PROBE_INTERVAL_MS, ZONE_PROBES_MAX, ZONE_SILENCE_MS
@@ -35,9 +35,15 @@
 def start(instance: Instance) -> None:
     """Start all periodic tasks."""
     instance.feed.on_lost_zones = lambda zones: _on_lost_zones(instance, zones)
-    _check_endpoints(instance)
-    _check_connections(instance)
-    _flush_log(instance)
+    _repeat(instance, HOUSEKEEPING_INTERVAL_MS, _check_endpoints)
+    _repeat(instance, TIMEOUT_CHECK_INTERVAL_MS, _check_connections)
+    _repeat(instance, LOG_FLUSH_INTERVAL_MS, _flush_log)
+
+
+def _repeat(instance: Instance, interval_ms: float, work: Callable[[Instance], None]) -> None:
+    with instance.failures.contain(work.__name__):
+        work(instance)
+    instance.loop.call_later(interval_ms / 1000, _repeat, instance, interval_ms, work)
 
 
 def _check_endpoints(instance: Instance) -> None:
@@ -67,7 +73,6 @@
         pool_of(instance, endpoint).probe()
     _check_store(instance, now_ms)
     _report_isolation(instance)
-    instance.loop.call_later(HOUSEKEEPING_INTERVAL_MS / 1000, _check_endpoints, instance)
 
 
 async def verify_lost_zones(instance: Instance, zones: list[str]) -> None:
@@ -140,9 +145,7 @@
         pool.expire_idle(now_ms)
     update_instance_count(instance)
     update_readiness(instance)
-    instance.loop.call_later(TIMEOUT_CHECK_INTERVAL_MS / 1000, _check_connections, instance)
 
 
 def _flush_log(instance: Instance) -> None:
     instance.log.flush()
-    instance.loop.call_later(LOG_FLUSH_INTERVAL_MS / 1000, _flush_log, instance)
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -42,6 +42,7 @@
 from wisteriarock.http.pool import Pool
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
+from wisteriarock.observability.failures import FailureReporter
 from wisteriarock.store.client import StoreClient
 from wisteriarock.store.models import StoreFormat
 
@@ -68,6 +69,7 @@
         self.settings = settings
         self.log = log
         self.counters = Counters()
+        self.failures = FailureReporter(log, self.counters)
         self.phase = Phase.STARTING
         self.held_requests = HeldRequests(loop.time() * 1000)
         self.was_ready: bool | None = None
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -34,6 +34,8 @@
     "store_calls": ("Calls of the platform's store", ()),
     "store_failures": ("Calls of the platform's store without result", ("kind",)),
     "feed_failures": ("Calls of relays without result", ("kind",)),
+    "malformed_entries": ("Entries of the store that name no endpoint", ()),
+    "unexpected_errors": ("Exceptions that were contained", ("part",)),
     "log_lines_dropped": ("Log lines dropped to keep the bound", ()),
 }
 # Help text and label name by histogram.
--- a/packages/wisteriarock/src/wisteriarock/store/client.py
+++ b/packages/wisteriarock/src/wisteriarock/store/client.py
@@ -40,6 +40,11 @@
         self._lock = asyncio.Lock()
         self.counters = counters
 
+    def close(self, reason: str) -> None:
+        """Close the connection; a call in progress fails."""
+        if self.connection is not None:
+            self.connection.close(reason)
+
     def _on_closed(self, connection: OutgoingConnection) -> None:
         if self.connection is connection:
             self.connection = None
