Serve callers while another address of the instance is in use

Cause: any address that is in use ended the process, the metrics port too, which no caller needs. The deploy file fixes that one at 9464, which is not in the range that the platform promises to be free, so every second process of one address, and any other program with that port, meets it. A process whose predecessor still has an address met the same.

Change: each listener is opened on its own; one whose address is in use is retried every 0.05 to 1 s, logged and counted. An instance without its peer address does not claim the relay lease and offers no capacity as gatherer. A failed release of the lease no longer breaks off a planned stop.

--- a/packages/wisteriarock/src/wisteriarock/feed/following.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/following.py
@@ -15,7 +15,7 @@
     record_lost_zones,
 )
 from .models import Relay
-from .state import Feed, is_relay, loop_time_ms, wake_followers
+from .state import Feed, is_relay, loop_time_ms, offered_capacity_cores, wake_followers
 
 
 async def report_lost_zones(feed: Feed, zones: list[str]) -> None:
@@ -84,10 +84,9 @@
     int or None
         The revision of the relay; None if there is no useful answer.
     """
-    capacity_cores = 0.0 if feed.is_stopping else feed.capacity_cores
     target = (
         f"/feed?after={feed.state.revision}&instance={feed.instance}&zone={feed.zone}"
-        f"&address={feed.address[0]}:{feed.address[1]}&capacity={capacity_cores:g}"
+        f"&address={feed.address[0]}:{feed.address[1]}&capacity={offered_capacity_cores(feed):g}"
     )
     if is_standby:
         target += "&standby=1"
--- a/packages/wisteriarock/src/wisteriarock/feed/lease.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/lease.py
@@ -22,7 +22,7 @@
     encode_relay_value,
     update_gatherers,
 )
-from .state import Feed, is_relay, loop_time_ms, wake_followers
+from .state import Feed, is_relay, loop_time_ms, offered_capacity_cores, wake_followers
 
 
 async def maintain_lease(feed: Feed) -> None:
@@ -32,9 +32,8 @@
             await _renew_lease(feed)
             continue
         registered = feed.state.relays.get(feed.zone)
-        if feed.state.revision == 0 or (
-            registered is not None and registered.instance != feed.instance
-        ):
+        is_taken = registered is not None and registered.instance != feed.instance
+        if is_taken or feed.state.revision == 0 or not feed.is_callable:
             await asyncio.sleep(RELAY_RETRY_BACKOFF_MS / 1000)
             continue
         await asyncio.sleep(CLAIM_DELAY_MAX_MS * feed.rng.random() / 1000)
@@ -120,8 +119,7 @@
     instances = count_instances(feed.state, now_ms)
     if instances is None:
         return
-    capacity_cores = 0.0 if feed.is_stopping else feed.capacity_cores
-    own = Gatherer(feed.instance, *feed.address, capacity_cores)
+    own = Gatherer(feed.instance, *feed.address, offered_capacity_cores(feed))
     update_gatherers(feed.state, own, feed.fan_out_shape(), instances, now_ms)
 
 
--- a/packages/wisteriarock/src/wisteriarock/feed/state.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/state.py
@@ -25,6 +25,9 @@
         has answered without failure.
     check_store : callable
         Checks within a timeout whether the store answers this instance.
+    is_callable : bool
+        Whether the listener for other instances is open; without it, this instance can be neither
+        relay nor gatherer.
     is_cut_off : bool
         Whether the store does not answer this relay, so that its followers need another source.
     waiting_followers : list of callable
@@ -73,6 +76,7 @@
         self.capacity_cores = capacity_cores
         self.fan_out_shape = fan_out_shape
         self.is_stopping = False
+        self.is_callable = False
         self.is_cut_off = False
         self.waiting_followers: list[Callable[[], None]] = []
         self.on_lost_zones: Callable[[list[str]], None] = lambda zones: None
@@ -83,6 +87,11 @@
     return feed.loop.time() * 1000
 
 
+def offered_capacity_cores(feed: Feed) -> float:
+    """Return the capacity that this instance offers as a gatherer, 0 if it cannot be one."""
+    return feed.capacity_cores if feed.is_callable and not feed.is_stopping else 0.0
+
+
 def is_relay(feed: Feed) -> bool:
     """Return whether this instance is the relay of its zone."""
     return feed.state.lease is not None
--- a/packages/wisteriarock/src/wisteriarock/front/app.py
+++ b/packages/wisteriarock/src/wisteriarock/front/app.py
@@ -12,7 +12,6 @@
 from wisteriarock.dispatch.controller import expire_active_queries
 from wisteriarock.dispatch.models import WireFormat
 from wisteriarock.feed import controller as feed
-from wisteriarock.http.front import CallerConnection, ListenerState
 from wisteriarock.observability.event_log import EventLog
 from wisteriarock.store.models import StoreFormat
 
@@ -24,34 +23,23 @@
     LISTEN_AFTER_STOP_MS,
 )
 from .instance import Instance, update_readiness
+from .listeners import ListenerName, Listeners
 from .readiness import Phase
-from .settings import Address, FrontSettings, SettingsError, load_settings
+from .settings import FrontSettings, SettingsError, load_settings
 
 
-async def _listen(
-    loop: asyncio.AbstractEventLoop, listener: ListenerState, address: Address
-) -> asyncio.Server:
-    return await loop.create_server(lambda: CallerConnection(listener), *address, backlog=1024)
-
-
-async def start(instance: Instance) -> list[asyncio.Server]:
-    """Start the background tasks and listeners; return the servers, the one for callers first."""
+async def start(instance: Instance) -> Listeners:
+    """Start the background tasks and listeners."""
     instance.tasks.update(discovery.start(instance.discovery))
     instance.tasks.update(feed.start(instance.feed))
-    loop, settings = instance.loop, instance.settings
-    servers = [
-        await _listen(loop, instance.caller_listener, settings.front),
-        await _listen(loop, instance.ready_listener, settings.ready),
-        await _listen(loop, instance.peer_listener, settings.peer),
-    ]
-    if settings.metrics is not None:
-        servers.append(await _listen(loop, instance.metrics_listener, settings.metrics))
+    listeners = Listeners(instance)
+    await listeners.open()
     instance.phase = Phase.RUNNING
     housekeeping.start(instance)
-    return servers
+    return listeners
 
 
-async def drain(instance: Instance, servers: list[asyncio.Server]) -> None:
+async def drain(instance: Instance, listeners: Listeners) -> None:
     """Shut down gracefully: fail readiness, and serve until callers disconnect or time is up.
 
     Requests that cannot be expected to end in time are refused; those that are still running at the
@@ -64,9 +52,10 @@
     instance.phase = Phase.DRAINING
     instance.log.record("stopping", active=len(instance.dispatch.active))
     update_readiness(instance)
-    await feed.stop(instance.feed)
+    with instance.failures.contain("feed_stop"):
+        await feed.stop(instance.feed)
     await asyncio.sleep(max(0.0, listen_until_ms / 1000 - instance.loop.time()))
-    servers[0].close()
+    listeners.close(ListenerName.CALLERS)
     _close_idle_callers(instance)
     while instance.caller_listener.connections and instance.loop.time() * 1000 < end_ms:
         await asyncio.sleep(0.02)
@@ -98,11 +87,11 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, instance, path)
     loop.set_exception_handler(instance.failures.handle_loop_error)
     log.record("started", pid=os.getpid(), zone=settings.zone)
-    servers = await start(instance)
+    listeners = await start(instance)
     gc.collect()
     gc.freeze()
     await stop.wait()
-    await drain(instance, servers)
+    await drain(instance, listeners)
 
 
 def _reload(instance: Instance, path: Path) -> None:
--- a/tests/wisteriaplatform/fixtures.py
+++ b/tests/wisteriaplatform/fixtures.py
@@ -11,6 +11,7 @@
 from wisteriaplatform.store import STORE_FORMAT
 from wisteriarock.front.app import start
 from wisteriarock.front.instance import Instance
+from wisteriarock.front.listeners import ListenerName, Listeners
 from wisteriarock.front.settings import FrontSettings
 from wisteriarock.observability.event_log import EventLog
 from wisteriastandins.users.endpoint import StubEndpoint
@@ -29,7 +30,7 @@
     store: StoreServer
     endpoints: dict[str, StubEndpoint]
     instance: Instance
-    servers: list[asyncio.Server]
+    listeners: Listeners
     port: int
     ready_port: int
     peer_port: int
@@ -139,28 +140,38 @@
     return Instance(loop, settings, WIRE_FORMAT, STORE_FORMAT, log, random.Random(1))
 
 
-def _stop(instance: Instance, servers: list[asyncio.Server]) -> None:
+def _port_of(listeners: Listeners, name: ListenerName) -> int:
+    port: int = listeners.servers[name].sockets[0].getsockname()[1]
+    return port
+
+
+def _stop(instance: Instance, listeners: Listeners) -> None:
     for task in instance.tasks:
         task.cancel()
-    for server in servers:
-        server.close()
+    listeners.close_all()
     for pool in instance.pools.values():
         pool.close()
 
 
 @contextlib.asynccontextmanager
 async def another_instance(
-    running: "Deployment", name: str, store_port: int | None = None, zone: str = "zone-a"
+    running: "Deployment",
+    name: str,
+    store_port: int | None = None,
+    zone: str = "zone-a",
+    **addresses: tuple[str, int],
 ) -> AsyncIterator[Instance]:
-    """Start another instance of a deployment."""
+    """Start another instance of a deployment; `addresses` replaces fields of its settings."""
     port = store_port or running.store.port
     instance = _create_instance(name, port, running.instance.log, zone)
-    servers = await start(instance)
-    instance.feed.address = ("127.0.0.1", servers[2].sockets[0].getsockname()[1])
+    instance.settings = instance.settings._replace(**addresses)  # type: ignore[arg-type]
+    listeners = await start(instance)
+    if "peer" not in addresses:
+        instance.feed.address = ("127.0.0.1", _port_of(listeners, ListenerName.PEERS))
     try:
         yield instance
     finally:
-        _stop(instance, servers)
+        _stop(instance, listeners)
 
 
 @contextlib.asynccontextmanager
@@ -180,14 +191,14 @@
     store.put("op/config", operator_configuration(3))
     reading, writing = os.pipe()
     instance = _create_instance("front-1", store.port, EventLog(writing, loop.time))
-    servers = await start(instance)
-    ports = [server.sockets[0].getsockname()[1] for server in servers]
+    listeners = await start(instance)
+    ports = [_port_of(listeners, name) for name in ListenerName]
     instance.feed.address = ("127.0.0.1", ports[2])
     await wait_until(lambda: instance.discovery.is_loaded)
     try:
-        yield Deployment(store, endpoints, instance, servers, *ports, reading)
+        yield Deployment(store, endpoints, instance, listeners, *ports, reading)
     finally:
-        _stop(instance, servers)
+        _stop(instance, listeners)
         for endpoint in endpoints.values():
             await endpoint.stop()
         await store.stop()
--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -210,7 +210,7 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
         writer.write(request_bytes("/lookup/1", "r-1"))
         await wait_until(lambda: running.instance.dispatch.active)
-        stop = asyncio.create_task(drain(running.instance, running.servers))
+        stop = asyncio.create_task(drain(running.instance, running.listeners))
         response = await read_response(reader)
         assert response.status == 200 and response.headers["connection"] == "close"
         # New connections still arrive until the load balancer has noticed.
@@ -234,7 +234,7 @@
         raw = request_bytes("/book/1", "r-late", "POST", b"body")
         writer.write(raw[:40])
         await wait_until(lambda: any(not each.is_idle() for each in _callers(instance)))
-        stop = asyncio.create_task(drain(instance, running.servers))
+        stop = asyncio.create_task(drain(instance, running.listeners))
         await asyncio.sleep(2.7)
         writer.write(raw[40:])
         response = await read_response(reader)
@@ -260,7 +260,7 @@
         raw = request_bytes("/book/1", "r-1", "POST", b"body")
         writer.write(raw.replace(b"Deadline-Ms: 2000", b"Deadline-Ms: 20000"))
         await wait_until(lambda: instance.dispatch.active)
-        await drain(instance, running.servers)
+        await drain(instance, running.listeners)
         for connection in list(_callers(instance)):
             connection.close()
         response = await read_response(reader)
