Handle signals from the first line of the program on

Processes ended by themselves: SIGHUP, which says that the settings have changed, ended a process that was still starting (status -1).

Cause: the handlers were set after the imports and the settings, about 100 ms after the first line, and until then the default action applies. At the end it applied again as soon as the loop was closed.

Change: the entry point installs handlers before it imports anything else. SIGHUP is remembered, and the settings are read again once the loop handles signals; SIGTERM and SIGINT end the starting process with status 0. At the end signals are ignored. What is left is the start of the interpreter itself, about 10 to 20 ms, in which no program can set a handler.

Two tests, which failed before (status -1 and -15).

--- a/packages/wisteriarock/src/wisteriarock/front/app.py
+++ b/packages/wisteriarock/src/wisteriarock/front/app.py
@@ -22,6 +22,7 @@
     LAST_ANSWERS_MS,
     LISTEN_AFTER_STOP_MS,
 )
+from .early_signals import EarlySignals
 from .instance import Instance, update_readiness
 from .listeners import ListenerName, Listeners
 from .readiness import Phase
@@ -76,7 +77,11 @@
 
 
 async def _run(
-    path: Path, settings: FrontSettings, wire_format: WireFormat, store_format: StoreFormat
+    path: Path,
+    settings: FrontSettings,
+    wire_format: WireFormat,
+    store_format: StoreFormat,
+    early_signals: EarlySignals,
 ) -> None:
     loop = asyncio.get_running_loop()
     log = EventLog(1, loop.time, instance=settings.instance)
@@ -85,6 +90,8 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, instance, path)
+    if early_signals.is_reload_requested:
+        _reload(instance, path)
     loop.set_exception_handler(instance.failures.handle_loop_error)
     log.record("started", pid=os.getpid(), zone=settings.zone)
     listeners = await start(instance)
@@ -92,6 +99,14 @@
     gc.freeze()
     await stop.wait()
     await drain(instance, listeners)
+    _ignore_signals(loop)
+
+
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore signals until the process has ended; closing the loop would restore the defaults."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _reload(instance: Instance, path: Path) -> None:
@@ -112,11 +127,13 @@
     return None
 
 
-def run(path: Path, wire_format: WireFormat, store_format: StoreFormat) -> int:
+def run(
+    path: Path, wire_format: WireFormat, store_format: StoreFormat, early_signals: EarlySignals
+) -> int:
     """Run an instance until SIGTERM; return the exit code."""
     settings = load_settings(path)
     if isinstance(settings, SettingsError):
         print(json.dumps({"event": "bad_settings", **settings._asdict()}))
         return 2
-    asyncio.run(_run(path, settings, wire_format, store_format))
+    asyncio.run(_run(path, settings, wire_format, store_format, early_signals))
     return 0
--- /dev/null
+++ b/tests/wisteriaplatform/test_process.py
@@ -0,0 +1,86 @@
+"""Tests of the start and end of the program as a process of its own."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+
+from tests.common import function_suite
+
+_START = "import os, signal, sys, wisteriaplatform.__main__ as program; "
+_SIGHUP = "os.kill(os.getpid(), signal.SIGHUP); "
+_SIGTERM = "os.kill(os.getpid(), signal.SIGTERM); "
+_RUN = "sys.exit(program.main())"
+
+
+def _free_addresses(count: int) -> list[str]:
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
+
+
+def _make_settings() -> dict[str, object]:
+    names = ("front", "ready", "peer", "metrics", "store")
+    addresses = dict(zip(names, _free_addresses(len(names)), strict=True))
+    return {
+        "instance": "front-1",
+        "zone": "zone-a",
+        **{f"{name}_address": address for name, address in addresses.items()},
+        "drain_grace_ms": 1_000,
+    }
+
+
+@contextlib.contextmanager
+def _settings_file(text: str) -> Iterator[Path]:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.json"
+        path.write_text(text, encoding="utf-8")
+        yield path
+
+
+def _start(code: str, settings_path: Path) -> "subprocess.Popen[str]":
+    """Start a process that runs code around the program's entry point."""
+    environment = {**os.environ, "WISTERIAROCK_CONFIG": str(settings_path)}
+    return subprocess.Popen(
+        [sys.executable, "-c", code], stdout=subprocess.PIPE, env=environment, text=True
+    )
+
+
+def _read_until(process: "subprocess.Popen[str]", event: str) -> str:
+    """Read log lines up to the first one of an event."""
+    assert process.stdout is not None
+    for line in process.stdout:
+        if f"event={event} " in line:
+            return line
+    raise AssertionError(f"the process ended without {event}: status {process.wait()}")
+
+
+def test_hang_up_while_the_process_starts_reloads_the_settings():
+    """Guards against a young process that is ended by SIGHUP."""
+    with _settings_file(json.dumps(_make_settings())) as path:
+        with _start(_START + _SIGHUP + _SIGHUP + _RUN, path) as process:
+            _read_until(process, "reloaded")
+            process.send_signal(signal.SIGHUP)
+            _read_until(process, "reloaded")
+            process.send_signal(signal.SIGTERM)
+            _read_until(process, "stopped")
+        assert process.returncode == 0
+
+
+def test_stop_while_the_process_starts_ends_it_with_success():
+    """Guards against a planned stop that ends as a failure."""
+    with _settings_file(json.dumps(_make_settings())) as path:
+        with _start(_START + _SIGTERM + _RUN, path) as process:
+            pass
+        assert process.returncode == 0
+
+
+load_tests = function_suite(globals())
