Start with settings that have fractions or gaps, or are being written

Processes did not start: they ended with status 2 at each start because of a settings file that is no fault of the operator.

Causes: (1) the template wrote `{{bounds.grace_s}}000`, so that a grace of 4.5 s became 4.5000 ms and was refused; DEPLOY.md allows fractions. A bound or limit that a deployment does not have left `"extra_ratio": ,`, which is no JSON. Bytes that are no UTF-8 raised.

Change: the template writes numbers as text, empty text stands for the default, and the grace is in seconds (`drain_grace_s`); checks of values are as strict as before. A file that cannot be read or parsed is read again every 50 ms for up to 1 s, at the start and after SIGHUP; a wrong value is refused at once. In `test_invalid_fields_are_named` the number as text, which is now allowed, is replaced by text that is no number and by text out of range.

Tests: three fail before for these causes (status 2, refused fraction and gaps), one for the new field `is_unreadable`.

--- a/packages/wisteriarock/src/wisteriarock/front/app.py
+++ b/packages/wisteriarock/src/wisteriarock/front/app.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+import time
 from pathlib import Path
 
 from wisteriarock.discovery import controller as discovery
@@ -21,6 +22,8 @@
     FIRST_REQUEST_WAIT_MS,
     LAST_ANSWERS_MS,
     LISTEN_AFTER_STOP_MS,
+    SETTINGS_READ_ATTEMPTS,
+    SETTINGS_READ_INTERVAL_MS,
 )
 from .early_signals import EarlySignals
 from .instance import Instance, update_readiness
@@ -109,11 +112,14 @@
         signal.signal(number, signal.SIG_IGN)
 
 
-def _reload(instance: Instance, path: Path) -> None:
+def _reload(instance: Instance, path: Path, attempts: int = SETTINGS_READ_ATTEMPTS) -> None:
     """Reload the settings; listeners and clients that are already running keep their addresses."""
     result = load_settings(path)
     if isinstance(result, SettingsError):
         instance.log.record("reload_failed", path=result.path, found=result.found)
+        if result.is_unreadable and attempts > 1:
+            delay_s = SETTINGS_READ_INTERVAL_MS / 1000
+            instance.loop.call_later(delay_s, _reload, instance, path, attempts - 1)
         return
     instance.settings = result
     instance.log.record("reloaded", path=path)
@@ -127,11 +133,21 @@
     return None
 
 
+def _read_settings_at_start(path: Path) -> FrontSettings | SettingsError:
+    """Read the settings; wait for a file that is missing, or that is just being written."""
+    for _ in range(SETTINGS_READ_ATTEMPTS):
+        settings = load_settings(path)
+        if not isinstance(settings, SettingsError) or not settings.is_unreadable:
+            return settings
+        time.sleep(SETTINGS_READ_INTERVAL_MS / 1000)
+    return load_settings(path)
+
+
 def run(
     path: Path, wire_format: WireFormat, store_format: StoreFormat, early_signals: EarlySignals
 ) -> int:
     """Run an instance until SIGTERM; return the exit code."""
-    settings = load_settings(path)
+    settings = _read_settings_at_start(path)
     if isinstance(settings, SettingsError):
         print(json.dumps({"event": "bad_settings", **settings._asdict()}))
         return 2
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -1,10 +1,10 @@
 """Settings of an instance, read from a JSON file."""
 
-import json
 from pathlib import Path
 from typing import Any, NamedTuple
 
-Address = tuple[str, int]
+from wisteriarock.codec.json_text import parse_json
+from wisteriarock.http.address import Address, parse_address
 
 
 class FrontSettings(NamedTuple):
@@ -13,7 +13,7 @@
     Attributes
     ----------
     drain_grace_ms : float
-        Time from the stop signal until the process is killed.
+        Time from the stop signal until the process is killed; `drain_grace_s` in the file.
     extra_ratio, extra_fixed : float
         Published budget of repeated requests (hedges and retries) to a service: share of its
         requests, and fixed number in each window of `extra_window_s` seconds.
@@ -39,40 +39,52 @@
 
 
 class SettingsError(NamedTuple):
-    """Error in the settings file: its location, the value found and the values allowed."""
+    """Error in the settings file: its location, the value found and the values allowed.
+
+    `is_unreadable` is set if the file cannot be read or parsed, which is also so while it is being
+    written.
+    """
 
     path: str
     found: str
     allowed: str
+    is_unreadable: bool = False
+
 
+def _parse_number(value: Any, default: float) -> float | None:
+    """Return a number, or text that holds one; empty text stands for the default.
 
-def _address(value: Any) -> Address | None:
-    if not isinstance(value, str):
+    A template writes numbers as text, as a value that it has none for would leave no JSON.
+    """
+    if value == "":
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float | str):
         return None
-    host, _, port = value.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+    try:
+        return float(value)
+    except (ValueError, OverflowError):
         return None
-    return host, int(port)
 
 
 def parse_settings(text: str) -> FrontSettings | SettingsError:
     """Parse settings from a JSON document that may contain comment lines (`//`)."""
     lines = [line for line in text.splitlines() if not line.lstrip().startswith("//")]
     try:
-        data = json.loads("\n".join(lines))
+        data = parse_json("\n".join(lines))
     except ValueError as error:
-        return SettingsError("(file)", str(error), "JSON, with comment lines that start with //")
+        allowed = "JSON, with comment lines that start with //"
+        return SettingsError("(file)", str(error), allowed, is_unreadable=True)
     if not isinstance(data, dict):
         return SettingsError("(file)", type(data).__name__, "an object")
     addresses: dict[str, Address] = {}
     for name in ("front_address", "ready_address", "peer_address", "store_address"):
-        address = _address(data.get(name))
+        address = parse_address(data.get(name))
         if address is None:
             return SettingsError(name, repr(data.get(name)), "HOST:PORT")
         addresses[name] = address
     numbers: dict[str, float] = {}
     for name, low, high, default in (
-        ("drain_grace_ms", 100.0, 600_000.0, 6_000.0),
+        ("drain_grace_s", 0.1, 600.0, 6.0),
         ("extra_ratio", 0.0, 10.0, 0.2),
         ("extra_fixed", 0.0, 100_000.0, 50.0),
         ("extra_window_s", 1.0, 3_600.0, 10.0),
@@ -80,15 +92,15 @@
         ("cpu_speed", 0.001, 1_000.0, 1.0),
     ):
         value = data.get(name, default)
-        is_number = isinstance(value, int | float) and not isinstance(value, bool)
-        if not is_number or not low <= value <= high:
+        number = _parse_number(value, default)
+        if number is None or not low <= number <= high:
             return SettingsError(name, repr(value), f"a number from {low} to {high}")
-        numbers[name] = float(value)
+        numbers[name] = number
     for name in ("instance", "zone"):
         if not isinstance(data.get(name), str) or not data[name]:
             return SettingsError(name, repr(data.get(name)), "a non-empty string")
     metrics = data.get("metrics_address")
-    if metrics is not None and _address(metrics) is None:
+    if metrics is not None and parse_address(metrics) is None:
         return SettingsError("metrics_address", repr(metrics), "HOST:PORT")
     return FrontSettings(
         data["instance"],
@@ -96,9 +108,9 @@
         addresses["front_address"],
         addresses["ready_address"],
         addresses["peer_address"],
-        _address(metrics),
+        parse_address(metrics),
         addresses["store_address"],
-        numbers["drain_grace_ms"],
+        numbers["drain_grace_s"] * 1000,
         numbers["extra_ratio"],
         numbers["extra_fixed"],
         numbers["extra_window_s"],
@@ -111,5 +123,5 @@
     """Read the settings file."""
     try:
         return parse_settings(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        return SettingsError(str(path), str(error.strerror), "a readable file")
+    except (OSError, UnicodeDecodeError) as error:
+        return SettingsError(str(path), str(error), "a readable UTF-8 file", is_unreadable=True)
--- a/tests/wisteriaplatform/test_process.py
+++ b/tests/wisteriaplatform/test_process.py
@@ -34,7 +34,7 @@
         "instance": "front-1",
         "zone": "zone-a",
         **{f"{name}_address": address for name, address in addresses.items()},
-        "drain_grace_ms": 1_000,
+        "drain_grace_s": 1.0,
     }
 
 
@@ -75,6 +75,23 @@
         assert process.returncode == 0
 
 
+def test_settings_file_that_is_being_written_is_read_once_complete():
+    """Guards against a process that ends as its settings are replaced at the same moment."""
+    text = json.dumps(_make_settings())
+    with _settings_file(text[: len(text) // 2]) as path:
+        with _start(_START + "print('event=starting ', flush=True); " + _RUN, path) as process:
+            _read_until(process, "starting")
+            path.write_text(text, encoding="utf-8")
+            _read_until(process, "started")
+            path.write_text(text[: len(text) // 2], encoding="utf-8")
+            process.send_signal(signal.SIGHUP)
+            _read_until(process, "reload_failed")
+            path.write_text(text, encoding="utf-8")
+            _read_until(process, "reloaded")
+            process.send_signal(signal.SIGTERM)
+        assert process.returncode == 0
+
+
 def test_stop_while_the_process_starts_ends_it_with_success():
     """Guards against a planned stop that ends as a failure."""
     with _settings_file(json.dumps(_make_settings())) as path:
--- a/tests/wisteriarock/front/test_settings.py
+++ b/tests/wisteriarock/front/test_settings.py
@@ -1,9 +1,10 @@
 """Tests of the settings of an instance."""
 
 import json
+import tempfile
 from pathlib import Path
 
-from wisteriarock.front.settings import FrontSettings, SettingsError, parse_settings
+from wisteriarock.front.settings import FrontSettings, SettingsError, load_settings, parse_settings
 
 from tests.common import function_suite
 
@@ -15,7 +16,7 @@
     "peer_address": "10.0.0.1:7380",
     "metrics_address": "10.0.0.1:9464",
     "store_address": "10.0.0.9:8102",
-    "drain_grace_ms": 6000,
+    "drain_grace_s": 6,
     "extra_ratio": 0.2,
     "extra_fixed": 56,
     "extra_window_s": 10,
@@ -37,7 +38,11 @@
         ("peer_address", None),
         ("store_address", "10.0.0.9:0"),
         ("metrics_address", 9464),
-        ("drain_grace_ms", "6000"),
+        ("drain_grace_s", "six"),
+        ("drain_grace_s", "6000"),
+        ("drain_grace_s", 10**400),
+        ("drain_grace_s", float("nan")),
+        ("drain_grace_s", "true"),
         ("extra_ratio", -1),
         ("extra_fixed", True),
         ("extra_window_s", 0),
@@ -51,8 +56,19 @@
     assert isinstance(parse_settings("[]"), SettingsError)
 
 
-def test_deployment_template_is_valid():
-    """Guards against a deployment template whose fields do not match the settings."""
+def test_unreadable_files_are_told_from_wrong_values():
+    """Guards against an exception at the start, and against a wait for a file that is complete."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.json"
+        assert load_settings(path).is_unreadable  # type: ignore[union-attr]
+        for content in (b"\xff\xfe", b"", b"[" * 100_000, json.dumps(GOOD).encode()[:50]):
+            path.write_bytes(content)
+            assert load_settings(path).is_unreadable  # type: ignore[union-attr]
+        path.write_text(json.dumps({**GOOD, "zone": ""}), encoding="utf-8")
+        assert not load_settings(path).is_unreadable  # type: ignore[union-attr]
+
+
+def _fill_template(**changes: str) -> str:
     template = Path(__file__).parents[3] / "deploy" / "settings.json"
     values = {
         "{{node_name|json}}": '"front-1"',
@@ -68,12 +84,40 @@
         "{{bounds.budget_window_s}}": "10",
         "{{limits.cpu_share}}": "0.537",
         "{{limits.cores}}": "2",
+        **changes,
     }
     text = template.read_text(encoding="utf-8")
     for placeholder, value in values.items():
         text = text.replace(placeholder, value)
     assert "{{" not in text
-    assert isinstance(parse_settings(text), FrontSettings)
+    return text
+
+
+def test_deployment_template_is_valid():
+    """Guards against a deployment template whose fields do not match the settings."""
+    settings = parse_settings(_fill_template())
+    assert isinstance(settings, FrontSettings)
+    assert settings.drain_grace_ms == 6_000 and settings.cpu_share == 0.537
+
+
+def test_bounds_with_fractions_or_without_value_are_valid():
+    """Guards against a process that does not start in a deployment with other bounds."""
+    settings = parse_settings(_fill_template(**{"{{bounds.grace_s}}": "4.5"}))
+    assert isinstance(settings, FrontSettings) and settings.drain_grace_ms == 4_500
+    settings = parse_settings(
+        _fill_template(
+            **{
+                "{{bounds.grace_s}}": "",
+                "{{bounds.budget_ratio}}": "",
+                "{{bounds.budget_extra}}": "",
+                "{{bounds.budget_window_s}}": "",
+                "{{limits.cpu_share}}": "",
+                "{{limits.cores}}": "",
+            }
+        )
+    )
+    assert isinstance(settings, FrontSettings)
+    assert (settings.drain_grace_ms, settings.cpu_share, settings.cpu_speed) == (6_000, 1.0, 1.0)
 
 
 load_tests = function_suite(globals())
