Let the soak check that no process ends by itself

The soak restarted a program that had ended and never said so; a process that ended at each start went unnoticed for as long as others served.

Change: each end is recorded with its status and the signals that the soak had sent; an end without SIGKILL, or a planned stop with another status than 0, is a violation. New faults: SIGHUP and SIGTERM in series to a young process, settings rewritten in place, each of the four ports taken, entries of other writers. `--source` plays a copy of the programs.

--- a/packages/standins/src/wisteriastandins/soak/checks.py
+++ b/packages/standins/src/wisteriastandins/soak/checks.py
@@ -2,6 +2,7 @@
 
 import bisect
 import hashlib
+import signal
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
@@ -227,6 +228,21 @@
                 yield Violation("rollback", detail, probe.sent_ms)
 
 
+def check_process_ends(observations: Observations) -> Iterator[Violation]:
+    """Check that no process ends by itself, and that a planned stop ends with status 0.
+
+    A stop before the process has started its own signal handling ends it by the signal itself.
+    """
+    for lifetime in observations.lifetimes:
+        signals, status = lifetime.sent_signals, lifetime.exit_status
+        is_stopped = signal.SIGTERM in signals and status in (0, -signal.SIGTERM)
+        is_killed = signal.SIGKILL in signals and status == -signal.SIGKILL
+        if not is_stopped and not is_killed:
+            sent = ", ".join(sorted(signal.Signals(number).name for number in signals))
+            detail = f"instance {lifetime.instance} ended with status {status} (sent: {sent})"
+            yield Violation("process_end", detail, lifetime.to_ms)
+
+
 def check_budget(observations: Observations) -> Iterator[Violation]:
     """Check that repeated requests stay within the budget, per service and time window.
 
@@ -350,6 +366,7 @@
         *check_runs(observations),
         *check_budget(observations),
         *check_connections(observations),
+        *check_process_ends(observations),
     ]
 
 
--- a/packages/standins/src/wisteriastandins/soak/command.py
+++ b/packages/standins/src/wisteriastandins/soak/command.py
@@ -14,6 +14,7 @@
     instances: int = 6,
     callers: int = 12,
     folder: Path | None = None,
+    source: Path | None = None,
 ) -> None:
     """Inject seeded faults into the real programs and check the guarantees of the system.
 
@@ -31,11 +32,13 @@
         Number of callers, each with one connection at a time.
     folder
         Folder in which settings and logs are kept, one subfolder per seed.
+    source
+        Folder with a copy of the programs to run instead of the installed ones.
     """
     failed = 0
     for number in range(seed, seed + seeds):
         seed_folder = folder / f"seed-{number}" if folder is not None else None
-        options = SoakOptions(number, length_s, instances, callers, folder=seed_folder)
+        options = SoakOptions(number, length_s, instances, callers, source, folder=seed_folder)
         result = run_soak(options)
         print("\n".join(format_result(options, result)), flush=True)
         failed += bool(result.violations)
--- a/packages/standins/src/wisteriastandins/soak/const.py
+++ b/packages/standins/src/wisteriastandins/soak/const.py
@@ -39,6 +39,9 @@
 # after two consecutive failures.
 READY_INTERVAL_S = 1.0
 READY_FAILURE_LIMIT = 2
+# Range of the age of a process at which an early signal reaches it. A younger interpreter has not
+# run the first line of the program.
+EARLY_SIGNAL_RANGE_S = (0.06, 0.4)
 # Range of pauses of a caller between two requests.
 CALLER_PAUSE_RANGE_S = (0.02, 0.12)
 # Fault-free time at the end of a run, in which service must recover.
--- a/packages/standins/src/wisteriastandins/soak/faults.py
+++ b/packages/standins/src/wisteriastandins/soak/faults.py
@@ -1,7 +1,10 @@
 """Injects the faults of a plan from outside the programs."""
 
 import asyncio
+import contextlib
+import random
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 
 from wisteriastandins.relay.link import (
@@ -17,7 +20,14 @@
 from wisteriastandins.users.faulty import ReplyFault
 from wisteriastandins.users.store import end_lease
 
-from .const import DRAIN_GRACE_MS, ENDPOINT_DRAIN_MS, NEW_SHARDS, SHARDS, ZONES
+from .const import (
+    DRAIN_GRACE_MS,
+    EARLY_SIGNAL_RANGE_S,
+    ENDPOINT_DRAIN_MS,
+    NEW_SHARDS,
+    SHARDS,
+    ZONES,
+)
 from .models import Disturbance, DrainingEndpoint, Fault, FaultKind, RateLimit
 from .programs import Program
 from .world import REPLICAS, SoakDeployment, add_endpoint, configure, register, remove_endpoint
@@ -33,6 +43,24 @@
 # they are checked only after a while.
 RATE_LIMITS_PER_S = (0.5, 2.0, 5.0, 12.0)
 RATE_LIMIT_HOLD_S = 6.0
+# Number of signals sent to one young process.
+EARLY_SIGNALS = 5
+# Time for which a settings file is incomplete while it is rewritten.
+SETTINGS_REWRITE_S = 0.02
+# Entries of other writers, which name no endpoint.
+ODD_ENTRIES = (
+    b"[" * 4_000,
+    b"\xff\xfe",
+    b"",
+    b"null",
+    b'{"service":"ledger-a","address":"127.0.0.1:99999","zone":"zone-a","concurrency":2,'
+    b'"state":"ready","cold_left_ms":0,"seq":1}',
+    b'{"service":"mill \\ud83d","address":"127.0.0.1:9","zone":"zone-a","concurrency":2,'
+    b'"state":"ready","cold_left_ms":0,"seq":1}',
+    b'{"service":"ledger-a","address":"127.0.0.1:9","zone":"zone-a","concurrency":2,'
+    b'"state":"ready","cold_left_ms":' + b"9" * 400 + b',"seq":1}',
+    b'{"service":"shard-0","address":"mill \\ud83d:80","zone":7,"concurrency":2.5,"state":[]}',
+)
 
 
 def _target_program(deployment: SoakDeployment, fault: Fault) -> Program:
@@ -90,6 +118,74 @@
     _target_program(deployment, fault).send_signal(signal.SIGHUP)
 
 
+async def _restart(deployment: SoakDeployment, program: Program) -> None:
+    """Kill a program and wait until its next process has been started."""
+    process = program.process
+    _record_disturbance(deployment, program.number, 2.0)
+    program.send_signal(signal.SIGKILL)
+    while program.should_run and program.process is process:
+        await asyncio.sleep(0.005)
+
+
+def _early_signal_fault(
+    signal_number: signal.Signals,
+) -> Callable[[SoakDeployment, Fault], Awaitable[None]]:
+    """Return a fault that restarts a program and sends its young process a series of signals."""
+
+    async def run(deployment: SoakDeployment, fault: Fault) -> None:
+        program = _target_program(deployment, fault)
+        await _restart(deployment, program)
+        process = program.process
+        rng = random.Random(fault.target)
+        ages_s = sorted(rng.uniform(*EARLY_SIGNAL_RANGE_S) for _ in range(EARLY_SIGNALS))
+        for age_s in ages_s:
+            at_s = program.started_at_s + age_s
+            await asyncio.sleep(max(0.0, at_s - deployment.loop.time()))
+            if program.process is process:
+                program.send_signal(signal_number)
+
+    return run
+
+
+async def _rewrite_settings(deployment: SoakDeployment, fault: Fault) -> None:
+    """Rewrite the settings file in place while the program starts, then announce it."""
+    program = _target_program(deployment, fault)
+    text = program.settings_path.read_text(encoding="utf-8")
+    await _restart(deployment, program)
+    end_s = deployment.loop.time() + min(fault.duration_s, 0.5)
+    while deployment.loop.time() < end_s:
+        program.settings_path.write_text(text[: len(text) // 2], encoding="utf-8")
+        await asyncio.sleep(SETTINGS_REWRITE_S)
+        program.settings_path.write_text(text, encoding="utf-8")
+        await asyncio.sleep(SETTINGS_REWRITE_S)
+    if program.started_at_s + EARLY_SIGNAL_RANGE_S[0] < deployment.loop.time():
+        program.send_signal(signal.SIGHUP)
+
+
+async def _take_port(deployment: SoakDeployment, fault: Fault) -> None:
+    """Take a port of a program that is down, and give it back."""
+    program = _target_program(deployment, fault)
+    ports = (program.metrics_port, program.peer_port, program.ready_port, program.front_port)
+    port = ports[fault.target // 7 % len(ports)]
+    process = program.process
+    _record_disturbance(deployment, program.number, fault.duration_s + 2.0)
+    program.send_signal(signal.SIGKILL)
+    await asyncio.sleep(0.1)
+    with socket.socket() as taken, contextlib.suppress(OSError):
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if program.process is process:
+            taken.bind(("127.0.0.1", port))
+            taken.listen()
+        await asyncio.sleep(fault.duration_s)
+
+
+async def _put_odd_entry(deployment: SoakDeployment, fault: Fault) -> None:
+    key = f"servers/odd.{fault.target}.0"
+    deployment.store.put(key, ODD_ENTRIES[fault.target % len(ODD_ENTRIES)])
+    await asyncio.sleep(fault.duration_s)
+    deployment.store.remove(key)
+
+
 def _store_mode_fault(mode: str) -> Callable[[SoakDeployment, Fault], Awaitable[None]]:
     async def run(deployment: SoakDeployment, fault: Fault) -> None:
         _record_disturbance(deployment, ALL_INSTANCES, fault.duration_s)
@@ -263,6 +359,11 @@
     FaultKind.PAUSE: _pause,
     FaultKind.STOP: _stop,
     FaultKind.HANG_UP: _hang_up,
+    FaultKind.EARLY_HANG_UP: _early_signal_fault(signal.SIGHUP),
+    FaultKind.EARLY_STOP: _early_signal_fault(signal.SIGTERM),
+    FaultKind.SETTINGS_REWRITTEN: _rewrite_settings,
+    FaultKind.PORT_TAKEN: _take_port,
+    FaultKind.ODD_ENTRY: _put_odd_entry,
     FaultKind.STORE_BUSY: _store_mode_fault("busy"),
     FaultKind.STORE_SILENT: _store_mode_fault("silent"),
     FaultKind.STORE_LOST: _store_mode_fault("lost"),
--- a/packages/standins/src/wisteriastandins/soak/models.py
+++ b/packages/standins/src/wisteriastandins/soak/models.py
@@ -12,6 +12,11 @@
     PAUSE = "pause"
     STOP = "stop"
     HANG_UP = "hang_up"
+    EARLY_HANG_UP = "early_hang_up"
+    EARLY_STOP = "early_stop"
+    SETTINGS_REWRITTEN = "settings_rewritten"
+    PORT_TAKEN = "port_taken"
+    ODD_ENTRY = "odd_entry"
     STORE_BUSY = "store_busy"
     STORE_SILENT = "store_silent"
     STORE_LOST = "store_lost"
@@ -112,11 +117,21 @@
 
 
 class ProcessLifetime(NamedTuple):
-    """The period in which one process of an instance ran."""
+    """The period in which one process of an instance ran.
+
+    Attributes
+    ----------
+    exit_status : int
+        Exit status; the negative number of a signal that ended it.
+    sent_signals : frozenset of int
+        Signals that the soak sent to it.
+    """
 
     instance: int
     from_ms: float
     to_ms: float
+    exit_status: int = 0
+    sent_signals: frozenset[int] = frozenset()
 
 
 class DrainingEndpoint(NamedTuple):
--- a/packages/standins/src/wisteriastandins/soak/programs.py
+++ b/packages/standins/src/wisteriastandins/soak/programs.py
@@ -26,6 +26,8 @@
         self.process: asyncio.subprocess.Process | None = None
         self.should_run = False
         self.is_in_rotation = False
+        self.started_at_s = 0.0
+        self.sent_signals: set[int] = set()
 
     def write_settings(self, store_port: int) -> None:
         """Write the settings file."""
@@ -37,7 +39,7 @@
             "peer_address": f"127.0.0.1:{self.peer_port}",
             "metrics_address": f"127.0.0.1:{self.metrics_port}",
             "store_address": f"127.0.0.1:{store_port}",
-            "drain_grace_ms": DRAIN_GRACE_MS,
+            "drain_grace_s": DRAIN_GRACE_MS / 1000,
             "extra_ratio": EXTRA_RATIO,
             "extra_fixed": EXTRA_FIXED,
             "extra_window_s": EXTRA_WINDOW_S,
@@ -50,6 +52,8 @@
         if self.source is not None:
             environment["PYTHONPATH"] = str(self.source)
         self.should_run = True
+        self.sent_signals = set()
+        self.started_at_s = asyncio.get_running_loop().time()
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -64,12 +68,12 @@
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.returncode is None:
+            self.sent_signals.add(signal_number)
             self.process.send_signal(signal_number)
 
-    async def wait(self) -> None:
-        """Wait until the process has ended."""
-        if self.process is not None:
-            await self.process.wait()
+    async def wait(self) -> int:
+        """Wait until the process has ended; return its exit status."""
+        return 0 if self.process is None else await self.process.wait()
 
     async def kill(self) -> None:
         """Kill the process, even if it is paused, and do not restart it."""
--- a/packages/standins/src/wisteriastandins/soak/world.py
+++ b/packages/standins/src/wisteriastandins/soak/world.py
@@ -233,9 +233,15 @@
     while True:
         started_ms = deployment.now_ms()
         await program.start()
-        await program.wait()
+        status = await program.wait()
         deployment.observations.lifetimes.append(
-            ProcessLifetime(program.number, started_ms, deployment.now_ms())
+            ProcessLifetime(
+                program.number,
+                started_ms,
+                deployment.now_ms(),
+                status,
+                frozenset(program.sent_signals),
+            )
         )
         if not program.should_run:
             return
--- a/tests/wisteriastandins/soak/test_checks.py
+++ b/tests/wisteriastandins/soak/test_checks.py
@@ -1,5 +1,7 @@
 """Tests of the checks: each violation is reported, and permitted cases are not."""
 
+import signal
+
 from wisteriastandins.soak.checks import (
     check_answer_times,
     check_answers,
@@ -8,6 +10,7 @@
     check_connections,
     check_draining,
     check_planned_stops,
+    check_process_ends,
     check_rate_limits,
     check_recovery,
     check_runs,
@@ -107,6 +110,27 @@
     assert [each.guarantee for each in check_runs(observations)] == ["unasked"]
 
 
+def test_process_ends():
+    """Guards against missing a process that ends by itself, also after another signal."""
+    observations = _make_observations()
+    kill, stop, hang_up = signal.SIGKILL, signal.SIGTERM, signal.SIGHUP
+    for status, sent_signals, is_violation in (
+        (-kill, {kill}, False),
+        (0, {stop}, False),
+        (-stop, {stop}, False),
+        (-kill, {stop, kill}, False),
+        (0, set(), True),
+        (1, set(), True),
+        (70, {stop}, True),
+        (-hang_up, {hang_up}, True),
+        (-hang_up, {hang_up, stop}, True),
+        (-signal.SIGSEGV, {stop, kill}, True),
+    ):
+        lifetime = ProcessLifetime(0, 0.0, 9.0, status, frozenset(sent_signals))
+        observations.lifetimes = [lifetime]
+        assert bool(list(check_process_ends(observations))) == is_violation, lifetime
+
+
 def test_draining_endpoints():
     """Guards against missing new requests to a draining endpoint."""
     observations = _make_observations()
