--- a/tests/wisteriaplatform/test_process.py
+++ b/tests/wisteriaplatform/test_process.py
@@ -92,6 +92,34 @@
         assert process.returncode == 0
 
 
+def test_process_without_standard_streams_serves():
+    """Guards against a process that ends, or logs into its own sockets, as its output is closed."""
+    settings = _make_settings()
+    with _settings_file(json.dumps(settings)) as path:
+        environment = {**os.environ, "WISTERIAROCK_CONFIG": str(path)}
+        command = [sys.executable, "-m", "wisteriaplatform"]
+        closed = (
+            "import os, sys; [os.close(n) for n in (0, 1, 2)]; os.execv(sys.argv[1], sys.argv[1:])"
+        )
+        process = subprocess.Popen([sys.executable, "-c", closed, *command], env=environment)
+        host, _, port = str(settings["ready_address"]).rpartition(":")
+        try:
+            while process.poll() is None:
+                with (
+                    contextlib.suppress(OSError),
+                    socket.create_connection((host, int(port))) as ask,
+                ):
+                    ask.sendall(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                    assert ask.recv(9_000).startswith(b"HTTP/1.1 503 ")
+                    break
+            links = [os.readlink(f"/proc/{process.pid}/fd/{number}") for number in (0, 1, 2)]
+            assert links == [os.devnull] * 3
+            process.send_signal(signal.SIGTERM)
+            assert process.wait() == 0
+        finally:
+            process.kill()
+
+
 def test_stop_while_the_process_starts_ends_it_with_success():
     """Guards against a planned stop that ends as a failure."""
     with _settings_file(json.dumps(_make_settings())) as path:
