--- /dev/null
+++ b/tests/deploy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the deployment files."""
