Bound the bytes of incomplete messages of all connections together

A process that holds more than `memory_mb` is ended by the platform.

The template passes the limits of the platform on as a table, of which `memory_mb` is read. The counter is `wisteriarock_evicted_messages_total`, the gauge `wisteriarock_buffered_bytes`.

--- a/packages/wisteriarock/src/wisteriarock/front/const.py
+++ b/packages/wisteriarock/src/wisteriarock/front/const.py
@@ -27,6 +27,9 @@
 STORE_CHECK_INTERVAL_MS = 500.0
 # Timeout of a check read. The store normally answers in 4 ms.
 STORE_CHECK_TIMEOUT_MS = 300.0
+# Share of the memory limit that incomplete messages of all connections may take. The process itself
+# takes up to 60 MB, and complete messages are held as well.
+BUFFER_MEMORY_SHARE = 0.2
 # Number of attempts to read a settings file that is incomplete, and the time between them.
 SETTINGS_READ_ATTEMPTS = 20
 SETTINGS_READ_INTERVAL_MS = 50.0
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -68,6 +68,7 @@
             "Open connections",
             float(len(instance.caller_listener.connections)),
         ),
+        "buffered_bytes": ("Bytes of incomplete messages", float(instance.buffers.total_bytes)),
         "endpoints": ("Endpoints known", float(len(endpoints))),
         "endpoints_unreachable": ("Endpoints that cannot be reached", float(unreachable)),
         "endpoints_limited": ("Endpoints that name a rate limit", float(limited)),
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -38,6 +38,7 @@
     share_budget,
 )
 from wisteriarock.gathering.models import Gatherer
+from wisteriarock.http.buffers import BufferBudget
 from wisteriarock.http.front import Answer, CallerRequest, ListenerState, Respond
 from wisteriarock.http.pool import Pool
 from wisteriarock.observability.counters import Counters
@@ -46,7 +47,12 @@
 from wisteriarock.store.client import StoreClient
 from wisteriarock.store.models import StoreFormat
 
-from .const import CONNECTION_CAP_SHARE, CONNECTION_LIMIT_DEFAULT, INSTANCES_DEFAULT
+from .const import (
+    BUFFER_MEMORY_SHARE,
+    CONNECTION_CAP_SHARE,
+    CONNECTION_LIMIT_DEFAULT,
+    INSTANCES_DEFAULT,
+)
 from .diagnostics import dump, gauges
 from .readiness import Phase, ReadinessInput, count_reachable_shards, is_isolated, is_ready
 from .settings import FrontSettings
@@ -70,6 +76,7 @@
         self.log = log
         self.counters = Counters()
         self.failures = FailureReporter(log, self.counters)
+        self.buffers = BufferBudget(int(settings.memory_mb * 1_000_000 * BUFFER_MEMORY_SHARE))
         self.phase = Phase.STARTING
         self.held_requests = HeldRequests(loop.time() * 1000)
         self.was_ready: bool | None = None
@@ -150,6 +157,7 @@
             loop,
             lambda request, respond: handle_caller_request(self, request, respond),
             lambda status, reason: on_bad_request(self, status, reason),
+            self.buffers,
         )
         self.ready_listener = ListenerState(
             loop,
@@ -312,6 +320,7 @@
             lambda _: None,
             lambda reason: instance.counters.count("stray_replies", reason),
             IDLE_LIMIT_MS,
+            instance.buffers,
         )
     return pool
 
@@ -341,6 +350,7 @@
         lambda: connection_limit(instance, endpoint.service),
         on_connect,
         on_stray_bytes,
+        buffers=instance.buffers,
     )
     instance.pools[endpoint.endpoint_id] = pool
     return pool
@@ -466,6 +476,7 @@
     counts = instance.counters.counts
     counts["log_lines_dropped",] = instance.log.dropped_total
     counts["budget_refusals",] = instance.budget.refused_total
+    counts["evicted_messages",] = instance.buffers.evicted_total
 
 
 def _do_nothing() -> None:
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -6,6 +6,10 @@
 from wisteriarock.codec.json_text import parse_json
 from wisteriarock.http.address import Address, parse_address
 
+MEMORY_DEFAULT_MB = 300.0
+MEMORY_MIN_MB = 32.0
+MEMORY_MAX_MB = 1_000_000.0
+
 
 class FrontSettings(NamedTuple):
     """Validated settings.
@@ -21,6 +25,8 @@
         Address that serves metrics and the state dump.
     cpu_share, cpu_speed : float
         Share of a core that the instance may use, and the speed of that core relative to others.
+    memory_mb : float
+        Memory above which the platform ends the process; `memory_mb` of `limits` in the file.
     """
 
     instance: str
@@ -36,6 +42,7 @@
     extra_window_s: float
     cpu_share: float = 1.0
     cpu_speed: float = 1.0
+    memory_mb: float = MEMORY_DEFAULT_MB
 
 
 class SettingsError(NamedTuple):
@@ -96,6 +103,13 @@
         if number is None or not low <= number <= high:
             return SettingsError(name, repr(value), f"a number from {low} to {high}")
         numbers[name] = number
+    limits = data.get("limits")
+    memory_mb = limits.get("memory_mb") if isinstance(limits, dict) else None
+    number = _parse_number(memory_mb or "", MEMORY_DEFAULT_MB)
+    if number is None or not MEMORY_MIN_MB <= number <= MEMORY_MAX_MB:
+        allowed = f"a number from {MEMORY_MIN_MB} to {MEMORY_MAX_MB}"
+        return SettingsError("limits.memory_mb", repr(memory_mb), allowed)
+    numbers["memory_mb"] = number
     for name in ("instance", "zone"):
         if not isinstance(data.get(name), str) or not data[name]:
             return SettingsError(name, repr(data.get(name)), "a non-empty string")
@@ -116,6 +130,7 @@
         numbers["extra_window_s"],
         numbers["cpu_share"],
         numbers["cpu_speed"],
+        numbers["memory_mb"],
     )
 
 
--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -9,6 +9,7 @@
 
 from wisteriarock.catalog.models import Limits
 
+from .buffers import BufferBudget
 from .const import LINGER_MS, PIPELINED_REQUESTS_MAX, WRITE_HIGH_WATER_BYTES
 from .models import Headers
 
@@ -61,19 +62,31 @@
         Whether every answer closes its connection.
     on_bad_request : callable
         Called with the status and reason of a rejected request.
+    buffers : BufferBudget or None
+        Bound on the bytes of incomplete requests, shared with other listeners and pools.
     """
 
-    __slots__ = ("closes_connections", "connections", "handle", "limits", "loop", "on_bad_request")
+    __slots__ = (
+        "buffers",
+        "closes_connections",
+        "connections",
+        "handle",
+        "limits",
+        "loop",
+        "on_bad_request",
+    )
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         handle: RequestHandler,
         on_bad_request: Callable[[int, str], None],
+        buffers: BufferBudget | None = None,
     ) -> None:
         self.loop = loop
         self.handle = handle
         self.on_bad_request = on_bad_request
+        self.buffers = buffers
         self.limits = Limits()
         self.closes_connections = False
         self.connections: set[CallerConnection] = set()
@@ -146,6 +159,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the current request of a caller that has disconnected."""
         self.is_closed = True
+        self._release_buffers()
         self.listener.connections.discard(self)
         self.queue.clear()
         cancel_request, self.cancel_request = self.cancel_request, None
@@ -156,6 +170,15 @@
         """Close the connection when the caller half-closes it."""
         return False
 
+    def evict(self) -> None:
+        """Refuse the request that is being received."""
+        self.body = []
+        self._reject(503, "buffers are full")
+
+    def _release_buffers(self) -> None:
+        if self.listener.buffers is not None:
+            self.listener.buffers.release(self)
+
     def is_idle(self) -> bool:
         """Return whether no request is being received or handled."""
         return self.cancel_request is None and not self.is_receiving and not self.queue
@@ -253,9 +276,12 @@
             self._reject(413, "request body too large")
             return
         self.body.append(data)
+        if self.listener.buffers is not None:
+            self.listener.buffers.hold(self, self.body_bytes)
 
     def on_message_complete(self) -> None:
         """Queue the request; it is handled after the previous one is answered."""
+        self._release_buffers()
         self.is_receiving = False
         self.header_bytes = 0
         if self.must_close:
--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from .buffers import BufferBudget
 from .const import IDLE_LIMIT_DEFAULT_MS, IDLE_TIMEOUT_SHARE, REPLY_OVERHEAD_MAX_BYTES
 from .models import Exchange, ExchangeFailure, Headers, Reply
 
@@ -31,6 +32,7 @@
 
     __slots__ = (
         "body",
+        "buffers",
         "exchange",
         "has_eof",
         "has_framing",
@@ -57,11 +59,13 @@
         on_idle: Callable[["OutgoingConnection"], None],
         on_closed: Callable[["OutgoingConnection"], None],
         on_stray_bytes: Callable[["OutgoingConnection", str], None],
+        buffers: BufferBudget | None = None,
     ) -> None:
         self.loop = loop
         self.on_idle = on_idle
         self.on_closed = on_closed
         self.on_stray_bytes = on_stray_bytes
+        self.buffers = buffers
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.exchange: Exchange | None = None
@@ -107,6 +111,10 @@
         self._fail_exchange(ExchangeFailure(reason, True))
         self.on_closed(self)
 
+    def evict(self) -> None:
+        """Give up the reply in progress."""
+        self.close("buffers are full")
+
     def connection_lost(self, error: Exception | None) -> None:
         """End the exchange in progress; a clean close completes a body without framing headers."""
         if self.is_closed:
@@ -149,6 +157,8 @@
             self._deliver_reply()
         elif self._is_reply_too_large():
             self.close("reply too large")
+        elif self.buffers is not None:
+            self.buffers.hold(self, self.received_bytes)
 
     def _is_reply_too_large(self) -> bool:
         """Return whether the body, or what surrounds it, exceeds its limit."""
@@ -225,6 +235,8 @@
         """Deliver the response, and release or close the connection."""
         reply, exchange = self.reply, self.exchange
         assert reply is not None
+        if self.buffers is not None:
+            self.buffers.release(self)
         self.reply = None
         self.size_bytes = 0
         if exchange is None:
@@ -256,6 +268,10 @@
         exchange = self.exchange
         if exchange is None:
             return
+        if self.buffers is not None:
+            self.buffers.release(self)
+        # A failed exchange may outlive its connection's place in a list; its bytes must not.
+        self.body = []
         self.exchange = None
         exchange.connection = None
         exchange.on_end(outcome)
--- a/packages/wisteriarock/src/wisteriarock/http/pool.py
+++ b/packages/wisteriarock/src/wisteriarock/http/pool.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from .buffers import BufferBudget
 from .const import CONNECT_TIMEOUT_MS
 from .link import OutgoingConnection
 from .models import Exchange, ExchangeFailure
@@ -20,6 +21,8 @@
         Called with the result of each connection attempt (True: opened).
     idle_limit_ms : float or None
         Time for which an idle connection is reused, if the peer announces none.
+    buffers : BufferBudget or None
+        Bound on the bytes of incomplete replies, shared with other pools.
     waiting : deque
         Exchanges that wait for a connection.
     opening : int
@@ -28,6 +31,7 @@
 
     __slots__ = (
         "_tasks",
+        "buffers",
         "connections",
         "host",
         "idle",
@@ -52,6 +56,7 @@
         on_connect: Callable[[bool], None],
         on_stray_bytes: Callable[[str], None],
         idle_limit_ms: float | None = None,
+        buffers: BufferBudget | None = None,
     ) -> None:
         self.loop = loop
         self.host = host
@@ -60,6 +65,7 @@
         self.on_connect = on_connect
         self.on_stray_bytes = on_stray_bytes
         self.idle_limit_ms = idle_limit_ms
+        self.buffers = buffers
         self.idle: list[OutgoingConnection] = []
         self.connections: set[OutgoingConnection] = set()
         self.waiting: deque[Exchange] = deque()
@@ -135,7 +141,11 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 _, connection = await self.loop.create_connection(
                     lambda: OutgoingConnection(
-                        self.loop, self._on_idle, self._on_closed, self._on_stray_bytes
+                        self.loop,
+                        self._on_idle,
+                        self._on_closed,
+                        self._on_stray_bytes,
+                        self.buffers,
                     ),
                     self.host,
                     self.port,
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -35,6 +35,7 @@
     "store_failures": ("Calls of the platform's store without result", ("kind",)),
     "feed_failures": ("Calls of relays without result", ("kind",)),
     "listen_failures": ("Attempts to listen on an address in use", ("listener",)),
+    "evicted_messages": ("Incomplete messages given up as the buffers were full", ()),
     "malformed_entries": ("Entries of the store that name no endpoint", ()),
     "unexpected_errors": ("Exceptions that were contained", ("part",)),
     "log_lines_dropped": ("Log lines dropped to keep the bound", ()),
--- a/tests/wisteriaplatform/test_endless_replies.py
+++ b/tests/wisteriaplatform/test_endless_replies.py
@@ -4,6 +4,8 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+from wisteriastandins.users.response import Response
+
 from tests.common import function_suite
 from tests.wisteriaplatform.fixtures import (
     Deployment,
@@ -113,4 +115,31 @@
         assert not running.instance.dispatch.active and not running.instance.dispatch.abandoned
 
 
+async def test_endless_replies_share_one_bound():
+    """Guards against a process that is ended as many endless replies exceed its memory."""
+    endless = EndlessEndpoint(b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 200_000, 0.002)
+    async with _deployment_with(endless, ("invoicing",)) as running:
+        buffers = running.instance.buffers
+        buffers.max_bytes = 3_000_000
+        peak_bytes = 0
+
+        async def sample_until_done(sends: "asyncio.Future[list[Response]]") -> None:
+            nonlocal peak_bytes
+            while not sends.done():
+                peak_bytes = max(peak_bytes, buffers.total_bytes)
+                await asyncio.sleep(0.0005)
+
+        sends = asyncio.gather(
+            *(send(running.port, request_bytes("/lookup/x", f"r-{number}")) for number in range(12))
+        )
+        await sample_until_done(sends)
+        assert {response.status for response in sends.result()} <= {200, 502, 504}
+        assert 0 < peak_bytes <= buffers.max_bytes
+        assert buffers.evicted_total > 0
+        await wait_until(lambda: not endless.open_count)
+        assert buffers.total_bytes == 0
+        response = await send(running.port, request_bytes("/blend/x", "r-last"))
+        assert response.status == 200
+
+
 load_tests = function_suite(globals())
--- a/tests/wisteriarock/front/test_settings.py
+++ b/tests/wisteriarock/front/test_settings.py
@@ -52,6 +52,8 @@
     ):
         settings = parse_settings(json.dumps({**GOOD, name: value}))
         assert isinstance(settings, SettingsError) and settings.path == name, name
+    settings = parse_settings(json.dumps({**GOOD, "limits": {"memory_mb": "much"}}))
+    assert isinstance(settings, SettingsError) and settings.path == "limits.memory_mb"
     assert isinstance(parse_settings("{"), SettingsError)
     assert isinstance(parse_settings("[]"), SettingsError)
 
@@ -84,6 +86,7 @@
         "{{bounds.budget_window_s}}": "10",
         "{{limits.cpu_share}}": "0.537",
         "{{limits.cores}}": "2",
+        "{{limits|json}}": '{"memory_mb": 200, "max_fds": 4100}',
         **changes,
     }
     text = template.read_text(encoding="utf-8")
@@ -98,6 +101,7 @@
     settings = parse_settings(_fill_template())
     assert isinstance(settings, FrontSettings)
     assert settings.drain_grace_ms == 6_000 and settings.cpu_share == 0.537
+    assert settings.memory_mb == 200
 
 
 def test_bounds_with_fractions_or_without_value_are_valid():
@@ -113,6 +117,7 @@
                 "{{bounds.budget_window_s}}": "",
                 "{{limits.cpu_share}}": "",
                 "{{limits.cores}}": "",
+                "{{limits|json}}": "null",
             }
         )
     )
