Quarantine requests that end the endpoints which run them

Cause: a connection that the endpoint closed was taken for a fault of the endpoint, and nothing remembered the request.

On probation it is tried on one endpoint; if that ends, the request is refused for 30 s. Fan-outs of the route begin with a canary for 10 s.

--- a/packages/standins/src/wisteriastandins/users/endpoint.py
+++ b/packages/standins/src/wisteriastandins/users/endpoint.py
@@ -34,6 +34,10 @@
     on_arrival : callable
         Called with each request that it received and the stamp of the reply, which is empty if the
         request did not run.
+    is_deadly : callable
+        Returns whether a request ends the endpoint, with all connections, when it has run.
+    on_deadly_end : callable
+        Called with the id of a request that has ended the endpoint.
     reply_faults : ReplyFaults
         What it does to its replies.
     rate_limit_per_s : float or None
@@ -51,6 +55,8 @@
         self.reply_body = reply_body
         self.make_body: Callable[[bytes], bytes] | None = None
         self.on_arrival: Callable[[CallerRequest, bytes], None] = lambda *_: None
+        self.is_deadly: Callable[[CallerRequest], bool] = lambda _: False
+        self.on_deadly_end: Callable[[bytes], None] = lambda _: None
         self.service_ms = 1.0
         self.mode = "ok"
         self.requests: list[CallerRequest] = []
@@ -93,6 +99,8 @@
         self.on_arrival(request, stamp)
         if self.mode == "silent":
             return _do_nothing
+        if self.is_deadly(request):
+            return self.loop.call_later(self.service_ms / 1000, self._end, request_id).cancel
         body = self.reply_body if self.make_body is None else self.make_body(request_id)
 
         def reply() -> None:
@@ -105,6 +113,11 @@
 
         return self.loop.call_later(self.service_ms / 1000, reply).cancel
 
+    def _end(self, request_id: bytes) -> None:
+        """End as a process does: the listener and all connections are closed without a reply."""
+        self.close()
+        self.on_deadly_end(request_id)
+
 
 def _do_nothing() -> None:
     """Cancel nothing."""
--- a/packages/standins/src/wisteriastandins/users/listener.py
+++ b/packages/standins/src/wisteriastandins/users/listener.py
@@ -32,6 +32,10 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        self.close()
+
+    def close(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -7,6 +7,8 @@
 from wisteriarock.catalog.models import Route
 from wisteriarock.http.front import Answer, CallerRequest, Respond
 from wisteriarock.http.models import ExchangeFailure, Reply
+from wisteriarock.quarantine.decide import add_notice
+from wisteriarock.quarantine.models import Notice
 
 from .answers import answer_failure, answer_success, end_query, refuse_request
 from .budget import credit_request, has_budget, try_spend
@@ -25,6 +27,17 @@
     record_shed,
     set_query_times,
 )
+from .ends import (
+    drop_legs,
+    fingerprint_of,
+    hold_for_canary,
+    judge,
+    next_canary,
+    quarantine_ms,
+    record_end,
+    record_survivor,
+    release_held,
+)
 from .fragments import (
     apply_fragment_end,
     create_fragment_query,
@@ -76,6 +89,10 @@
     query.version = state.catalog.configuration.version if state.catalog.configuration else 0
     margin_ms = answer_margin_ms(state.capacity_cores, state.timer_delay_ms)
     set_query_times(query, head.time_left_ms, margin_ms)
+    quarantined_ms = quarantine_ms(state, query)
+    if quarantined_ms:
+        _refuse_quarantined(state, query, quarantined_ms)
+        return _do_nothing
     if state.stops_at_ms is not None and not can_end_before(query, state.stops_at_ms):
         reason = "instance is stopping"
         refuse_request(state, respond, head.request_id, 503, reason, head.time_left_ms)
@@ -103,6 +120,20 @@
     return _run_query(state, query)
 
 
+def _refuse_quarantined(state: DispatchState, query: Query, quarantined_ms: float) -> None:
+    """Refuse a request that was sent again after endpoints ended under it."""
+    state.counters.count("refusals", "503")
+    state.log.record(
+        "refused",
+        request=query.request_id,
+        route=query.route.name,
+        status=503,
+        reason="quarantined",
+    )
+    headers = state.wire_format.retry_headers(quarantined_ms)
+    query.respond(Answer(503, headers, b"endpoints ended under this request"))
+
+
 def _is_reachable(state: DispatchState, service: str) -> bool:
     return has_reachable(state.directory.by_service.get(service, NO_ENDPOINTS))
 
@@ -128,11 +159,20 @@
         _set_timer(state, query, query.early_answer_at_ms, lambda: _answer_early(state, query))
     if route.idempotent:
         _schedule_hedges(state, query, query.started_at_ms + latency.hedge_delay_ms)
-    local_shards, fragments = plan_fragments(state, query)
+    canary = hold_for_canary(state, query)
+    if canary is not None:
+        _send_first_legs(state, query, [canary])
+    else:
+        _send_to_shards(state, query, query.shards)
+    return lambda: _cancel(state, query)
+
+
+def _send_to_shards(state: DispatchState, query: Query, shards: list[Shard]) -> None:
+    """Send the first legs to shards, from here or through gatherers."""
+    local_shards, fragments = plan_fragments(state, query, shards)
     for fragment in fragments:
         _send_fragment(state, fragment)
     _send_first_legs(state, query, local_shards)
-    return lambda: _cancel(state, query)
 
 
 def _send_first_legs(state: DispatchState, query: Query, shards: list[Shard]) -> None:
@@ -159,6 +199,8 @@
     """Apply the outcome of a fragment; send the legs from here if none can have run."""
     query = fragment.query
     may_have_run = apply_fragment_end(state, fragment, outcome)
+    if judge(state, query):
+        _give_up_deadly(state, query)
     if query.is_done:
         return
     if may_have_run:
@@ -202,6 +244,8 @@
             return_unsent_leg(leg)
         elif not leg.is_abandoned:
             observe_incomplete_reply(endpoint, now_ms)
+        if outcome.is_silent_close and record_end(state, leg):
+            _give_up_deadly(state, query)
         _on_leg_failure(state, leg, outcome.reason, may_have_run=outcome.was_sent)
         return
     head = state.wire_format.read_reply(outcome.status, outcome.headers)
@@ -211,6 +255,10 @@
     observe_reply(
         endpoint, elapsed_ms, query.latency.expected_ms, is_error=not is_success, now_ms=now_ms
     )
+    may_have_run = not (head.was_not_run or head.is_misdirected)
+    if may_have_run:
+        record_survivor(state, query, outcome.status)
+        _release_held(state, query)
     if is_success:
         record_latency(query.latency, elapsed_ms)
         state.counters.observe("leg", query.route.name, elapsed_ms)
@@ -229,7 +277,6 @@
         return
     if head.is_misdirected:
         state.on_misdirected(endpoint)
-    may_have_run = not (head.was_not_run or head.is_misdirected)
     if head.was_not_run:
         record_shed(shard, now_ms)
     if may_have_run and not leg.is_abandoned:
@@ -237,6 +284,32 @@
     _on_leg_failure(state, leg, f"status {outcome.status}", may_have_run=may_have_run)
 
 
+def _give_up_deadly(state: DispatchState, query: Query) -> None:
+    """Answer a query that is to blame for ended endpoints, and drop its legs under way."""
+    if not query.is_done:
+        query.may_have_run = True
+        answer_failure(state, query, "endpoints ended under it")
+    drop_legs(state, query)
+
+
+def apply_notice(state: DispatchState, notice: Notice) -> None:
+    """Apply the verdict of another instance on a request, and give that request up here."""
+    add_notice(state.quarantine, notice, loop_time_ms(state))
+    for query in list(state.active):
+        is_same_route = query.route.name == notice.route and not query.survivors
+        if is_same_route and fingerprint_of(state, query) == notice.fingerprint:
+            query.is_deadly = True
+            _give_up_deadly(state, query)
+
+
+def _release_held(state: DispatchState, query: Query) -> None:
+    """Query the held shards once a canary has survived."""
+    if query.survivors and not query.is_done:
+        held = release_held(query)
+        if held:
+            _send_to_shards(state, query, held)
+
+
 def _on_leg_failure(state: DispatchState, leg: Leg, reason: str, *, may_have_run: bool) -> None:
     query, shard = leg.query, leg.shard
     if may_have_run:
@@ -257,6 +330,11 @@
     )
     if shard.part is None and not shard.legs:
         _retry_leg(state, query, shard)
+    if not any(each.legs for each in query.shards):
+        canary = next_canary(state, query)
+        if canary is not None:
+            _send_first_legs(state, query, [canary])
+            return
     _answer_if_finished(state, query)
 
 
@@ -297,7 +375,7 @@
     now_ms = loop_time_ms(state)
     may_send_more = False
     for shard in query.shards:
-        if shard.part is not None:
+        if shard.part is not None or shard.is_held:
             continue
         if shard.fragment is not None and not is_fragment_overdue(query, shard, now_ms):
             may_send_more = True
@@ -339,7 +417,7 @@
         answer_success(state, query, "partial")
         return
     for shard in query.shards:
-        is_outstanding = shard.legs or shard.fragment is not None
+        is_outstanding = shard.legs or shard.fragment is not None or shard.is_held
         if shard.part is None and (is_outstanding or _will_retry_later(state, query, shard)):
             return
     if query.parts >= query.needed_parts and query.route.shards:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
@@ -3,6 +3,7 @@
 import random
 
 from wisteriarock.catalog.models import Route
+from wisteriarock.quarantine.decide import may_send_more
 
 from .const import (
     ANSWER_COST_MS,
@@ -134,6 +135,11 @@
     return max(1, needed)
 
 
+def count_ends(query: Query) -> int:
+    """Return the number of endpoints that ended under a query, here and at gatherers."""
+    return len(query.ended_endpoint_ids) + query.ended_elsewhere
+
+
 def may_send_another_leg(query: Query, shard: Shard) -> bool:
     """Return whether the route allows another leg for a shard.
 
@@ -141,7 +147,10 @@
     """
     if shard.part is not None or shard.possible_runs >= query.route.max_attempts:
         return False
-    if shard.is_withheld_by_gatherer:
+    if shard.is_withheld_by_gatherer or shard.is_held:
+        return False
+    ends = count_ends(query)
+    if not may_send_more(ends, query.survivors, is_fan_out=bool(query.route.shards)):
         return False
     return query.route.idempotent or shard.possible_runs == 0
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
@@ -37,19 +37,22 @@
 OnFragmentEnd = Callable[[Fragment, Reply | ExchangeFailure], None]
 
 
-def plan_fragments(state: DispatchState, query: Query) -> tuple[list[Shard], list[Fragment]]:
-    """Divide the shards of a query into those queried from here and fragments for gatherers."""
+def plan_fragments(
+    state: DispatchState, query: Query, shards: list[Shard]
+) -> tuple[list[Shard], list[Fragment]]:
+    """Divide shards of a query into those queried from here and fragments for gatherers."""
     now_ms = loop_time_ms(state)
     gatherers = usable_gatherers(state.gatherers, now_ms)
     is_divisible = bool(query.route.shards) and query.route.idempotent and not query.is_fragment
     if not gatherers or not is_divisible or len(query.request.body) > REQUEST_BODY_MAX_BYTES:
-        return query.shards, []
+        return shards, []
     assigned = assign_shards(state.gatherers, query.route.shards, gatherers)
-    shards = {shard.service: shard for shard in query.shards}
+    by_service = {shard.service: shard for shard in shards}
     local: list[Shard] = []
     fragments = []
     for gatherer in gatherers:
-        part = [shards[service] for service in assigned.get(gatherer.name, ())]
+        names = assigned.get(gatherer.name, ())
+        part = [by_service[service] for service in names if service in by_service]
         if gatherer.name == state.instance:
             local = part
         elif part:
@@ -197,6 +200,8 @@
 
     The records of a fragment are merged, so the first part holds them all.
     """
+    query.ended_elsewhere += len(answer["ended"])
+    query.survivors += len(answer["parts"])
     proofs = dict(answer["parts"])
     may_have_run, withheld = set(answer["may_have_run"]), set(answer["withheld"])
     body = bytes.fromhex(answer["records"])
@@ -288,5 +293,6 @@
         "withheld": [
             shard.service for shard in query.shards if shard.part is None and shard.is_withheld
         ],
+        "ended": sorted(query.ended_endpoint_ids),
     }
     return Answer(200, [], encode_fragment_answer(answer))
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -195,6 +195,8 @@
         Whether a leg was not sent because all endpoints name a rate limit that is used up.
     is_withheld_by_gatherer : bool
         Whether a gatherer sent no leg for this reason.
+    is_held : bool
+        Whether no leg is sent until a canary of the query has survived.
     shed_count : int
         Number of legs that endpoints refused to run.
     retry_at_ms : float
@@ -205,6 +207,7 @@
         "failure_reply",
         "fragment",
         "fragment_runs",
+        "is_held",
         "is_withheld",
         "is_withheld_by_gatherer",
         "legs",
@@ -229,6 +232,7 @@
         self.part: Reply | None = None
         self.proof = b""
         self.failure_reply: Reply | None = None
+        self.is_held = False
         self.is_withheld = False
         self.is_withheld_by_gatherer = False
         self.shed_count = 0
@@ -265,10 +269,22 @@
         Whether the query itself is a fragment that another instance handed over.
     is_cancelled : bool
         Whether the caller has disconnected.
+    ended_endpoint_ids : set of str
+        Endpoints that closed the connection under a leg without a reply.
+    ended_elsewhere : int
+        Number of such endpoints that gatherers reported.
+    survivors : int
+        Number of runs that an endpoint has survived.
+    is_suspected : bool
+        Whether endpoints ended lately under requests of the route when the query started.
+    is_deadly : bool
+        Whether the query is to blame for the endpoints that ended under it.
     """
 
     __slots__ = (
         "early_answer_at_ms",
+        "ended_elsewhere",
+        "ended_endpoint_ids",
         "expires_at_ms",
         "fragments",
         "half_time_ms",
@@ -276,9 +292,11 @@
         "hedges",
         "hedges_at_ms",
         "is_cancelled",
+        "is_deadly",
         "is_done",
         "is_early_answer_due",
         "is_fragment",
+        "is_suspected",
         "latency",
         "legs_expire_at_ms",
         "may_have_run",
@@ -293,6 +311,7 @@
         "route",
         "shards",
         "started_at_ms",
+        "survivors",
         "template",
         "timers",
         "version",
@@ -331,6 +350,11 @@
         self.fragments: list[Fragment] = []
         self.is_fragment = False
         self.is_cancelled = False
+        self.ended_endpoint_ids: set[str] = set()
+        self.ended_elsewhere = 0
+        self.survivors = 0
+        self.is_suspected = False
+        self.is_deadly = False
         self.is_done = False
         self.is_early_answer_due = False
         self.version = 0
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -11,6 +11,7 @@
 from wisteriarock.http.pool import Pool
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
+from wisteriarock.quarantine.models import Notice, Quarantine
 
 from .budget import ExtraLegBudget
 from .models import Leg, Query, RouteLatency, WireFormat
@@ -33,6 +34,10 @@
         Moving average of the delay of early answers behind their time.
     gatherers : GathererDirectory
         Gatherers of the local zone.
+    quarantine : Quarantine
+        Routes and requests under which endpoints have ended lately.
+    on_deadly : callable
+        Called with the notice of a request that ends endpoints, for the other instances.
     limit_sharers : callable
         Returns the number of instances that share the rate limits of the endpoints of a service.
     stops_at_ms : float or None
@@ -77,6 +82,8 @@
         self.abandoned: dict[Leg, float] = {}
         self.active: set[Query] = set()
         self.gatherers = GathererDirectory()
+        self.quarantine = Quarantine()
+        self.on_deadly: Callable[[Notice], None] = lambda notice: None
         self.limit_sharers: Callable[[str], float] = lambda service: 1.0
         self.stops_at_ms: float | None = None
         self.isolated_since_ms: float | None = None
--- a/packages/wisteriarock/src/wisteriarock/feed/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/decide.py
@@ -8,6 +8,8 @@
 from wisteriarock.gathering.decide import choose_gatherers, decode_gatherers, encode_gatherers
 from wisteriarock.gathering.models import FanOutShape, Gatherer
 from wisteriarock.http.address import parse_ip_address
+from wisteriarock.quarantine.const import NOTICE_TTL_MS, NOTICES_MAX
+from wisteriarock.quarantine.models import Notice
 from wisteriarock.store.models import Item
 
 from .const import (
@@ -50,7 +52,7 @@
 
 
 def changes_after(
-    state: FeedState, after: int, store_age_ms: float, failure_free_ms: float
+    state: FeedState, after: int, store_age_ms: float, failure_free_ms: float, now_ms: float = 0.0
 ) -> FeedAnswer | None:
     """Return the changes after a revision, or None if the history starts later."""
     if after < state.history_start_revision:
@@ -68,6 +70,7 @@
         "lost_zones": [],
         "zone": state.zone,
         "gatherers": _encode_own_gatherers(state),
+        "notices": current_notices(state, now_ms),
     }
 
 
@@ -87,6 +90,7 @@
         "lost_zones": list(lost_zones),
         "zone": state.zone,
         "gatherers": None,
+        "notices": [],
     }
 
 
@@ -103,6 +107,24 @@
     return state.lost_zones if now_ms - state.lost_zones_at_ms < LOST_ZONES_TTL_MS else ()
 
 
+def record_notice(state: FeedState, notice: Notice, now_ms: float) -> bool:
+    """Record a notice to be passed on; return whether it is new."""
+    for old in [each for each, at_ms in state.notices.items() if now_ms - at_ms >= NOTICE_TTL_MS]:
+        del state.notices[old]
+    if notice in state.notices:
+        return False
+    state.notices[notice] = now_ms
+    while len(state.notices) > NOTICES_MAX:
+        del state.notices[next(iter(state.notices))]
+    state.encoded_answers.clear()
+    return True
+
+
+def current_notices(state: FeedState, now_ms: float) -> list[Notice]:
+    """Return the notices that were reported within `NOTICE_TTL_MS`."""
+    return [notice for notice, at_ms in state.notices.items() if now_ms - at_ms < NOTICE_TTL_MS]
+
+
 def encode_answer(answer: FeedAnswer) -> bytes:
     """Encode an answer as compressed JSON."""
     text = json.dumps(answer, separators=(",", ":"))
@@ -121,7 +143,7 @@
         state.encoded_at_ms, state.encoded_revision = now_ms, state.revision
     body = state.encoded_answers.get(after)
     if body is None:
-        answer = changes_after(state, after, store_age_ms, failure_free_ms)
+        answer = changes_after(state, after, store_age_ms, failure_free_ms, now_ms)
         if answer is None:
             return None
         body = state.encoded_answers[after] = encode_answer(answer)
@@ -158,6 +180,10 @@
             "lost_zones": [str(zone) for zone in data["lost_zones"]],
             "zone": str(data.get("zone", "")),
             "gatherers": data.get("gatherers"),
+            "notices": [
+                Notice(str(route), str(fingerprint), bool(is_confirmed))
+                for route, fingerprint, is_confirmed in data.get("notices", ())
+            ],
         }
     except (zlib.error, ValueError, KeyError, TypeError, AttributeError, OverflowError):
         return None
--- a/packages/wisteriarock/src/wisteriarock/feed/following.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/following.py
@@ -4,9 +4,9 @@
 
 from wisteriarock.observability.counters import Counters
 from wisteriarock.store.client import StoreClient
-from wisteriarock.store.models import StoreError, StoreErrorKind
+from wisteriarock.store.models import StoreError
 
-from .const import POLL_SLACK_MS, POLL_WAIT_MS, RELAY_RETRY_BACKOFF_MS, REPORT_TIMEOUT_MS
+from .const import POLL_SLACK_MS, POLL_WAIT_MS, RELAY_RETRY_BACKOFF_MS
 from .decide import (
     accept_gatherers,
     choose_relays,
@@ -15,7 +15,15 @@
     record_lost_zones,
 )
 from .models import Relay
-from .state import Feed, is_relay, loop_time_ms, offered_capacity_cores, wake_followers
+from .notices import receive_notice, send_report
+from .state import (
+    Feed,
+    classify_relay_status,
+    is_relay,
+    loop_time_ms,
+    offered_capacity_cores,
+    wake_followers,
+)
 
 
 async def report_lost_zones(feed: Feed, zones: list[str]) -> None:
@@ -31,19 +39,8 @@
     relay = feed.state.relays.get(feed.zone)
     if relay is None:
         return
-    client = StoreClient(feed.loop, relay.host, relay.port, _classify, Counters())
     target = f"/lost?zones={','.join(zones)}&instance={feed.instance}&zone={feed.zone}"
-    call = f"GET {target} HTTP/1.1\r\nHost: {relay.instance}\r\n\r\n".encode()
-    outcome = await client.call(call, REPORT_TIMEOUT_MS)
-    if isinstance(outcome, StoreError):
-        feed.log.detail("report_failed", relay=relay.instance, kind=outcome.kind.value)
-    client.close("reported")
-
-
-def _classify(status: int) -> StoreErrorKind | None:
-    if status == 200:
-        return None
-    return StoreErrorKind.HISTORY_GONE if status == 410 else StoreErrorKind.REFUSED
+    await send_report(feed, relay, target)
 
 
 async def follow_relay(feed: Feed, rank: int) -> None:
@@ -61,7 +58,9 @@
         if client is None or current is None or (relay.host, relay.port) != current[2:4]:
             if client is not None:
                 client.close("relay changed")
-            client = StoreClient(feed.loop, relay.host, relay.port, _classify, Counters())
+            client = StoreClient(
+                feed.loop, relay.host, relay.port, classify_relay_status, Counters()
+            )
         current = relay
         has_own_relay = has_live_relay(feed.state, 0, loop_time_ms(feed))
         is_standby = rank > 0 and not is_behind and has_own_relay
@@ -104,6 +103,8 @@
     if answer["lost_zones"]:
         feed.on_lost_zones(answer["lost_zones"])
         return None
+    for notice in answer["notices"]:
+        receive_notice(feed, notice)
     if not accept_gatherers(feed.state, answer):
         feed.log.record("feed_bad", relay=relay.instance)
         return None
--- a/packages/wisteriarock/src/wisteriarock/feed/models.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/models.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, TypedDict
 
 from wisteriarock.gathering.models import Gatherer
+from wisteriarock.quarantine.models import Notice
 from wisteriarock.store.models import Item
 
 
@@ -57,6 +58,8 @@
         Zone of the relay.
     gatherers : list of list or None
         Name, address and capacity of the gatherers of that zone; None if they are not known yet.
+    notices : list of Notice
+        Requests that ended endpoints lately.
     """
 
     revision: int
@@ -66,6 +69,7 @@
     lost_zones: list[str]
     zone: str
     gatherers: list[list[str | float]] | None
+    notices: list[Notice]
 
 
 class FeedState:
@@ -100,6 +104,8 @@
         `encoded_at_ms`.
     lease : int or None
         The lease under which this instance is the relay of its zone, since `relay_since_ms`.
+    notices : dict
+        Time at which each notice was last reported to this relay.
     published_count : int
         Number of instances in the last registration that this relay wrote.
     """
@@ -120,6 +126,7 @@
         "lease",
         "lost_zones",
         "lost_zones_at_ms",
+        "notices",
         "published_count",
         "published_gatherers",
         "relay_since_ms",
@@ -143,6 +150,7 @@
         self.revision = 0
         self.lost_zones: tuple[str, ...] = ()
         self.lost_zones_at_ms = 0.0
+        self.notices: dict[Notice, float] = {}
         self.encoded_answers: dict[int, bytes] = {}
         self.encoded_at_ms = 0.0
         self.encoded_revision = 0
--- a/packages/wisteriarock/src/wisteriarock/feed/serving.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/serving.py
@@ -5,6 +5,7 @@
 
 from wisteriarock.gathering.decide import parse_gatherer
 from wisteriarock.http.front import Answer, CallerRequest, Respond
+from wisteriarock.quarantine.models import Notice
 
 from .const import POLL_WAIT_MS, RELAY_STORE_AGE_MAX_MS, STANDBY_DELAY_MS
 from .decide import (
@@ -14,6 +15,7 @@
     record_lost_zones,
     standby_answer,
 )
+from .notices import NOTICE_PATH, receive_notice
 from .state import Feed, is_relay, loop_time_ms, wake_followers
 
 
@@ -33,6 +35,12 @@
         _handle_lost_zones_report(feed, query)
         respond(Answer(200, [], b""))
         return _do_nothing
+    if parts.path == NOTICE_PATH:
+        is_confirmed = query.get("confirmed") == "1"
+        notice = Notice(query.get("route", ""), query.get("fingerprint", ""), is_confirmed)
+        receive_notice(feed, notice)
+        respond(Answer(200, [], b""))
+        return _do_nothing
     is_own_zone = query.get("zone") == feed.zone
     lost_zones = current_lost_zones(feed.state, loop_time_ms(feed)) if is_own_zone else ()
     if lost_zones:
--- a/packages/wisteriarock/src/wisteriarock/feed/state.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/state.py
@@ -7,8 +7,9 @@
 from wisteriarock.gathering.models import FanOutShape
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
+from wisteriarock.quarantine.models import Notice
 from wisteriarock.store.client import StoreClient
-from wisteriarock.store.models import Item, StoreFormat
+from wisteriarock.store.models import Item, StoreErrorKind, StoreFormat
 
 from .models import FeedAnswer, FeedState
 
@@ -32,6 +33,8 @@
         Whether the store does not answer this relay, so that its followers need another source.
     waiting_followers : list of callable
         Callbacks that answer followers whose poll waits for changes.
+    on_notice : callable
+        Called with each notice of a request that ends endpoints.
     on_lost_zones : callable
         Called with the zones that another instance of the local zone cannot reach.
     capacity_cores : float
@@ -79,6 +82,7 @@
         self.is_callable = False
         self.is_cut_off = False
         self.waiting_followers: list[Callable[[], None]] = []
+        self.on_notice: Callable[[Notice], None] = lambda notice: None
         self.on_lost_zones: Callable[[list[str]], None] = lambda zones: None
 
 
@@ -102,3 +106,10 @@
     waiting_followers, feed.waiting_followers = feed.waiting_followers, []
     for wake in waiting_followers:
         wake()
+
+
+def classify_relay_status(status: int) -> StoreErrorKind | None:
+    """Return the kind of error of a relay's status, or None for success."""
+    if status == 200:
+        return None
+    return StoreErrorKind.HISTORY_GONE if status == 410 else StoreErrorKind.REFUSED
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -12,9 +12,12 @@
 )
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.discovery import controller as discovery
+from wisteriarock.dispatch.controller import apply_notice
 from wisteriarock.dispatch.legs import close_abandoned_legs
 from wisteriarock.feed.following import report_lost_zones
+from wisteriarock.feed.notices import report_notice
 from wisteriarock.http.const import TIMEOUT_CHECK_INTERVAL_MS
+from wisteriarock.quarantine.decide import expire as expire_quarantine
 
 from .const import (
     HOUSEKEEPING_INTERVAL_MS,
@@ -35,6 +38,10 @@
 def start(instance: Instance) -> None:
     """Start all periodic tasks."""
     instance.feed.on_lost_zones = lambda zones: _on_lost_zones(instance, zones)
+    instance.feed.on_notice = lambda notice: apply_notice(instance.dispatch, notice)
+    instance.dispatch.on_deadly = lambda notice: _spawn(
+        instance, report_notice(instance.feed, notice)
+    )
     _repeat(instance, HOUSEKEEPING_INTERVAL_MS, _check_endpoints)
     _repeat(instance, TIMEOUT_CHECK_INTERVAL_MS, _check_connections)
     _repeat(instance, LOG_FLUSH_INTERVAL_MS, _flush_log)
@@ -50,6 +57,7 @@
     now_ms = instance.loop.time() * 1000
     close_abandoned_legs(instance.dispatch, now_ms)
     release_held_requests(instance)
+    expire_quarantine(instance.dispatch.quarantine, now_ms)
     discovery.drop_lapsed_endpoints(instance.discovery)
     endpoints = instance.directory.by_id.values()
     for zone in mark_lost_zones(endpoints, now_ms):
--- a/packages/wisteriarock/src/wisteriarock/gathering/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/decide.py
@@ -292,6 +292,7 @@
             "records": str(data["records"]),
             "may_have_run": [str(shard) for shard in data["may_have_run"]],
             "withheld": [str(shard) for shard in data.get("withheld", ())],
+            "ended": [str(endpoint) for endpoint in data.get("ended", ())],
         }
     except (ValueError, KeyError, TypeError, OverflowError):
         return None
--- a/packages/wisteriarock/src/wisteriarock/gathering/models.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/models.py
@@ -70,12 +70,15 @@
     withheld : list of str
         Shards without a part for which a leg was not sent, as the rate limits of all endpoints
         were used up.
+    ended : list of str
+        Endpoints that ended under a leg.
     """
 
     parts: list[tuple[str, str]]
     records: str
     may_have_run: list[str]
     withheld: list[str]
+    ended: list[str]
 
 
 class GathererDirectory:
--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -127,7 +127,8 @@
                 self._deliver_reply()
         if self.exchange is not None:
             reason = "reset" if error is not None else "closed by endpoint"
-            self._fail_exchange(ExchangeFailure(reason, True))
+            is_silent_close = error is None and not self.received_bytes
+            self._fail_exchange(ExchangeFailure(reason, True, is_silent_close))
         self.on_closed(self)
 
     def eof_received(self) -> bool:
--- a/packages/wisteriarock/src/wisteriarock/http/models.py
+++ b/packages/wisteriarock/src/wisteriarock/http/models.py
@@ -31,10 +31,13 @@
     was_sent : bool
         Whether any byte of the request was written to the connection. If not, the request has not
         run.
+    is_silent_close : bool
+        Whether the peer closed the connection cleanly before any byte of a reply.
     """
 
     reason: str
     was_sent: bool
+    is_silent_close: bool = False
 
 
 class Exchange:
--- a/tests/wisteriarock/dispatch/emulator.py
+++ b/tests/wisteriarock/dispatch/emulator.py
@@ -29,6 +29,7 @@
 
 SLOTS = 2
 QUEUE_MAX = 12
+RESTART_MS = 3_000.0
 
 
 class Timer:
@@ -91,6 +92,10 @@
         Time in ms and instance of each arrival.
     told_at_ms : dict
         Time of the first reply that named the limit, by instance.
+    deadly_ids : set of bytes
+        Requests that end the endpoint when it has run them; shared by all endpoints.
+    ended_at_ms : list of float
+        Times at which it ended.
     """
 
     def __init__(self, loop: VirtualLoop, work_ms: Callable[[], float]) -> None:
@@ -105,12 +110,31 @@
         self.senders: list[tuple[float, str]] = []
         self.told_at_ms: dict[str, float] = {}
         self.runs: list[bytes] = []
+        self.deadly_ids: set[bytes] = set()
+        self.ended_at_ms: list[float] = []
+        self._running: list[Exchange] = []
+
+    def end(self) -> None:
+        """End with all connections, and start again after a while."""
+        self.ended_at_ms.append(self.loop.time() * 1000)
+        self.mode = "refuse"
+        exchanges = self._running + [exchange for _, exchange, _ in self.queue]
+        self._running, self.queue, self.busy = [], [], 0
+        for exchange in exchanges:
+            self._end_exchange(exchange, ExchangeFailure("closed by endpoint", True, True))
+        self.loop.after_ms(RESTART_MS, self._start_again)
+
+    def _start_again(self) -> None:
+        self.mode = "ok"
 
     def receive(self, exchange: Exchange, request_id: bytes, time_left_ms: float) -> None:
         """Handle a request: answer, drop or queue it, depending on `mode`."""
         now_ms = self.loop.time() * 1000
         if self.mode == "silent":
             return
+        if self.mode == "refuse":
+            self._end_exchange(exchange, ExchangeFailure("closed by endpoint", True, True))
+            return
         self.arrivals.append((now_ms, request_id))
         if isinstance(exchange.connection, EmulatedConnection):
             self.senders.append((now_ms, exchange.connection.sender))
@@ -134,9 +158,21 @@
             self.busy += 1
             self.runs.append(request_id)
             done_ms = max(now_ms, self.paused_until_ms) + self.work_ms()
-            self.loop.call_at(done_ms / 1000, lambda exchange=exchange: self._on_run_done(exchange))
+            self._running.append(exchange)
+            self.loop.call_at(
+                done_ms / 1000,
+                lambda exchange=exchange, request_id=request_id: self._on_run_done(
+                    exchange, request_id
+                ),
+            )
 
-    def _on_run_done(self, exchange: Exchange) -> None:
+    def _on_run_done(self, exchange: Exchange, request_id: bytes) -> None:
+        if exchange not in self._running:
+            return
+        if request_id in self.deadly_ids:
+            self.end()
+            return
+        self._running.remove(exchange)
         self.busy -= 1
         if self.mode == "reset":
             self._end_exchange(exchange, ExchangeFailure("reset", True))
@@ -329,6 +365,7 @@
         catalog, self.directory = Catalog(), Directory()
         adopt(catalog, make_configuration(1, route), 0.0)
         services = route.shards or tuple(target.service for target in route.targets)
+        self.deadly_ids: set[bytes] = set()
         for service in services:
             for number in range(replicas):
                 name = f"{service}/{number}"
@@ -344,6 +381,8 @@
                     if shared is None
                     else shared.endpoints[name]
                 )
+                if shared is None:
+                    self.endpoints[name].deadly_ids = self.deadly_ids
         self.budget = ExtraLegBudget(0.2, extra, 10.0, instances)
         self.state = DispatchState(
             self.loop,  # type: ignore[arg-type]
@@ -377,8 +416,11 @@
                 mark_reachable(endpoint)
         self.loop.after_ms(100.0, self._run_housekeeping)
 
-    def request(self, number: int) -> Callable[[], None]:
-        """Send a caller's request and return the function that disconnects the caller."""
+    def request(self, number: int, body: bytes = b"") -> Callable[[], None]:
+        """Send a caller's request and return the function that disconnects the caller.
+
+        Requests with the same body are the same but for their id.
+        """
         request_id = b"r%d" % number
         now_ms = self.loop.time() * 1000
 
@@ -386,7 +428,7 @@
             assert request_id not in self.answers, "a request was answered twice"
             self.answers[request_id] = (self.loop.time() * 1000 - now_ms, answer)
 
-        request = CallerRequest(b"GET", request_id, [], b"", now_ms, False)
+        request = CallerRequest(b"GET", request_id, [], body, now_ms, False)
         return handle_request(self.state, request, respond)
 
     def send_requests(self, count: int, interval_ms: float, first: int = 0) -> None:
@@ -399,6 +441,10 @@
             )
         self.loop.run_until_ms(start_ms + count * interval_ms + 8_000)
 
+    def ended_at_ms(self) -> list[float]:
+        """Return the times at which endpoints ended, in order."""
+        return sorted(at_ms for each in self.endpoints.values() for at_ms in each.ended_at_ms)
+
     def mean_answer_score(self, first: int, count: int) -> float:
         """Return the mean score of answers.
 
