Send legs that wait for a connection elsewhere when their endpoint leaves

Cause: `Pool.retire` closed idle connections and kept its waiting exchanges, which were sent as connections came free. An endpoint that became unreachable, alone or with its zone, kept them as well.

Change: both end the waiting exchanges as not sent, so that each leg is sent to another endpoint, or its request is refused at once. A retired pool whose endpoint is ready again keeps its connections.

--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -59,14 +59,17 @@
     release_held_requests(instance)
     expire_quarantine(instance.dispatch.quarantine, now_ms)
     discovery.drop_lapsed_endpoints(instance.discovery)
-    endpoints = instance.directory.by_id.values()
+    endpoints = list(instance.directory.by_id.values())
     for zone in mark_lost_zones(endpoints, now_ms):
         instance.log.record("zone_unreachable", zone=zone)
+        for endpoint in endpoints:
+            if endpoint.zone == zone:
+                _withdraw_from(instance, endpoint)
     probes: dict[str, int] = {}
     for endpoint in endpoints:
         if mark_if_unreachable(endpoint, now_ms):
             instance.log.record("endpoint_unreachable", endpoint=endpoint.endpoint_id)
-            _close_idle_connections(instance, endpoint)
+            _withdraw_from(instance, endpoint)
         if (
             not endpoint.is_unreachable
             or now_ms < endpoint.next_probe_at_ms
@@ -120,10 +123,13 @@
     task.add_done_callback(instance.tasks.discard)
 
 
-def _close_idle_connections(instance: Instance, endpoint: Endpoint) -> None:
+def _withdraw_from(instance: Instance, endpoint: Endpoint) -> None:
     pool = instance.pools.get(endpoint.endpoint_id)
-    for connection in pool.idle[:] if pool is not None else ():
+    if pool is None:
+        return
+    for connection in pool.idle[:]:
         connection.close("unreachable")
+    pool.return_waiting("unreachable")
 
 
 def _check_store(instance: Instance, now_ms: float) -> None:
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -378,15 +378,17 @@
 def on_directory_changes(instance: Instance, changes: list[DirectoryChange]) -> None:
     """Close the connections of removed, replaced and draining endpoints."""
     for change in changes:
-        if change.kind in ("added", "ready", "lapsed"):
+        if change.kind in ("added", "lapsed"):
             continue
-        if change.kind == "draining":
+        if change.kind in ("draining", "ready"):
             pool = instance.pools.get(change.endpoint.endpoint_id)
         else:
             pool = instance.pools.pop(change.endpoint.endpoint_id, None)
         if pool is None:
             continue
-        if change.closes_connections:
+        if change.kind == "ready":
+            pool.reopen()
+        elif change.closes_connections:
             pool.close()
         else:
             pool.retire()
--- a/packages/wisteriarock/src/wisteriarock/http/pool.py
+++ b/packages/wisteriarock/src/wisteriarock/http/pool.py
@@ -104,18 +104,23 @@
             self.open()
 
     def retire(self) -> None:
-        """Close idle connections now and busy connections after their exchange."""
+        """Close idle connections now, busy ones after their exchange; return waiting exchanges."""
         self.is_retired = True
         for connection in self.idle[:]:
             connection.close("retired")
         self.idle.clear()
+        self.return_waiting("retired")
+
+    def reopen(self) -> None:
+        """Keep connections open again after `retire`."""
+        self.is_retired = False
 
     def close(self) -> None:
         """Close all connections; exchanges in progress and waiting ones fail."""
         self.is_retired = True
         for connection in list(self.connections):
             connection.close("endpoint replaced")
-        self._fail_waiting_exchanges("endpoint replaced")
+        self.return_waiting("endpoint replaced")
 
     def expire_idle(self, now_ms: float) -> None:
         """Close connections that have been idle for too long."""
@@ -158,7 +163,7 @@
         self.on_connect(connection is not None)
         if connection is None:
             if not self.connections and not self.opening:
-                self._fail_waiting_exchanges(error)
+                self.return_waiting(error)
             return
         self.opened_total += 1
         self.connections.add(connection)
@@ -169,7 +174,8 @@
             return
         self._on_idle(connection)
 
-    def _fail_waiting_exchanges(self, reason: str) -> None:
+    def return_waiting(self, reason: str) -> None:
+        """End the exchanges that wait for a connection; they can be sent elsewhere."""
         waiting, self.waiting = self.waiting, deque()
         for exchange in waiting:
             if not exchange.is_cancelled:
