Act on replies in which an endpoint leaves or asks for a pause

Leaving: from the first reply that says so the endpoint is drained, also when that reply goes to nobody; legs that wait for a connection go elsewhere; later heartbeats of its entry do not bring it back, a new process does.

Pause: per endpoint and instance, from the reply on, in `limits/pause.py`. The time is lengthened at random by up to a fifth (0.5 s at most), and the first requests afterwards go one at a time until the endpoint has replied, so that no herd returns. When too few shards are left, requests are refused at once, and their Retry-After is the time until enough pauses end.

--- a/packages/standins/src/wisteriastandins/users/endpoint.py
+++ b/packages/standins/src/wisteriastandins/users/endpoint.py
@@ -42,6 +42,10 @@
         What it does to its replies.
     rate_limit_per_s : float or None
         Requests per second that it names in its replies as its limit, None to name none.
+    is_leaving : bool
+        Whether its replies say that it leaves.
+    pause_s : float or None
+        Time that it names in refusals (mode `shed`) for which it wants no request.
     on_limit_named : callable
         Called with the id of a request in whose reply it names its limit.
     """
@@ -62,6 +66,8 @@
         self.requests: list[CallerRequest] = []
         self.reply_faults = ReplyFaults(endpoint_id)
         self.rate_limit_per_s: float | None = None
+        self.is_leaving = False
+        self.pause_s: float | None = None
         self.on_limit_named: Callable[[bytes], None] = lambda _: None
 
     def create_connection(self, state: ListenerState) -> CallerConnection:
@@ -92,7 +98,10 @@
             return _do_nothing
         if self.mode == "shed":
             self.on_arrival(request, b"")
-            respond(Answer(503, [(b"Not-Executed", b"1"), (b"Request-Id", request_id)], b""))
+            headers_of_refusal = [(b"Not-Executed", b"1"), (b"Request-Id", request_id)]
+            if self.pause_s is not None:
+                headers_of_refusal.append((b"Retry-After", b"%.2f" % self.pause_s))
+            respond(Answer(503, headers_of_refusal, b""))
             return _do_nothing
         self.requests.append(request)
         stamp = b"%s.%s.%d" % (self.endpoint_id.encode(), request_id, len(self.requests))
@@ -105,6 +114,8 @@
 
         def reply() -> None:
             headers = [(b"Request-Id", request_id), (b"Server-Stamp", stamp)]
+            if self.is_leaving:
+                headers.append((b"Server-Leaving", b"1"))
             if self.rate_limit_per_s is not None:
                 headers.append((b"Server-Limit", b"%.1f" % self.rate_limit_per_s))
                 if self.reply_faults.current is None:
--- a/packages/wisteriarock/src/wisteriarock/balancing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/decide.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Callable, Collection, Sequence
 
+from wisteriarock.limits.pause import allows_request
+
 from .const import (
     COLD_FACTOR,
     CONNECT_PENALTY_MS,
@@ -64,14 +66,17 @@
 ) -> Endpoint | None:
     """Return the endpoint with the lowest estimated cost, None if there is no candidate.
 
-    Unreachable endpoints and those whose ids are in `excluded` are skipped. An idle connection
-    makes an endpoint preferable, so that connections stay in use where there are few queries.
+    Unreachable and paused endpoints and those whose ids are in `excluded` are skipped. An idle
+    connection makes an endpoint preferable, so that connections stay in use where there are few
+    queries.
     """
     best = None
     best_cost = math.inf
     for endpoint in endpoints:
         if endpoint.is_unreachable or endpoint.endpoint_id in excluded:
             continue
+        if not allows_request(endpoint.pause, len(endpoint.in_flight), now_ms):
+            continue
         cost = estimate_cost_ms(endpoint, zone, expected_ms, now_ms, rng)
         if not has_idle_connection(endpoint):
             cost += CONNECT_PENALTY_MS
--- a/packages/wisteriarock/src/wisteriarock/balancing/models.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/models.py
@@ -1,6 +1,7 @@
 """Endpoint state as observed by this instance."""
 
 from wisteriarock.limits.endpoint_limit import EndpointLimit
+from wisteriarock.limits.pause import Pause
 
 
 class Endpoint:
@@ -16,10 +17,14 @@
         Moving average of the share of failed legs (0 to 1).
     observed_at_ms : float
         Time of the last observation, from which `slow_ratio` and `error_rate` decay.
+    has_said_leaving : bool
+        Whether the endpoint itself has said that it leaves; its entry may not say so yet.
     is_zone_lost : bool
         Whether the endpoint is unreachable because its whole zone is.
     last_reply_at_ms : float
         Time of the last reply.
+    pause : Pause
+        Pause that the endpoint asked for.
     rate_limit : EndpointLimit or None
         The rate limit that the endpoint names in its replies, None if it names none.
     silent_since_ms : float or None
@@ -32,6 +37,7 @@
         "connect_failures",
         "endpoint_id",
         "error_rate",
+        "has_said_leaving",
         "host",
         "in_flight",
         "is_draining",
@@ -40,6 +46,7 @@
         "last_reply_at_ms",
         "next_probe_at_ms",
         "observed_at_ms",
+        "pause",
         "port",
         "rate_limit",
         "service",
@@ -60,6 +67,7 @@
         self.slots = slots
         self.started_at_unix_ms: int | None = None
         self.is_draining = False
+        self.has_said_leaving = False
         self.is_unreachable = False
         self.is_zone_lost = False
         self.last_reply_at_ms = 0.0
@@ -68,6 +76,7 @@
         self.slow_ratio = 1.0
         self.error_rate = 0.0
         self.observed_at_ms = 0.0
+        self.pause = Pause()
         self.rate_limit: EndpointLimit | None = None
         self.silent_since_ms: float | None = None
         self.connect_failures = 0
--- a/packages/wisteriarock/src/wisteriarock/discovery/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/decide.py
@@ -64,7 +64,7 @@
                 current.is_draining = True
                 _remove_from_service(directory, current)
                 changes.append(DirectoryChange("draining", current, False))
-            elif not entry.is_draining and current.is_draining:
+            elif not entry.is_draining and current.is_draining and not current.has_said_leaving:
                 current.is_draining = False
                 _add_to_service(directory, current)
                 changes.append(DirectoryChange("ready", current, False))
@@ -80,6 +80,19 @@
     return changes
 
 
+def mark_leaving(directory: Directory, endpoint: Endpoint) -> list[DirectoryChange]:
+    """Drain an endpoint that says itself that it leaves, whatever its entry says.
+
+    A new process, or another endpoint at the address, is not leaving.
+    """
+    endpoint.has_said_leaving = True
+    if endpoint.is_draining or directory.by_id.get(endpoint.endpoint_id) is not endpoint:
+        return []
+    endpoint.is_draining = True
+    _remove_from_service(directory, endpoint)
+    return [DirectoryChange("draining", endpoint, False)]
+
+
 def remove_entry(
     directory: Directory, endpoint_id: str, now_ms: float, *, may_have_lapsed: bool
 ) -> list[DirectoryChange]:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -12,10 +12,13 @@
 from .state import DispatchState, loop_time_ms
 
 
-def _retry_headers(state: DispatchState, time_left_ms: float | None) -> Headers:
+def _retry_headers(
+    state: DispatchState, time_left_ms: float | None, wait_ms: float = 0.0
+) -> Headers:
     isolated_since_ms = state.isolated_since_ms
     isolated_ms = None if isolated_since_ms is None else loop_time_ms(state) - isolated_since_ms
-    return state.wire_format.retry_headers(retry_after_ms(state.rng, time_left_ms, isolated_ms))
+    after_ms = max(wait_ms, retry_after_ms(state.rng, time_left_ms, isolated_ms))
+    return state.wire_format.retry_headers(after_ms)
 
 
 def refuse_request(
@@ -25,10 +28,14 @@
     status: int,
     reason: str,
     time_left_ms: float | None = None,
+    wait_ms: float = 0.0,
     **details: object,
 ) -> None:
-    """Refuse a request before any leg is sent; the details are only logged."""
-    headers = _retry_headers(state, time_left_ms) if status == 503 else []
+    """Refuse a request before any leg is sent; the details are only logged.
+
+    `wait_ms` is the time before which a retry cannot succeed.
+    """
+    headers = _retry_headers(state, time_left_ms, wait_ms) if status == 503 else []
     state.counters.count("refusals", str(status))
     state.log.record("refused", request=request_id, status=status, reason=reason, **details)
     respond(Answer(status, headers, reason.encode()))
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -45,7 +45,15 @@
     plan_fragments,
     send_fragment,
 )
-from .legs import abandon_leg, can_send_leg, record_rate_limit, return_unsent_leg, send_leg
+from .legs import (
+    abandon_leg,
+    can_send_leg,
+    pause_left_ms,
+    record_pause,
+    record_rate_limit,
+    return_unsent_leg,
+    send_leg,
+)
 from .models import Fragment, Leg, LegKind, Query, RequestHead, Shard
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
@@ -104,6 +112,7 @@
         reason = (
             f"only {available} of {query.needed_parts} needed shards have an available endpoint"
         )
+        pauses_ms = sorted(pause_left_ms(state, service, now_ms) for service in missing)
         refuse_request(
             state,
             respond,
@@ -111,6 +120,7 @@
             503,
             reason,
             head.time_left_ms,
+            wait_ms=pauses_ms[query.needed_parts - available - 1],
             route=route.name,
             version=query.version,
             missing=",".join(missing[:LOGGED_NAMES_MAX]),
@@ -252,6 +262,9 @@
     is_success = 200 <= outcome.status < 300 and bool(head.proof) and not head.is_encoded
     if not head.is_misdirected:
         record_rate_limit(state, leg, head.rate_limit_per_s, is_success=is_success, now_ms=now_ms)
+        record_pause(state, leg, head.pause_s, now_ms)
+        if head.is_leaving and not endpoint.has_said_leaving:
+            state.on_leaving(endpoint)
     observe_reply(
         endpoint, elapsed_ms, query.latency.expected_ms, is_error=not is_success, now_ms=now_ms
     )
@@ -433,9 +446,14 @@
         and may_send_another_leg(query, shard)
         and has_budget(state.budget, shard.service, loop_time_ms(state))
         and _is_reachable(state, shard.service)
+        and pause_left_ms(state, shard.service, loop_time_ms(state)) < _remaining_ms(state, query)
     )
 
 
+def _remaining_ms(state: DispatchState, query: Query) -> float:
+    return query.expires_at_ms - loop_time_ms(state)
+
+
 def _answer_early(state: DispatchState, query: Query) -> None:
     query.is_early_answer_due = True
     delay_ms = loop_time_ms(state) - query.early_answer_at_ms
--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -13,6 +13,7 @@
     try_acquire,
     update_limit,
 )
+from wisteriarock.limits.pause import allows_request, begin_pause, end_probing
 
 from .const import ABANDONED_LEG_GRACE_MS
 from .decide import record_latency
@@ -120,10 +121,18 @@
         return_unsent(limit)
 
 
+def pause_left_ms(state: DispatchState, service: str, now_ms: float) -> float:
+    """Return the time until a reachable endpoint of a service is not paused, 0 if one is not."""
+    endpoints = state.directory.by_service.get(service, NO_ENDPOINTS)
+    ends_ms = [each.pause.until_ms for each in endpoints if not each.is_unreachable]
+    return max(0.0, min(ends_ms, default=0.0) - now_ms)
+
+
 def can_send_leg(state: DispatchState, service: str, now_ms: float) -> bool:
     """Return whether a service has a reachable endpoint whose rate limit allows a leg now."""
     return any(
         not endpoint.is_unreachable
+        and allows_request(endpoint.pause, len(endpoint.in_flight), now_ms)
         and (
             endpoint.rate_limit is None
             or may_send(endpoint.rate_limit, state.limit_sharers(service), now_ms)
@@ -132,6 +141,18 @@
     )
 
 
+def record_pause(state: DispatchState, leg: Leg, pause_s: float, now_ms: float) -> None:
+    """Record the pause that the reply to a leg asks for, or that the endpoint has replied again."""
+    endpoint = leg.endpoint
+    if not pause_s:
+        end_probing(endpoint.pause, leg.sent_at_ms)
+        return
+    begin_pause(endpoint.pause, pause_s, now_ms, state.rng)
+    state.counters.count("endpoint_pauses")
+    state.log.detail("endpoint_paused", endpoint=endpoint.endpoint_id, pause_s=pause_s)
+    state.pool_of(endpoint).return_waiting("paused")
+
+
 def record_rate_limit(
     state: DispatchState, leg: Leg, per_s: float | None, *, is_success: bool, now_ms: float
 ) -> None:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -40,6 +40,10 @@
     rate_limit_per_s : float or None
         Requests per second that the endpoint takes from all instances together; None if it names
         no limit.
+    is_leaving : bool
+        Whether the endpoint is about to leave.
+    pause_s : float
+        Time for which the endpoint wants no request from this instance; may be infinite.
     """
 
     request_id: bytes
@@ -48,6 +52,8 @@
     is_misdirected: bool
     is_encoded: bool
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
+    pause_s: float = 0.0
 
 
 class WireFormat(NamedTuple):
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -36,6 +36,8 @@
         Gatherers of the local zone.
     quarantine : Quarantine
         Routes and requests under which endpoints have ended lately.
+    on_misdirected, on_leaving : callable
+        Called with an endpoint whose address belongs to another one, and with one that leaves.
     on_deadly : callable
         Called with the notice of a request that ends endpoints, for the other instances.
     limit_sharers : callable
@@ -58,6 +60,7 @@
         pool_of: Callable[[Endpoint], Pool],
         pool_of_gatherer: Callable[[Gatherer], Pool],
         on_misdirected: Callable[[Endpoint], None],
+        on_leaving: Callable[[Endpoint], None],
         log: EventLog,
         counters: Counters,
         rng: random.Random,
@@ -73,6 +76,7 @@
         self.pool_of = pool_of
         self.pool_of_gatherer = pool_of_gatherer
         self.on_misdirected = on_misdirected
+        self.on_leaving = on_leaving
         self.log = log
         self.counters = counters
         self.rng = rng
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -10,7 +10,7 @@
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.catalog.models import Catalog, Configuration
 from wisteriarock.discovery import controller as discovery
-from wisteriarock.discovery.decide import remove_entry
+from wisteriarock.discovery.decide import mark_leaving, remove_entry
 from wisteriarock.discovery.models import Directory, DirectoryChange
 from wisteriarock.dispatch.budget import (
     ExtraLegBudget,
@@ -108,6 +108,7 @@
             lambda endpoint: pool_of(self, endpoint),
             lambda gatherer: pool_of_gatherer(self, gatherer),
             lambda endpoint: on_endpoint_misdirected(self, endpoint),
+            lambda endpoint: on_endpoint_leaving(self, endpoint),
             log,
             self.counters,
             rng,
@@ -375,6 +376,14 @@
     on_directory_changes(instance, changes)
 
 
+def on_endpoint_leaving(instance: Instance, endpoint: Endpoint) -> None:
+    """Send nothing more to an endpoint that says in a reply that it leaves."""
+    changes = mark_leaving(instance.directory, endpoint)
+    instance.counters.count("endpoints_leaving")
+    instance.log.record("endpoint_leaving", endpoint=endpoint.endpoint_id, service=endpoint.service)
+    on_directory_changes(instance, changes)
+
+
 def on_directory_changes(instance: Instance, changes: list[DirectoryChange]) -> None:
     """Close the connections of removed, replaced and draining endpoints."""
     for change in changes:
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -28,6 +28,8 @@
     "hedges": ("Second legs sent because the first took too long", ()),
     "retries": ("Legs sent after one failed", ()),
     "leg_failures": ("Legs that ended without a usable reply", ("reason",)),
+    "endpoint_pauses": ("Replies in which an endpoint asked for a pause", ()),
+    "endpoints_leaving": ("Endpoints that said in a reply that they leave", ()),
     "endpoint_ends": ("Endpoints that ended under a request", ("route",)),
     "quarantined_requests": ("Requests to blame for ended endpoints", ("route",)),
     "canaries": ("Fan-outs that began with a single shard", ("route",)),
--- a/tests/wisteriaplatform/test_requests.py
+++ b/tests/wisteriaplatform/test_requests.py
@@ -19,4 +19,44 @@
     assert read_reply(200, [(b"Server-Stamp", b"p")]).rate_limit_per_s is None
 
 
+def test_leaving_is_decoded():
+    """Guards against ignoring an endpoint that says it leaves, and against other values."""
+    for values, expected in (
+        ((b"1",), True),
+        ((b" 1 ",), True),
+        ((b"1", b"1"), True),
+        ((b"0", b"1"), True),
+        ((b"0",), False),
+        ((b"",), False),
+        ((b"true",), False),
+        ((b"1" * 5_000,), False),
+        ((), False),
+    ):
+        for status in (200, 503, 500):
+            headers = [(b"Server-Leaving", value) for value in values]
+            assert read_reply(status, headers).is_leaving == expected, values
+
+
+def test_pause_is_decoded():
+    """Guards against requests to an endpoint that wants a pause, and against wrong values."""
+    for value, expected_s in (
+        (b"2", 2.0),
+        (b" 0.25 ", 0.25),
+        (b"3600", 3_600.0),
+        (b"9" * 400, float("inf")),
+        (b"0", 0.0),
+        (b"-3", 0.0),
+        (b"1e3", 0.0),
+        (b"nan", 0.0),
+        (b"", 0.0),
+        (b"Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+    ):
+        assert read_reply(503, [(b"Retry-After", value)]).pause_s == expected_s, value
+        # Other replies say nothing about this instance.
+        assert read_reply(200, [(b"Retry-After", value)]).pause_s == 0.0
+    both = [(b"Retry-After", b"1"), (b"Retry-After", b"4")]
+    assert read_reply(503, both).pause_s == 4.0
+    assert read_reply(503, []).pause_s == 0.0
+
+
 load_tests = function_suite(globals())
--- a/tests/wisteriarock/dispatch/emulator.py
+++ b/tests/wisteriarock/dispatch/emulator.py
@@ -14,7 +14,7 @@
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.catalog.decide import adopt
 from wisteriarock.catalog.models import Catalog, Route
-from wisteriarock.discovery.decide import apply_entry
+from wisteriarock.discovery.decide import apply_entry, mark_leaving
 from wisteriarock.discovery.models import Directory, EndpointEntry
 from wisteriarock.dispatch.budget import ExtraLegBudget
 from wisteriarock.dispatch.controller import handle_fragment, handle_request
@@ -221,6 +221,9 @@
         """Return whether an exchange could start at once."""
         return True
 
+    def return_waiting(self, reason: str) -> None:
+        """Return no exchange, as none waits."""
+
     def send(self, exchange: Exchange) -> None:
         """Send an exchange."""
         target = self.emulator.endpoints[self.endpoint.endpoint_id]
@@ -320,6 +323,8 @@
         status == 421,
         False,
         float(header_values[b"limit"]) if b"limit" in header_values else None,
+        b"leaving" in header_values,
+        float(header_values.get(b"pause", 0)),
     )
 
 
@@ -395,6 +400,7 @@
             lambda endpoint: EmulatedPool(self, endpoint),  # type: ignore[arg-type,return-value]
             lambda gatherer: self.gatherer_pools[gatherer.name],  # type: ignore[arg-type,return-value]
             lambda endpoint: self.misdirected.append(endpoint.endpoint_id),
+            lambda endpoint: mark_leaving(self.directory, endpoint) and None,
             self.log,  # type: ignore[arg-type]
             Counters(),
             random.Random(seed),
