Answer 502 when a reply with a status of success failed a check

Cause: a 2xx with an encoding, or without proof, was not counted as a success but kept as the endpoint's failure, which is forwarded with its own status.

Change: only replies whose status is no success are kept as failures.

--- a/packages/standins/src/wisteriastandins/users/endpoint.py
+++ b/packages/standins/src/wisteriastandins/users/endpoint.py
@@ -11,6 +11,7 @@
     ListenerState,
     Respond,
 )
+from wisteriarock.http.models import Headers
 
 from .faulty import FaultyConnection, ReplyFaults
 from .listener import Listener
@@ -42,6 +43,10 @@
         What it does to its replies.
     rate_limit_per_s : float or None
         Requests per second that it names in its replies as its limit, None to name none.
+    extra_headers : list
+        Headers that it adds to its replies.
+    is_stamped : bool
+        Whether its replies carry the proof that it ran the request.
     is_leaving : bool
         Whether its replies say that it leaves.
     pause_s : float or None
@@ -66,6 +71,8 @@
         self.requests: list[CallerRequest] = []
         self.reply_faults = ReplyFaults(endpoint_id)
         self.rate_limit_per_s: float | None = None
+        self.extra_headers: Headers = []
+        self.is_stamped = True
         self.is_leaving = False
         self.pause_s: float | None = None
         self.on_limit_named: Callable[[bytes], None] = lambda _: None
@@ -113,7 +120,9 @@
         body = self.reply_body if self.make_body is None else self.make_body(request_id)
 
         def reply() -> None:
-            headers = [(b"Request-Id", request_id), (b"Server-Stamp", stamp)]
+            headers = [(b"Request-Id", request_id), *self.extra_headers]
+            if self.is_stamped:
+                headers.append((b"Server-Stamp", stamp))
             if self.is_leaving:
                 headers.append((b"Server-Leaving", b"1"))
             if self.rate_limit_per_s is not None:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -292,7 +292,8 @@
         state.on_misdirected(endpoint)
     if head.was_not_run:
         record_shed(shard, now_ms)
-    if may_have_run and not leg.is_abandoned:
+    # A success that failed a check is no failure of the endpoint, and is not forwarded as one.
+    if may_have_run and not leg.is_abandoned and not 200 <= outcome.status < 300:
         shard.failure_reply = outcome
     _on_leg_failure(state, leg, f"status {outcome.status}", may_have_run=may_have_run)
 
