End a connection after a reply that does not name its request

Cause: a reply without id is accepted as the awaited one, and its connection was used again, though a copy of it could not be told from the next answer.

Change: after such a reply the connection is closed. Weighed: waiting until the connection is quiet does not help, as a copy may come with the next request; telling copies apart by status does not, as the next refusal looks the same.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -52,6 +52,7 @@
 
     def accepts(headers: Headers) -> bool:
         reply_request_id = wire_format.read_reply(0, headers).request_id
+        exchange.is_reply_named = bool(reply_request_id)
         return not reply_request_id or reply_request_id == request_id
 
     def on_sent() -> None:
@@ -61,10 +62,11 @@
             count_limited_leg(endpoint.rate_limit, kind.value)
             state.counters.count("limited_legs", kind.value)
 
-    leg.exchange = Exchange(encode, accepts, lambda outcome: on_end(leg, outcome), on_sent)
+    exchange = Exchange(encode, accepts, lambda outcome: on_end(leg, outcome), on_sent)
+    leg.exchange = exchange
     if query.route.shards:
-        leg.exchange.reply_max_bytes = PART_MAX_BYTES
-    state.pool_of(endpoint).send(leg.exchange)
+        exchange.reply_max_bytes = PART_MAX_BYTES
+    state.pool_of(endpoint).send(exchange)
     return True
 
 
--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -252,7 +252,7 @@
         exchange.connection = None
         pending_bytes = self.transport.get_write_buffer_size() if self.transport else 0
         is_reusable = reply.is_keep_alive and not self.has_stray_bytes and not pending_bytes
-        if is_reusable and not self.is_closed and not self.has_eof:
+        if is_reusable and exchange.is_reply_named and not self.is_closed and not self.has_eof:
             announced_ms = keep_alive_ms(reply.headers)
             if announced_ms is not None:
                 self.idle_limit_ms = announced_ms * IDLE_TIMEOUT_SHARE
--- a/packages/wisteriarock/src/wisteriarock/http/models.py
+++ b/packages/wisteriarock/src/wisteriarock/http/models.py
@@ -59,6 +59,9 @@
         status 100; None if it must no longer be sent.
     reply_max_bytes : int
         Largest body of a reply.
+    is_reply_named : bool
+        Whether the accepted reply names this request. After one that does not, a late copy of it
+        could not be told from the next reply, so that its connection is not used again.
     """
 
     __slots__ = (
@@ -66,6 +69,7 @@
         "connection",
         "encode",
         "is_cancelled",
+        "is_reply_named",
         "on_continue",
         "on_end",
         "on_sent",
@@ -86,5 +90,6 @@
         self.on_sent = on_sent
         self.on_continue = on_continue
         self.reply_max_bytes = REPLY_MAX_BYTES
+        self.is_reply_named = True
         self.is_cancelled = False
         self.connection: object | None = None
