List everything again when a watch of the store cannot be read

Change: a watch whose reply is too large or malformed is followed by a full list at once (a second one in a row after a backoff). A relay whose last watch failed refuses its followers. After a failed watch the next one returns at once, so that a single cut watch costs milliseconds.

--- a/packages/wisteriarock/src/wisteriarock/discovery/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/controller.py
@@ -40,6 +40,12 @@
 )
 from .models import Directory, DirectoryChange, EndpointEntry
 
+# Errors of a watch after which only a full load brings this instance up to date: the changes are
+# gone, too many at once, or malformed.
+_UNREADABLE_WATCH = frozenset(
+    {StoreErrorKind.HISTORY_GONE, StoreErrorKind.TOO_LARGE, StoreErrorKind.BAD_REPLY}
+)
+
 
 class DiscoveryState:
     """Connection state of the store and the data read from it.
@@ -387,6 +393,7 @@
     # A stale snapshot may be older than what an earlier run of this task has loaded.
     needs_load, is_stale = True, not state.feed.revision
     backoff_ms = RETRY_BACKOFF_MIN_MS
+    has_reloaded = False
     while True:
         error: StoreError | None = None
         if needs_load:
@@ -400,15 +407,20 @@
             await asyncio.sleep(FEED_CHECK_INTERVAL_MS / 1000)
             continue
         else:
-            error = await _watch(state, client, WATCH_WAIT_MS)
+            # After a failure, a short watch tells at once whether this instance is up to date.
+            wait_ms = CATCH_UP_WAIT_MS if state.is_store_down else WATCH_WAIT_MS
+            error = await _watch(state, client, wait_ms)
         if error is None:
-            backoff_ms = RETRY_BACKOFF_MIN_MS
+            backoff_ms, has_reloaded = RETRY_BACKOFF_MIN_MS, False
             continue
-        if error.kind is StoreErrorKind.HISTORY_GONE:
+        if error.kind in _UNREADABLE_WATCH:
             state.log.record("watch_reset", revision=state.feed.revision, detail=error.detail)
             # A stale snapshot may be older than the oldest change that the store still has.
             needs_load, is_stale = True, False
-            continue
+            if not has_reloaded:
+                has_reloaded = True
+                state.counters.count("store_failures", error.kind.value)
+                continue
         _record_failure(state, error)
         await asyncio.sleep(backoff_ms * (0.5 + state.rng.random()) / 1000)
         instances = count_instances(state.feed, _now_ms(state))
--- a/packages/wisteriarock/src/wisteriarock/feed/serving.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/serving.py
@@ -47,7 +47,7 @@
         respond(_lost_zones_answer(feed, lost_zones))
         return _do_nothing
     after_text = query.get("after", "")
-    is_serving = is_relay(feed) and not feed.is_stopping and not feed.is_cut_off
+    is_serving = is_relay(feed) and not feed.is_stopping and not _is_behind(feed)
     if not after_text.isdigit() or not is_serving:
         respond(Answer(503 if after_text.isdigit() else 400, [], b"no relay"))
         return _do_nothing
@@ -64,7 +64,7 @@
 
     def wake() -> None:
         nonlocal timer
-        if not is_standby or feed.is_cut_off or feed.is_stopping:
+        if not is_standby or _is_behind(feed) or feed.is_stopping:
             answer()
             return
         cancel()
@@ -83,6 +83,14 @@
     return cancel
 
 
+def _is_behind(feed: Feed) -> bool:
+    """Return whether this relay may lack changes, as its last watch or check of the store failed.
+
+    A check that succeeds beside a failing watch does not make it up to date.
+    """
+    return feed.is_cut_off or not feed.failure_free_ms()
+
+
 def _record_follower(feed: Feed, query: dict[str, str]) -> None:
     name = query.get("instance", "")
     feed.state.followers[name] = loop_time_ms(feed)
@@ -113,7 +121,7 @@
     lost_zones = current_lost_zones(feed.state, loop_time_ms(feed)) if is_own_zone else ()
     if lost_zones:
         return _lost_zones_answer(feed, lost_zones)
-    if feed.is_cut_off or feed.store_age_ms() > RELAY_STORE_AGE_MAX_MS:
+    if _is_behind(feed) or feed.store_age_ms() > RELAY_STORE_AGE_MAX_MS:
         return Answer(503, [], b"store is away")
     if is_standby:
         answer = standby_answer(feed.state, feed.store_age_ms(), feed.failure_free_ms())
--- a/packages/wisteriarock/src/wisteriarock/http/const.py
+++ b/packages/wisteriarock/src/wisteriarock/http/const.py
@@ -9,6 +9,8 @@
 # Maximum size of headers, interim responses, chunk sizes and trailers, in addition to the size of
 # the body.
 REPLY_OVERHEAD_MAX_BYTES = 64 * 1024
+# Reason of an exchange that failed as its reply was larger than allowed.
+REASON_TOO_LARGE = "reply too large"
 # Share of the idle timeout announced by an endpoint during which an idle connection is reused.
 IDLE_TIMEOUT_SHARE = 0.7
 # Idle time after which a connection is not reused if the endpoint announces no idle timeout.
--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -6,7 +6,12 @@
 import httptools
 
 from .buffers import BufferBudget
-from .const import IDLE_LIMIT_DEFAULT_MS, IDLE_TIMEOUT_SHARE, REPLY_OVERHEAD_MAX_BYTES
+from .const import (
+    IDLE_LIMIT_DEFAULT_MS,
+    IDLE_TIMEOUT_SHARE,
+    REASON_TOO_LARGE,
+    REPLY_OVERHEAD_MAX_BYTES,
+)
 from .models import Exchange, ExchangeFailure, Headers, Reply
 
 _FRAMING = (b"content-length", b"transfer-encoding")
@@ -157,7 +162,7 @@
         if self.reply is not None:
             self._deliver_reply()
         elif self._is_reply_too_large():
-            self.close("reply too large")
+            self.close(REASON_TOO_LARGE)
         elif self.buffers is not None:
             self.buffers.hold(self, self.received_bytes)
 
--- a/packages/wisteriarock/src/wisteriarock/store/client.py
+++ b/packages/wisteriarock/src/wisteriarock/store/client.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from wisteriarock.http.const import CONNECT_TIMEOUT_MS
+from wisteriarock.http.const import CONNECT_TIMEOUT_MS, REASON_TOO_LARGE
 from wisteriarock.http.link import OutgoingConnection
 from wisteriarock.http.models import Exchange, ExchangeFailure, Reply
 from wisteriarock.observability.counters import Counters
@@ -90,8 +90,10 @@
             connection.close("no reply")
             return StoreError(StoreErrorKind.TIMEOUT, "no reply")
         if isinstance(outcome, ExchangeFailure):
-            return StoreError(StoreErrorKind.UNREACHABLE, outcome.reason)
-        kind = self.classify(outcome.status)
-        if kind is not None:
-            return StoreError(kind, f"status {outcome.status}")
+            is_too_large = outcome.reason == REASON_TOO_LARGE
+            kind = StoreErrorKind.TOO_LARGE if is_too_large else StoreErrorKind.UNREACHABLE
+            return StoreError(kind, outcome.reason)
+        error_kind = self.classify(outcome.status)
+        if error_kind is not None:
+            return StoreError(error_kind, f"status {outcome.status}")
         return outcome
--- a/packages/wisteriarock/src/wisteriarock/store/models.py
+++ b/packages/wisteriarock/src/wisteriarock/store/models.py
@@ -17,6 +17,7 @@
     NOT_FOUND = "not_found"
     CONFLICT = "conflict"
     HISTORY_GONE = "history_gone"
+    TOO_LARGE = "too_large"
     BAD_REPLY = "bad_reply"
 
 
