--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -24,7 +24,8 @@
             for part in value.split(b","):
                 key, _, text = part.strip().partition(b"=")
                 if key.lower() == b"timeout" and text.strip().isdigit():
-                    return int(text) * 1000.0
+                    # Unlike `int`, `float` takes any number of digits.
+                    return float(text) * 1000.0
     return None
 
 
