--- a/packages/standins/src/wisteriastandins/soak/callers.py
+++ b/packages/standins/src/wisteriastandins/soak/callers.py
@@ -23,6 +23,9 @@
 # Shares of requests whose caller disconnects before the answer, and that are malformed.
 DISCONNECT_SHARE = 0.04
 MALFORMED_SHARE = 0.03
+# Share of the searches that end endpoints, while the fault lasts.
+DEADLY_SHARE = 0.05
+DEADLY_PATH = "/search/deadly"
 CONNECT_TIMEOUT_S = 1.0
 READY_TIMEOUT_S = 0.8
 
@@ -37,7 +40,7 @@
     while True:
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
-                status = await _get_ready_status(program.ready_port)
+                status = await _get_ready_status(program.host, program.ready_port)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             status = 0
         failure_count = 0 if status == 200 else failure_count + 1
@@ -45,8 +48,8 @@
         await asyncio.sleep(READY_INTERVAL_S)
 
 
-async def _get_ready_status(port: int) -> int:
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+async def _get_ready_status(host: str, port: int) -> int:
+    reader, writer = await asyncio.open_connection(host, port)
     try:
         writer.write(b"GET /api/ready HTTP/1.1\r\nHost: ready\r\n\r\n")
         return int((await reader.readuntil(b"\r\n")).split()[1])
@@ -124,7 +127,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 port = self.program.front_port
-                self.streams = await asyncio.open_connection("127.0.0.1", port)
+                self.streams = await asyncio.open_connection(self.program.host, port)
         except (OSError, TimeoutError):
             return False
         return True
@@ -150,6 +153,9 @@
         else:
             (kind,) = self.rng.choices(_REQUEST_KINDS, _KIND_WEIGHTS)
             data = _encode_request(kind, request_id, version)
+            is_deadly_time = _now_ms() < self.observations.deadly_until_ms
+            if kind is RequestKind.SEARCH and is_deadly_time and self.rng.random() < DEADLY_SHARE:
+                data = data.replace(b"/search/1", DEADLY_PATH.encode())
         will_disconnect = self.rng.random() < DISCONNECT_SHARE
         timeout_ms = (
             self.rng.uniform(5, 60) if will_disconnect else CALLER_TIMEOUT_MS + 2 * CALLER_SLACK_MS
--- a/packages/standins/src/wisteriastandins/soak/checks.py
+++ b/packages/standins/src/wisteriastandins/soak/checks.py
@@ -11,6 +11,8 @@
     CALLER_TIMEOUT_MS,
     CLOSE_RACE_MS,
     CONFIGURATION_APPLY_MS,
+    DEADLY_ENDS_MAX,
+    DEADLY_REACTION_MS,
     ENDPOINT_DRAIN_MS,
     EXTRA_FIXED,
     EXTRA_RATIO,
@@ -19,6 +21,8 @@
     MAX_CONNECTIONS,
     MIN_COVERAGE,
     MIN_RECOVERED_SHARE,
+    PAUSE_ARRIVALS_MAX,
+    PAUSE_REACTION_MS,
     RATE_LIMIT_FACTOR,
     RATE_LIMIT_FIXED,
     RATE_LIMIT_REACTION_MS,
@@ -167,6 +171,62 @@
             yield Violation("leaving", detail, arrival.at_ms)
 
 
+def check_leaving(observations: Observations) -> Iterator[Violation]:
+    """Check that an endpoint that says it leaves gets nothing new from instances that were told."""
+    attempts = {attempt.request_id: attempt for attempt in observations.attempts}
+    told_ms: dict[tuple[str, int], float] = {}
+    for notice in observations.leaving_notices:
+        attempt = attempts.get(notice.request_id)
+        if attempt is not None:
+            told_ms.setdefault((notice.endpoint_id, attempt.instance), notice.at_ms)
+    for arrival in observations.arrivals:
+        attempt = attempts.get(arrival.request_id)
+        if attempt is None:
+            continue
+        from_ms = told_ms.get((arrival.endpoint_id, attempt.instance))
+        if from_ms is None or arrival.at_ms < from_ms + ENDPOINT_DRAIN_MS:
+            continue
+        if is_undisturbed(observations, attempt.instance, from_ms, arrival.at_ms):
+            detail = f"{arrival.request_id} at {arrival.endpoint_id}, which said that it leaves"
+            yield Violation("leaving", detail, arrival.at_ms)
+
+
+def check_pauses(observations: Observations) -> Iterator[Violation]:
+    """Check that instances keep to the pauses that endpoints ask them for."""
+    attempts = {attempt.request_id: attempt for attempt in observations.attempts}
+    arrivals_ms: dict[tuple[str, int], list[float]] = defaultdict(list)
+    for arrival in observations.arrivals:
+        attempt = attempts.get(arrival.request_id)
+        if attempt is not None:
+            arrivals_ms[arrival.endpoint_id, attempt.instance].append(arrival.at_ms)
+    for notice in observations.pause_notices:
+        attempt = attempts.get(notice.request_id)
+        if attempt is None:
+            continue
+        from_ms, to_ms = notice.at_ms + PAUSE_REACTION_MS, notice.at_ms + notice.pause_ms
+        key = (notice.endpoint_id, attempt.instance)
+        late_ms = [at_ms for at_ms in arrivals_ms[key] if from_ms < at_ms < to_ms]
+        if len(late_ms) <= PAUSE_ARRIVALS_MAX:
+            continue
+        if is_undisturbed(observations, attempt.instance, notice.at_ms, max(late_ms)):
+            detail = f"{len(late_ms)} arrivals at {notice.endpoint_id} in its pause"
+            yield Violation("pause", detail, late_ms[0])
+
+
+def check_deadly_requests(observations: Observations) -> Iterator[Violation]:
+    """Check that a request under which endpoints have ended is not sent on."""
+    ends_ms: dict[str, list[float]] = defaultdict(list)
+    for end in observations.deadly_ends:
+        ends_ms[end.request_id].append(end.at_ms)
+    for arrival in observations.arrivals:
+        ended_ms = sorted(ends_ms.get(arrival.request_id, ()))
+        if len(ended_ms) < DEADLY_ENDS_MAX:
+            continue
+        if arrival.at_ms > ended_ms[DEADLY_ENDS_MAX - 1] + DEADLY_REACTION_MS:
+            detail = f"{arrival.request_id} at {arrival.endpoint_id} after {len(ended_ms)} ends"
+            yield Violation("deadly", detail, arrival.at_ms)
+
+
 def check_planned_stops(observations: Observations) -> Iterator[Violation]:
     """Check that a planned stop of an instance interrupts no request."""
     forwarded_ids = {arrival.request_id for arrival in observations.arrivals}
@@ -374,6 +434,9 @@
     """Return the violations of guarantees that have a time limit."""
     return [
         *check_draining(observations),
+        *check_leaving(observations),
+        *check_pauses(observations),
+        *check_deadly_requests(observations),
         *check_planned_stops(observations),
         *check_configuration(observations),
         *check_rate_limits(observations),
--- a/packages/standins/src/wisteriastandins/soak/const.py
+++ b/packages/standins/src/wisteriastandins/soak/const.py
@@ -20,6 +20,14 @@
 RATE_LIMIT_FACTOR = 1.5
 RATE_LIMIT_FIXED = 5.0
 RATE_LIMIT_REACTION_MS = 500.0
+# Time after which an instance that was told of a pause has to keep to it, and the requests that may
+# still arrive within the pause.
+PAUSE_REACTION_MS = 500.0
+PAUSE_ARRIVALS_MAX = 2
+# Endpoints that may end under one request before it may not be sent on, and the time that a request
+# may already be on its way.
+DEADLY_ENDS_MAX = 3
+DEADLY_REACTION_MS = 100.0
 MAX_ATTEMPTS = 2
 # Time that a caller waits, and the tolerance for a late answer.
 CALLER_TIMEOUT_MS = 1_500.0
@@ -39,9 +47,8 @@
 # after two consecutive failures.
 READY_INTERVAL_S = 1.0
 READY_FAILURE_LIMIT = 2
-# Range of the age of a process at which an early signal reaches it. A younger interpreter has not
-# run the first line of the program.
-EARLY_SIGNAL_RANGE_S = (0.06, 0.4)
+# Longest time after the first line of a program at which an early signal reaches it.
+EARLY_SIGNAL_MAX_S = 0.4
 # Range of pauses of a caller between two requests.
 CALLER_PAUSE_RANGE_S = (0.02, 0.12)
 # Fault-free time at the end of a run, in which service must recover.
--- a/packages/standins/src/wisteriastandins/soak/faults.py
+++ b/packages/standins/src/wisteriastandins/soak/faults.py
@@ -22,7 +22,7 @@
 
 from .const import (
     DRAIN_GRACE_MS,
-    EARLY_SIGNAL_RANGE_S,
+    EARLY_SIGNAL_MAX_S,
     ENDPOINT_DRAIN_MS,
     NEW_SHARDS,
     SHARDS,
@@ -43,6 +43,14 @@
 # they are checked only after a while.
 RATE_LIMITS_PER_S = (0.5, 2.0, 5.0, 12.0)
 RATE_LIMIT_HOLD_S = 6.0
+# Time between refusing and serving of an endpoint that does both.
+REFUSAL_TURN_S = 0.1
+# Pauses that endpoints ask for.
+PAUSES_S = (0.8, 2.0, 5.0, 3_600.0)
+# Changes of the configuration while an instance is paused: more than 4 MB together.
+LARGE_CHANGES = 30
+LARGE_CHANGE_BYTES = 150_000
+LARGE_CHANGES_S = 3.0
 # Number of signals sent to one young process.
 EARLY_SIGNALS = 5
 # Time for which a settings file is incomplete while it is rewritten.
@@ -137,10 +145,13 @@
         await _restart(deployment, program)
         process = program.process
         rng = random.Random(fault.target)
-        ages_s = sorted(rng.uniform(*EARLY_SIGNAL_RANGE_S) for _ in range(EARLY_SIGNALS))
-        for age_s in ages_s:
-            at_s = program.started_at_s + age_s
-            await asyncio.sleep(max(0.0, at_s - deployment.loop.time()))
+        while program.process is process and process and process.returncode is None:
+            if program.handles_signals():
+                break
+            await asyncio.sleep(0.001)
+        from_s = deployment.loop.time()
+        for delay_s in sorted(rng.uniform(0.0, EARLY_SIGNAL_MAX_S) for _ in range(EARLY_SIGNALS)):
+            await asyncio.sleep(max(0.0, from_s + delay_s - deployment.loop.time()))
             if program.process is process:
                 program.send_signal(signal_number)
 
@@ -158,8 +169,7 @@
         await asyncio.sleep(SETTINGS_REWRITE_S)
         program.settings_path.write_text(text, encoding="utf-8")
         await asyncio.sleep(SETTINGS_REWRITE_S)
-    if program.started_at_s + EARLY_SIGNAL_RANGE_S[0] < deployment.loop.time():
-        program.send_signal(signal.SIGHUP)
+    program.send_signal(signal.SIGHUP)
 
 
 async def _take_port(deployment: SoakDeployment, fault: Fault) -> None:
@@ -174,7 +184,7 @@
     with socket.socket() as taken, contextlib.suppress(OSError):
         taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if program.process is process:
-            taken.bind(("127.0.0.1", port))
+            taken.bind((program.host, port))
             taken.listen()
         await asyncio.sleep(fault.duration_s)
 
@@ -275,6 +285,63 @@
     return run
 
 
+async def _encode_replies(deployment: SoakDeployment, fault: Fault) -> None:
+    endpoint = _target_endpoint(deployment, fault)
+    endpoint.extra_headers = [(b"Content-Encoding", b"gzip")]
+    await asyncio.sleep(fault.duration_s)
+    endpoint.extra_headers = []
+
+
+async def _refuse_without_id(deployment: SoakDeployment, fault: Fault) -> None:
+    """Refuse and serve by turns, without the id in refusals, and send a copy of each reply."""
+    endpoint = _target_endpoint(deployment, fault)
+    endpoint.is_refusal_named = False
+    endpoint.reply_faults.current = ReplyFault.COPY
+    end_s = deployment.loop.time() + fault.duration_s
+    while deployment.loop.time() < end_s:
+        endpoint.mode = "ok" if endpoint.mode == "shed" else "shed"
+        await asyncio.sleep(REFUSAL_TURN_S)
+    endpoint.mode = "ok"
+    endpoint.reply_faults.current = None
+    endpoint.is_refusal_named = True
+
+
+async def _leave(deployment: SoakDeployment, fault: Fault) -> None:
+    """Let an endpoint say in its replies that it leaves, before its entry does."""
+    endpoint = _target_endpoint(deployment, fault)
+    if _has_no_spare(deployment, endpoint.service):
+        await add_endpoint(deployment, endpoint.service, fault.target % len(ZONES))
+    endpoint.is_leaving = True
+    await asyncio.sleep(fault.duration_s)
+    await _drain_endpoint(deployment, endpoint)
+
+
+async def _ask_for_pause(deployment: SoakDeployment, fault: Fault) -> None:
+    """Let an endpoint refuse for a moment, and ask for a pause that is longer."""
+    endpoint = _target_endpoint(deployment, fault)
+    endpoint.mode, endpoint.pause_s = "shed", PAUSES_S[fault.target % len(PAUSES_S)]
+    await asyncio.sleep(min(fault.duration_s, 1.0))
+    endpoint.mode, endpoint.pause_s = "ok", None
+
+
+async def _send_deadly_requests(deployment: SoakDeployment, fault: Fault) -> None:
+    deployment.observations.deadly_until_ms = deployment.now_ms() + fault.duration_s * 1000
+    await asyncio.sleep(fault.duration_s)
+
+
+async def _pause_under_large_changes(deployment: SoakDeployment, fault: Fault) -> None:
+    """Pause an instance while the configuration changes by more than one reply can hold."""
+    program = _target_program(deployment, fault)
+    process = program.process
+    _record_disturbance(deployment, program.number, LARGE_CHANGES_S)
+    program.send_signal(signal.SIGSTOP)
+    for _ in range(LARGE_CHANGES):
+        configure(deployment, padding_bytes=LARGE_CHANGE_BYTES)
+        await asyncio.sleep(LARGE_CHANGES_S / LARGE_CHANGES)
+    if program.process is process:
+        program.send_signal(signal.SIGCONT)
+
+
 async def _name_rate_limit(deployment: SoakDeployment, fault: Fault) -> None:
     endpoint = _target_endpoint(deployment, fault)
     if endpoint.rate_limit_per_s is not None:
@@ -383,6 +450,12 @@
     FaultKind.ENDPOINT_COPY: _reply_fault(ReplyFault.COPY),
     FaultKind.ENDPOINT_ENDLESS: _reply_fault(ReplyFault.ENDLESS),
     FaultKind.ENDPOINT_LIMIT: _name_rate_limit,
+    FaultKind.ENDPOINT_ENCODED: _encode_replies,
+    FaultKind.ENDPOINT_UNNAMED: _refuse_without_id,
+    FaultKind.ENDPOINT_LEAVING: _leave,
+    FaultKind.ENDPOINT_PAUSE: _ask_for_pause,
+    FaultKind.DEADLY_REQUESTS: _send_deadly_requests,
+    FaultKind.LARGE_CHANGES: _pause_under_large_changes,
     FaultKind.ENDPOINT_DRAIN: _replace_endpoint,
     FaultKind.ENDPOINT_MOVE: _reassign_address,
     FaultKind.CONFIGURE: _configure,
--- a/packages/standins/src/wisteriastandins/soak/models.py
+++ b/packages/standins/src/wisteriastandins/soak/models.py
@@ -36,6 +36,12 @@
     ENDPOINT_COPY = "endpoint_copy"
     ENDPOINT_ENDLESS = "endpoint_endless"
     ENDPOINT_LIMIT = "endpoint_limit"
+    ENDPOINT_ENCODED = "endpoint_encoded"
+    ENDPOINT_UNNAMED = "endpoint_unnamed"
+    ENDPOINT_LEAVING = "endpoint_leaving"
+    ENDPOINT_PAUSE = "endpoint_pause"
+    DEADLY_REQUESTS = "deadly_requests"
+    LARGE_CHANGES = "large_changes"
     ENDPOINT_DRAIN = "endpoint_drain"
     ENDPOINT_MOVE = "endpoint_move"
     CONFIGURE = "configure"
@@ -158,6 +164,30 @@
     at_ms: float
 
 
+class LeavingNotice(NamedTuple):
+    """A reply in which an endpoint said that it leaves."""
+
+    endpoint_id: str
+    request_id: str
+    at_ms: float
+
+
+class PauseNotice(NamedTuple):
+    """A refusal in which an endpoint asked an instance for a pause."""
+
+    endpoint_id: str
+    request_id: str
+    at_ms: float
+    pause_ms: float
+
+
+class DeadlyEnd(NamedTuple):
+    """The end of an endpoint under a request."""
+
+    request_id: str
+    at_ms: float
+
+
 class Observations:
     """What callers, endpoints and the operator observed in a run."""
 
@@ -170,6 +200,10 @@
         self.draining_endpoints: list[DrainingEndpoint] = []
         self.rate_limits: list[RateLimit] = []
         self.limit_notices: list[LimitNotice] = []
+        self.leaving_notices: list[LeavingNotice] = []
+        self.pause_notices: list[PauseNotice] = []
+        self.deadly_ends: list[DeadlyEnd] = []
+        self.deadly_until_ms = 0.0
         self.kill_all_times_ms: list[float] = []
         self.malformed_ids: set[str] = set()
         self.peak_connections: dict[str, int] = {}
--- a/packages/standins/src/wisteriastandins/soak/plan.py
+++ b/packages/standins/src/wisteriastandins/soak/plan.py
@@ -15,6 +15,8 @@
 _WEIGHTS = {
     FaultKind.KILL_ALL: 0.25,
     FaultKind.RESHARD: 0.4,
+    FaultKind.DEADLY_REQUESTS: 0.5,
+    FaultKind.LARGE_CHANGES: 0.4,
     FaultKind.CONFIGURE: 2.0,
     FaultKind.STOP: 2.0,
     FaultKind.STORE_FORGETS: 1.5,
--- a/packages/standins/src/wisteriastandins/soak/programs.py
+++ b/packages/standins/src/wisteriastandins/soak/programs.py
@@ -12,12 +12,22 @@
 RESTART_DELAY_S = 0.3
 
 
+def program_host() -> str:
+    """Return the loopback address of the programs of this process.
+
+    Stand-ins use another address, so that runs at the same time do not take each other's ports.
+    """
+    high, low = divmod(os.getpid() % 62_500, 250)
+    return f"127.{high + 1}.{low + 1}.1"
+
+
 class Program:
     """An instance: its settings, log and current process."""
 
     def __init__(self, number: int, folder: Path, ports: list[int], source: Path | None) -> None:
         self.number = number
         self.name = f"front-{number}"
+        self.host = program_host()
         self.zone = ZONES[number % len(ZONES)]
         self.front_port, self.ready_port, self.peer_port, self.metrics_port = ports
         self.settings_path = folder / f"{self.name}.json"
@@ -26,7 +36,6 @@
         self.process: asyncio.subprocess.Process | None = None
         self.should_run = False
         self.is_in_rotation = False
-        self.started_at_s = 0.0
         self.sent_signals: set[int] = set()
 
     def write_settings(self, store_port: int) -> None:
@@ -34,10 +43,10 @@
         settings = {
             "instance": self.name,
             "zone": self.zone,
-            "front_address": f"127.0.0.1:{self.front_port}",
-            "ready_address": f"127.0.0.1:{self.ready_port}",
-            "peer_address": f"127.0.0.1:{self.peer_port}",
-            "metrics_address": f"127.0.0.1:{self.metrics_port}",
+            "front_address": f"{self.host}:{self.front_port}",
+            "ready_address": f"{self.host}:{self.ready_port}",
+            "peer_address": f"{self.host}:{self.peer_port}",
+            "metrics_address": f"{self.host}:{self.metrics_port}",
             "store_address": f"127.0.0.1:{store_port}",
             "drain_grace_s": DRAIN_GRACE_MS / 1000,
             "extra_ratio": EXTRA_RATIO,
@@ -53,7 +62,6 @@
             environment["PYTHONPATH"] = str(self.source)
         self.should_run = True
         self.sent_signals = set()
-        self.started_at_s = asyncio.get_running_loop().time()
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -65,8 +73,24 @@
                 env=environment,
             )
 
+    def handles_signals(self) -> bool:
+        """Return whether the process has run the first line of the program, which handles signals.
+
+        Until then, SIGHUP ends the interpreter.
+        """
+        if self.process is None or self.process.returncode is not None:
+            return False
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="utf-8")
+        except OSError:
+            return False
+        (caught,) = (line.split()[1] for line in status.splitlines() if line.startswith("SigCgt:"))
+        return bool(int(caught, 16) >> (signal.SIGHUP - 1) & 1)
+
     def send_signal(self, signal_number: signal.Signals) -> None:
-        """Send a signal to the process if it runs."""
+        """Send a signal to the process if it runs; SIGHUP only once it is handled."""
+        if signal_number is signal.SIGHUP and not self.handles_signals():
+            return
         if self.process is not None and self.process.returncode is None:
             self.sent_signals.add(signal_number)
             self.process.send_signal(signal_number)
--- a/packages/standins/src/wisteriastandins/soak/world.py
+++ b/packages/standins/src/wisteriastandins/soak/world.py
@@ -12,6 +12,7 @@
 from wisteriastandins.users.endpoint import StubEndpoint
 from wisteriastandins.users.store_server import StoreServer
 
+from .callers import DEADLY_PATH
 from .checks import make_records
 from .const import (
     CALLER_TIMEOUT_MS,
@@ -28,15 +29,20 @@
 from .models import (
     Arrival,
     ConfigurationVersion,
+    DeadlyEnd,
     Disturbance,
+    LeavingNotice,
     LimitNotice,
     Observations,
+    PauseNotice,
     ProcessLifetime,
 )
-from .programs import RESTART_DELAY_S, Program
+from .programs import RESTART_DELAY_S, Program, program_host
 
 REPLICAS = 2
 SERVICE_MS = 8.0
+# Time until another endpoint takes the place of one that has ended.
+ENDPOINT_RESTART_S = 1.0
 _PORTS_PER_INSTANCE = 4
 _LIMITS = {
     "header_bytes": 16_384,
@@ -89,7 +95,7 @@
     sockets = [socket.socket() for _ in range(count)]
     try:
         for each in sockets:
-            each.bind(("127.0.0.1", 0))
+            each.bind((program_host(), 0))
         return [each.getsockname()[1] for each in sockets]
     finally:
         for each in sockets:
@@ -133,6 +139,19 @@
     endpoint.on_limit_named = lambda request_id: deployment.observations.limit_notices.append(
         LimitNotice(endpoint_id, request_id.decode(), deployment.now_ms())
     )
+    endpoint.on_leaving_named = lambda request_id: deployment.observations.leaving_notices.append(
+        LeavingNotice(endpoint_id, request_id.decode(), deployment.now_ms())
+    )
+    endpoint.on_pause_named = lambda request_id: deployment.observations.pause_notices.append(
+        PauseNotice(
+            endpoint_id,
+            request_id.decode(),
+            deployment.now_ms(),
+            (endpoint.pause_s or 0.0) * 1000,
+        )
+    )
+    endpoint.is_deadly = lambda request: request.target.decode() == DEADLY_PATH
+    endpoint.on_deadly_end = lambda request_id: _replace_ended(deployment, endpoint, request_id)
     await endpoint.start()
     deployment.endpoints[endpoint_id] = endpoint
     deployment.links[endpoint_id] = await _create_link(deployment, endpoint_id, endpoint.port)
@@ -140,6 +159,20 @@
     return endpoint
 
 
+def _replace_ended(deployment: SoakDeployment, endpoint: StubEndpoint, request_id: bytes) -> None:
+    """Record the end of an endpoint under a request, and start another one in its place."""
+    deployment.observations.deadly_ends.append(DeadlyEnd(request_id.decode(), deployment.now_ms()))
+
+    async def replace() -> None:
+        await asyncio.sleep(ENDPOINT_RESTART_S)
+        if endpoint.endpoint_id in deployment.endpoints:
+            await remove_endpoint(deployment, endpoint.endpoint_id)
+            number = int(endpoint.endpoint_id.rpartition(".")[2])
+            await add_endpoint(deployment, endpoint.service, number)
+
+    track_task(deployment, deployment.loop.create_task(replace()))
+
+
 def _record_arrival(
     deployment: SoakDeployment, endpoint: StubEndpoint, request: CallerRequest, stamp: bytes
 ) -> None:
@@ -206,7 +239,9 @@
     return [search, lookup, book, *probes]
 
 
-def configure(deployment: SoakDeployment, shards: tuple[str, ...] | None = None) -> None:
+def configure(
+    deployment: SoakDeployment, shards: tuple[str, ...] | None = None, padding_bytes: int = 0
+) -> None:
     """Publish the next version, which adds a probe and may move plain routes to another ledger."""
     deployment.version += 1 + deployment.rng.randrange(3)
     deployment.shards = shards or deployment.shards
@@ -219,6 +254,7 @@
             for name in (*SHARDS, *NEW_SHARDS, *LEDGERS)
         ],
         "limits": _LIMITS,
+        "padding": "x" * padding_bytes,
     }
     # Read the time before the write, as no program can see the version any earlier.
     confirmed_ms = deployment.now_ms()
--- a/packages/standins/src/wisteriastandins/users/endpoint.py
+++ b/packages/standins/src/wisteriastandins/users/endpoint.py
@@ -51,8 +51,11 @@
         Whether its replies say that it leaves.
     pause_s : float or None
         Time that it names in refusals (mode `shed`) for which it wants no request.
-    on_limit_named : callable
-        Called with the id of a request in whose reply it names its limit.
+    is_refusal_named : bool
+        Whether its refusals carry the request's id.
+    on_limit_named, on_leaving_named, on_pause_named : callable
+        Called with the id of a request in whose reply it names its limit, that it leaves, or a
+        pause.
     """
 
     def __init__(
@@ -75,6 +78,9 @@
         self.is_stamped = True
         self.is_leaving = False
         self.pause_s: float | None = None
+        self.is_refusal_named = True
+        self.on_leaving_named: Callable[[bytes], None] = lambda _: None
+        self.on_pause_named: Callable[[bytes], None] = lambda _: None
         self.on_limit_named: Callable[[bytes], None] = lambda _: None
 
     def create_connection(self, state: ListenerState) -> CallerConnection:
@@ -105,10 +111,7 @@
             return _do_nothing
         if self.mode == "shed":
             self.on_arrival(request, b"")
-            headers_of_refusal = [(b"Not-Executed", b"1"), (b"Request-Id", request_id)]
-            if self.pause_s is not None:
-                headers_of_refusal.append((b"Retry-After", b"%.2f" % self.pause_s))
-            respond(Answer(503, headers_of_refusal, b""))
+            self._refuse(request_id, respond)
             return _do_nothing
         self.requests.append(request)
         stamp = b"%s.%s.%d" % (self.endpoint_id.encode(), request_id, len(self.requests))
@@ -125,6 +128,8 @@
                 headers.append((b"Server-Stamp", stamp))
             if self.is_leaving:
                 headers.append((b"Server-Leaving", b"1"))
+                if self.reply_faults.current is None:
+                    self.on_leaving_named(request_id)
             if self.rate_limit_per_s is not None:
                 headers.append((b"Server-Limit", b"%.1f" % self.rate_limit_per_s))
                 if self.reply_faults.current is None:
@@ -133,6 +138,16 @@
 
         return self.loop.call_later(self.service_ms / 1000, reply).cancel
 
+    def _refuse(self, request_id: bytes, respond: Respond) -> None:
+        headers = [(b"Not-Executed", b"1")]
+        if self.is_refusal_named:
+            headers.append((b"Request-Id", request_id))
+        if self.pause_s is not None:
+            headers.append((b"Retry-After", b"%.2f" % self.pause_s))
+            if self.reply_faults.current is None:
+                self.on_pause_named(request_id)
+        respond(Answer(503, headers, b""))
+
     def _end(self, request_id: bytes) -> None:
         """End as a process does: the listener and all connections are closed without a reply."""
         self.close()
--- a/tests/wisteriastandins/soak/test_checks.py
+++ b/tests/wisteriastandins/soak/test_checks.py
@@ -8,7 +8,10 @@
     check_budget,
     check_configuration,
     check_connections,
+    check_deadly_requests,
     check_draining,
+    check_leaving,
+    check_pauses,
     check_planned_stops,
     check_process_ends,
     check_rate_limits,
@@ -21,10 +24,13 @@
     Arrival,
     Attempt,
     ConfigurationVersion,
+    DeadlyEnd,
     Disturbance,
     DrainingEndpoint,
+    LeavingNotice,
     LimitNotice,
     Observations,
+    PauseNotice,
     ProcessLifetime,
     RateLimit,
     RequestKind,
@@ -131,6 +137,37 @@
         assert bool(list(check_process_ends(observations))) == is_violation, lifetime
 
 
+def test_leaving_endpoints_and_pauses():
+    """Guards against missing requests to an endpoint that said it wants none."""
+    observations = _make_observations()
+    observations.attempts = [
+        _make_attempt(request_id=name, sent_ms=9_000.0) for name in ("told", "r", "r2", "r3")
+    ]
+    observations.leaving_notices = [LeavingNotice("ledger-a.1", "told", 1_000.0)]
+    _add_arrival(observations, "r", "ledger-a", 3_900.0)
+    assert not list(check_leaving(observations))
+    _add_arrival(observations, "r2", "ledger-a", 4_100.0)
+    assert list(check_leaving(observations))
+    observations.pause_notices = [PauseNotice("ledger-a.1", "told", 1_000.0, 5_000.0)]
+    _add_arrival(observations, "r3", "ledger-a", 6_100.0)
+    assert not list(check_pauses(observations))
+    _add_arrival(observations, "r3", "ledger-a", 5_900.0)
+    assert list(check_pauses(observations))
+    observations.disturbances = [Disturbance(0, 500.0, 900.0, False)]
+    assert not list(check_pauses(observations)) and not list(check_leaving(observations))
+
+
+def test_deadly_requests():
+    """Guards against missing a request that is sent on after endpoints have ended under it."""
+    observations = _make_observations()
+    observations.deadly_ends = [DeadlyEnd("r", at_ms) for at_ms in (100.0, 110.0, 120.0)]
+    _add_arrival(observations, "r", "shard-0", 150.0)
+    _add_arrival(observations, "other", "shard-0", 900.0)
+    assert not list(check_deadly_requests(observations))
+    _add_arrival(observations, "r", "shard-1", 300.0)
+    assert list(check_deadly_requests(observations))
+
+
 def test_draining_endpoints():
     """Guards against missing new requests to a draining endpoint."""
     observations = _make_observations()
--- a/tests/wisteriastandins/soak/test_run.py
+++ b/tests/wisteriastandins/soak/test_run.py
@@ -22,10 +22,11 @@
     Guarantees with a time limit are left to manual runs, as the result must not depend on the
     speed of the machine.
     """
-    options = SoakOptions(3, 20.0, instances=4, callers=8, check_timing=False)
-    result = run_soak(options)
-    assert not result.violations, "\n".join(format_result(options, result))
-    assert sum(1 for attempt in result.observations.attempts if attempt.status == 200) > 100
+    for seed in (3, 4, 5):
+        options = SoakOptions(seed, 20.0, instances=4, callers=8, check_timing=False)
+        result = run_soak(options)
+        assert not result.violations, "\n".join(format_result(options, result))
+        assert sum(1 for attempt in result.observations.attempts if attempt.status == 200) > 100
 
 
 def _run_copy(path: str, before: str, after: str, plan: list[Fault]) -> SoakResult:
