Release the held shards of a fan-out after its canary is stored

The shards were released before the canary's part was counted, so that a query whose other legs failed at once could be answered without it.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -271,7 +271,6 @@
     may_have_run = not (head.was_not_run or head.is_misdirected)
     if may_have_run:
         record_survivor(state, query, outcome.status)
-        _release_held(state, query)
     if is_success:
         record_latency(query.latency, elapsed_ms)
         state.counters.observe("leg", query.route.name, elapsed_ms)
@@ -286,6 +285,7 @@
                 _schedule_hedges(state, query, query.started_at_ms + delay_ms)
         for other in shard.legs[:]:
             abandon_leg(state, other, now_ms)
+        _release_held(state, query)
         _answer_if_finished(state, query)
         return
     if head.is_misdirected:
@@ -295,6 +295,7 @@
     # A success that failed a check is no failure of the endpoint, and is not forwarded as one.
     if may_have_run and not leg.is_abandoned and not 200 <= outcome.status < 300:
         shard.failure_reply = outcome
+    _release_held(state, query)
     _on_leg_failure(state, leg, f"status {outcome.status}", may_have_run=may_have_run)
 
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -66,7 +66,7 @@
     leg.exchange = exchange
     if query.route.shards:
         exchange.reply_max_bytes = PART_MAX_BYTES
-    state.pool_of(endpoint).send(exchange)
+    state.pool_of(endpoint).send(leg.exchange)
     return True
 
 
