--- a/packages/wisteriarock/src/wisteriarock/snapshot/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/snapshot/decide.py
@@ -9,6 +9,8 @@
 from .const import REASON_INCONSISTENT_PARTS, REASON_NO_REPLICA, REASON_PART_MISSING
 from .models import HoldingIndex, PartitionReplicas, PinnedSnapshot, ShardPlan
 
+# Longest number of a snapshot; `int` raises for very long texts.
+SNAPSHOT_MAX_DIGITS = 18
 # Endpoints in these states accept no new legs, so their holdings are not indexed.
 UNUSABLE_STATES = frozenset({EndpointState.DRAINING, EndpointState.GONE})
 
@@ -18,7 +20,8 @@
     if view["state"] in UNUSABLE_STATES:
         return
     for snapshot_text, entries in view["holdings"].items():
-        if not snapshot_text.isascii() or not snapshot_text.isdigit():
+        is_number = snapshot_text.isascii() and snapshot_text.isdigit()
+        if not is_number or len(snapshot_text) > SNAPSHOT_MAX_DIGITS:
             continue
         for shard, part, parts in entries:
             if 0 <= part < parts:
--- a/tests/wisteriarock/snapshot/test_decide.py
+++ b/tests/wisteriarock/snapshot/test_decide.py
@@ -58,6 +58,13 @@
     assert [replica.partition for replica in pinned.shards["a"]] == [Partition("a", 0, 1)]
 
 
+def test_snapshots_with_very_long_numbers_are_ignored() -> None:
+    """Guards against a report whose snapshot has more digits than `int` takes."""
+    view = make_view("x", {7: [("a", 0, 1)]})
+    view["holdings"]["9" * 5_000] = [("a", 0, 1)]
+    assert pin_snapshot(_index(view), ("a",)).snapshot == 7
+
+
 def test_unusable_holdings_are_ignored() -> None:
     """Guards against plans with endpoints that drain, are unknown or have no live holder."""
     held = {7: [("a", 0, 1)]}
