--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -277,7 +277,7 @@
             return
         if self.buffers is not None:
             self.buffers.release(self)
-        # A failed exchange may outlive its connection's place in a list; its bytes must not.
+        # Releases the received bytes, although the connection may be referenced for longer.
         self.body = []
         self.exchange = None
         exchange.connection = None
