--- a/packages/wisteriarock/src/wisteriarock/balancing/models.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/models.py
@@ -1,9 +1,30 @@
 """Endpoint state as observed by this instance."""
 
+from typing import NamedTuple
+
 from wisteriarock.limits.endpoint_limit import EndpointLimit
 from wisteriarock.limits.pause import Pause
 
 
+class LoadReport(NamedTuple):
+    """What an endpoint says about its load in a reply.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Requests that the endpoint runs, and that wait for a slot.
+    slots : int
+        Requests that it can run at the same time.
+    pace : float
+        Time that work takes at this moment, relative to the usual time; 1.0 if not stated.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float = 1.0
+
+
 class Endpoint:
     """An endpoint with its observed latency, failures and reachability.
 
@@ -17,12 +38,18 @@
         Moving average of the share of failed legs (0 to 1).
     observed_at_ms : float
         Time of the last observation, from which `slow_ratio` and `error_rate` decay.
+    cold_limit : EndpointLimit or None
+        The rate limit of the endpoint while it is cold, None if it has none.
     has_said_leaving : bool
         Whether the endpoint itself has said that it leaves; its entry may not say so yet.
+    is_evacuated : bool
+        Whether an operator wants nothing sent to the endpoint's zone.
     is_zone_lost : bool
         Whether the endpoint is unreachable because its whole zone is.
     last_reply_at_ms : float
         Time of the last reply.
+    load : LoadReport or None
+        The last load report, received at `load_at_ms`.
     pause : Pause
         Pause that the endpoint asked for.
     rate_limit : EndpointLimit or None
@@ -33,6 +60,7 @@
 
     __slots__ = (
         "started_at_unix_ms",
+        "cold_limit",
         "cold_until_ms",
         "connect_failures",
         "endpoint_id",
@@ -41,9 +69,12 @@
         "host",
         "in_flight",
         "is_draining",
+        "is_evacuated",
         "is_unreachable",
         "is_zone_lost",
         "last_reply_at_ms",
+        "load",
+        "load_at_ms",
         "next_probe_at_ms",
         "observed_at_ms",
         "pause",
@@ -68,10 +99,14 @@
         self.started_at_unix_ms: int | None = None
         self.is_draining = False
         self.has_said_leaving = False
+        self.is_evacuated = False
         self.is_unreachable = False
         self.is_zone_lost = False
         self.last_reply_at_ms = 0.0
         self.cold_until_ms = 0.0
+        self.cold_limit: EndpointLimit | None = None
+        self.load: LoadReport | None = None
+        self.load_at_ms = 0.0
         self.in_flight: dict[int, float] = {}
         self.slow_ratio = 1.0
         self.error_rate = 0.0
--- a/packages/wisteriarock/src/wisteriarock/catalog/models.py
+++ b/packages/wisteriarock/src/wisteriarock/catalog/models.py
@@ -33,6 +33,8 @@
         Number of records in the answer of a fan-out.
     min_coverage : float
         Share of shards (0 to 1) below which a fan-out fails.
+    is_public : bool
+        Whether requests need no key although the configuration names customers.
     """
 
     name: str
@@ -47,14 +49,46 @@
     shards: tuple[str, ...]
     top_count: int
     min_coverage: float
+    is_public: bool = False
 
 
 class Service(NamedTuple):
-    """A service under which endpoints register."""
+    """A service under which endpoints register.
+
+    Attributes
+    ----------
+    warmup_ms : float
+        Time for which an endpoint is cold after its start; 0 if it is not stated.
+    cold_rate_per_s : float
+        Requests per second that a cold endpoint takes from all instances together; 0 if the
+        configuration states no limit.
+    """
 
     name: str
     health_path: str
     max_connections: int
+    warmup_ms: float = 0.0
+    cold_rate_per_s: float = 0.0
+
+
+class Customer(NamedTuple):
+    """A customer with its keys and its allotment of requests.
+
+    Attributes
+    ----------
+    key_digests : frozenset of bytes
+        Digests of the keys; the keys themselves are not kept.
+    priority : int or None
+        Priority of all requests of the customer, before that of their route; 0 is the highest.
+    rate_per_s, burst : float
+        Allotment over all instances together; a rate of 0 means no limit.
+    """
+
+    name: str
+    key_digests: frozenset[bytes]
+    priority: int | None
+    rate_per_s: float
+    burst: float
 
 
 class Limits(NamedTuple):
@@ -73,6 +107,7 @@
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits
+    customers: tuple[Customer, ...] = ()
 
 
 class Catalog:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from wisteriarock.balancing.models import Endpoint
-from wisteriarock.catalog.models import Route
+from wisteriarock.balancing.models import Endpoint, LoadReport
+from wisteriarock.catalog.models import Customer, Route
 from wisteriarock.gathering.models import Gatherer
 from wisteriarock.http.front import Answer, CallerRequest
 from wisteriarock.http.models import Exchange, Headers, Reply
@@ -15,13 +15,19 @@
 class RequestHead(NamedTuple):
     """Decoded headers of a caller's request.
 
-    `time_left_ms` is the time until the caller's deadline, None if the request does not state one.
+    Attributes
+    ----------
+    time_left_ms : float or None
+        Time until the caller's deadline; None if the request does not state one.
+    key_digest : bytes or None
+        Digest of the key that the request carries; None if it carries none, or a malformed one.
     """
 
     request_id: bytes
     host: str
     path: str
     time_left_ms: float | None
+    key_digest: bytes | None = None
 
 
 class ReplyHead(NamedTuple):
@@ -44,6 +50,8 @@
         Whether the endpoint is about to leave.
     pause_s : float
         Time for which the endpoint wants no request from this instance; may be infinite.
+    load : LoadReport or None
+        Load that the endpoint reports; None if it reports none, or a malformed one.
     """
 
     request_id: bytes
@@ -54,6 +62,7 @@
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
     pause_s: float = 0.0
+    load: LoadReport | None = None
 
 
 class WireFormat(NamedTuple):
@@ -250,6 +259,9 @@
 
     Attributes
     ----------
+    customer : Customer or None
+        The customer whose key the request carries; None on a public route, or if the configuration
+        names no customers.
     early_answer_at_ms : float
         Time at which a fan-out is answered with the parts received so far.
     expires_at_ms : float
@@ -288,6 +300,7 @@
     """
 
     __slots__ = (
+        "customer",
         "early_answer_at_ms",
         "ended_elsewhere",
         "ended_endpoint_ids",
@@ -335,6 +348,7 @@
         self.request = request
         self.request_id = head.request_id
         self.route = route
+        self.customer: Customer | None = None
         self.shards = [Shard(service) for service in services]
         self.latency = latency
         self.respond = respond
