Require keys of customers and name the customer to endpoints

Cause: a configuration that names customers was read without them.

Change: customers are decoded with digests of their keys and indexed by digest when a version comes into force. A request on a route that is not public needs a known key: 401 without one, 503 before the first load has caught up, and for an unknown key while the news of the store is older than 5 s. The request is rewritten once before its query starts, without the key and the caller's own names of customers, so that legs, retries, fragments and fingerprints carry only the name that the tier sets. Fragments carry the customer's name and the effective priority. Odd entries are left out alone, logged and counted. Without customers in the configuration, headers are forwarded as before.

--- a/packages/wisteriarock/src/wisteriarock/catalog/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/catalog/decide.py
@@ -2,6 +2,8 @@
 
 import random
 
+from wisteriarock.customers.keys import index_keys
+
 from .models import Catalog, Configuration, Route
 
 
@@ -22,6 +24,10 @@
     catalog.configuration = configuration
     catalog.index = index
     catalog.services = {service.name: service for service in configuration.services}
+    catalog.customers = {customer.name: customer for customer in configuration.customers}
+    catalog.customers_by_key, catalog.customers_with_shared_keys = index_keys(
+        configuration.customers
+    )
     split_routes = {route.name for route in configuration.routes if len(route.targets) > 1}
     catalog.current_weights = {
         name: weights for name, weights in catalog.current_weights.items() if name in split_routes
--- a/packages/wisteriarock/src/wisteriarock/catalog/models.py
+++ b/packages/wisteriarock/src/wisteriarock/catalog/models.py
@@ -101,13 +101,24 @@
 
 
 class Configuration(NamedTuple):
-    """One complete version of the configuration."""
+    """One complete version of the configuration.
+
+    Attributes
+    ----------
+    needs_key : bool
+        Whether requests on routes that are not public need the key of a customer. Malformed
+        customers are left out of `customers`, but do not open the routes to callers without a key.
+    odd_customers : tuple of str
+        Why entries of customers, or keys of them, were left out.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits
     customers: tuple[Customer, ...] = ()
+    needs_key: bool = False
+    odd_customers: tuple[str, ...] = ()
 
 
 class Catalog:
@@ -115,17 +126,35 @@
 
     Attributes
     ----------
+    customers : dict
+        Customers by name.
+    customers_by_key : dict
+        Customers by the digests of their keys.
+    customers_with_shared_keys : frozenset of str
+        Names of customers that name a key of another one; such a key is no key.
     index : dict
         Routes by host and path prefix.
     current_weights : dict
         State of the smooth weighted round robin, by route name and service.
     """
 
-    __slots__ = ("configuration", "current_weights", "index", "services", "adopted_at_ms")
+    __slots__ = (
+        "adopted_at_ms",
+        "configuration",
+        "current_weights",
+        "customers",
+        "customers_by_key",
+        "customers_with_shared_keys",
+        "index",
+        "services",
+    )
 
     def __init__(self) -> None:
         self.configuration: Configuration | None = None
         self.adopted_at_ms = 0.0
+        self.customers: dict[str, Customer] = {}
+        self.customers_by_key: dict[bytes, Customer] = {}
+        self.customers_with_shared_keys: frozenset[str] = frozenset()
         self.index: dict[str, dict[str, Route]] = {}
         self.services: dict[str, Service] = {}
         self.current_weights: dict[str, dict[str, float]] = {}
--- a/packages/wisteriarock/src/wisteriarock/discovery/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/controller.py
@@ -6,6 +6,7 @@
 
 from wisteriarock.catalog.decide import adopt
 from wisteriarock.catalog.models import Catalog, Configuration
+from wisteriarock.customers.diagnostics import report_odd_customers
 from wisteriarock.feed.const import RELAY_KEY_PREFIX, RELAY_WAIT_MS
 from wisteriarock.feed.decide import (
     apply_relay_item,
@@ -172,6 +173,7 @@
         revision=revision,
         routes=len(configuration.routes),
     )
+    report_odd_customers(state.catalog, state.log, state.counters)
     state.on_configuration(configuration)
 
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -35,7 +35,11 @@
 
     `wait_ms` is the time before which a retry cannot succeed.
     """
-    headers = _retry_headers(state, time_left_ms, wait_ms) if status == 503 else []
+    headers: Headers = []
+    if status in (429, 503):
+        headers = _retry_headers(state, time_left_ms, wait_ms)
+    elif status == 401:
+        headers = state.wire_format.challenge_headers
     state.counters.count("refusals", str(status))
     state.log.record("refused", request=request_id, status=status, reason=reason, **details)
     respond(Answer(status, headers, reason.encode()))
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -4,7 +4,8 @@
 
 from wisteriarock.balancing.decide import has_reachable, observe_incomplete_reply, observe_reply
 from wisteriarock.catalog.decide import match_route, pick_service
-from wisteriarock.catalog.models import Route
+from wisteriarock.catalog.models import Customer, Route
+from wisteriarock.customers.keys import KeyRefusal, find_customer
 from wisteriarock.http.front import Answer, CallerRequest, Respond
 from wisteriarock.http.models import ExchangeFailure, Reply
 from wisteriarock.quarantine.decide import add_notice
@@ -78,7 +79,20 @@
     if route is None:
         refuse_request(state, respond, head.request_id, 404, "no route")
         return _do_nothing
-    return _start_query(state, request, head, route, respond)
+    if not state.catalog.configuration.needs_key:
+        return _start_query(state, request, head, route, None, respond)
+    customer = None
+    if not route.is_public:
+        found = find_customer(
+            state.catalog, head.key_digest, state.news_age_ms(), is_loaded=state.is_loaded()
+        )
+        if isinstance(found, KeyRefusal):
+            status, reason = found
+            refuse_request(state, respond, head.request_id, status, reason, head.time_left_ms)
+            return _do_nothing
+        customer = found
+    request = state.wire_format.replace_key(request, customer.name if customer else None)
+    return _start_query(state, request, head, route, customer, respond)
 
 
 def _start_query(
@@ -86,6 +100,7 @@
     request: CallerRequest,
     head: RequestHead,
     route: Route,
+    customer: Customer | None,
     respond: Respond,
 ) -> Callable[[], None]:
     services = route.shards or (pick_service(state.catalog, route, state.rng),)
@@ -93,6 +108,7 @@
     if latency is None:
         latency = state.latencies[route.name] = create_latency(route)
     query = Query(request, head, route, services, latency, respond)
+    query.customer = customer
     query.needed_parts = needed_parts(route)
     query.version = state.catalog.configuration.version if state.catalog.configuration else 0
     margin_ms = answer_margin_ms(state.capacity_cores, state.timer_delay_ms)
--- a/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
@@ -30,6 +30,7 @@
 from wisteriarock.http.models import Exchange, ExchangeFailure, Reply
 
 from .decide import create_latency
+from .identity import customer_of_fragment, effective_priority
 from .merge import merge_records
 from .models import Fragment, Query, RequestHead, Shard
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
@@ -117,7 +118,7 @@
     query, now_ms = fragment.query, loop_time_ms(state)
     route, request = query.route, query.request
     count = len(fragment.shards)
-    return {
+    fragment_request: FragmentRequest = {
         "route": route.name,
         "version": query.version,
         "request_id": query.request_id.decode("latin-1"),
@@ -135,6 +136,10 @@
         "answer_in_ms": query.early_answer_at_ms - RETURN_MARGIN_MS - now_ms,
         "expires_in_ms": query.expires_at_ms - RETURN_MARGIN_MS - now_ms,
     }
+    if query.customer is not None:
+        fragment_request["customer"] = query.customer.name
+        fragment_request["priority"] = effective_priority(route, query.customer)
+    return fragment_request
 
 
 def abandon_fragment(state: DispatchState, fragment: Fragment) -> None:
@@ -246,7 +251,7 @@
         fragment["expires_in_ms"],
         fragment["latency_target_ms"],
         fragment["max_attempts"],
-        0,
+        fragment.get("priority", 0),
         (),
         shards,
         fragment["top_count"],
@@ -270,6 +275,7 @@
         latency = state.latencies[route.name] = create_latency(route)
     query = Query(caller_request, head, route, shards, latency, respond)
     query.is_fragment = True
+    query.customer = customer_of_fragment(state.catalog, fragment.get("customer"), route.priority)
     query.version = fragment["version"]
     query.needed_parts = fragment["needed"]
     query.early_answer_at_ms = now_ms + max(0.0, fragment["answer_in_ms"])
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -84,6 +84,11 @@
         Returns the headers of a fan-out answer from the proofs and the number of missing parts.
     retry_headers : callable
         Returns the Retry-After headers for a time in ms.
+    replace_key : callable
+        Returns a caller's request without its key, and with the name of the customer in place of
+        any that the caller gave; without a name on a public route.
+    challenge_headers : list of tuple
+        Headers of the answer to a request without a known key.
     """
 
     read_request: Callable[[CallerRequest], RequestHead | None]
@@ -93,6 +98,8 @@
     forwarded_headers: Callable[[Headers], Headers]
     merged_headers: Callable[[list[bytes], int], Headers]
     retry_headers: Callable[[float], Headers]
+    replace_key: Callable[[CallerRequest, str | None], CallerRequest]
+    challenge_headers: Headers
 
 
 class Timer(Protocol):
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -42,6 +42,10 @@
         Called with the notice of a request that ends endpoints, for the other instances.
     limit_sharers : callable
         Returns the number of instances that share the rate limits of the endpoints of a service.
+    is_loaded : callable
+        Returns whether the configuration was brought up to date since the start of the process.
+    news_age_ms : callable
+        Returns the time since the store was last heard of, directly or through a relay.
     stops_at_ms : float or None
         Time at which a process that is shutting down ends, None if it is not shutting down.
     isolated_since_ms : float or None
@@ -89,6 +93,8 @@
         self.quarantine = Quarantine()
         self.on_deadly: Callable[[Notice], None] = lambda notice: None
         self.limit_sharers: Callable[[str], float] = lambda service: 1.0
+        self.is_loaded: Callable[[], bool] = lambda: True
+        self.news_age_ms: Callable[[], float] = lambda: 0.0
         self.stops_at_ms: float | None = None
         self.isolated_since_ms: float | None = None
 
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -127,6 +127,8 @@
             self.counters,
             rng,
         )
+        self.dispatch.is_loaded = lambda: self.discovery.is_loaded
+        self.dispatch.news_age_ms = lambda: loop.time() * 1000 - self.discovery.last_answer_at_ms
         self.dispatch.limit_sharers = lambda service: limit_sharers(self, service)
         self.feed = Feed(
             loop,
--- a/packages/wisteriarock/src/wisteriarock/gathering/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/decide.py
@@ -257,7 +257,7 @@
     """Decode a fragment request; return None if it is malformed."""
     try:
         data = parse_json(body)
-        return {
+        request: FragmentRequest = {
             "route": str(data["route"]),
             "version": int(data["version"]),
             "request_id": str(data["request_id"]),
@@ -273,6 +273,10 @@
             "answer_in_ms": float(data["answer_in_ms"]),
             "expires_in_ms": float(data["expires_in_ms"]),
         }
+        if "customer" in data:
+            request["customer"] = str(data["customer"])
+            request["priority"] = int(data["priority"])
+        return request
     except (ValueError, KeyError, TypeError, OverflowError):
         return None
 
--- a/packages/wisteriarock/src/wisteriarock/gathering/models.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/models.py
@@ -1,6 +1,6 @@
 """Data types of gatherers and fragments."""
 
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 
 class Gatherer(NamedTuple):
@@ -38,6 +38,10 @@
         Time until the early answer is due, and until the query ends.
     needed : int
         Minimum number of parts of an early answer.
+    customer : str
+        Name of the customer; absent if the request has none.
+    priority : int
+        Priority of the request with regard to its customer; absent with `customer`.
     """
 
     route: str
@@ -54,6 +58,8 @@
     needed: int
     answer_in_ms: float
     expires_in_ms: float
+    customer: NotRequired[str]
+    priority: NotRequired[int]
 
 
 class FragmentAnswer(TypedDict):
--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -16,6 +16,7 @@
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/tests/wisteriarock/dispatch/emulator.py
+++ b/tests/wisteriarock/dispatch/emulator.py
@@ -340,6 +340,8 @@
         lambda headers: headers,
         lambda proofs, missing: [(b"parts", b"%d" % len(proofs)), (b"missing", b"%d" % missing)],
         lambda after_ms: [(b"retry", b"%.0f" % after_ms)],
+        lambda request, customer: request,
+        [],
     )
 
 
