Send nothing to evacuated zones

Cause: `op/evacuate/ZONE` was read nowhere.

Change: the key is followed like entries, from the load, the watch and the feed. The endpoints of an evacuated zone leave `Directory.by_service`, so that no chooser, hedge, probe or fragment sees them, and requests that wait for a connection go elsewhere. Services move one after the other over a fifth of the bound, at once if the news may be old. A load lists the operator's keys in place of reading the configuration, which costs the same number of calls.

--- a/packages/wisteriarock/src/wisteriarock/discovery/const.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/const.py
@@ -27,3 +27,8 @@
 CATCH_UP_WAIT_MS = 1
 # Interval at which an instance that follows relays checks that it still receives changes from them.
 FEED_CHECK_INTERVAL_MS = 100.0
+# Share of the time allowed for an evacuation over which the services of the zone move. The news of
+# it may take up to half of that time if a relay is lost meanwhile.
+EVACUATION_SPREAD_SHARE = 0.2
+# Share of that time for which a service stays whose endpoints in other zones are all cold.
+EVACUATION_WAIT_SHARE = 0.4
--- a/packages/wisteriarock/src/wisteriarock/discovery/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/controller.py
@@ -38,6 +38,7 @@
     resync,
     retry_backoff_max_ms,
 )
+from .evacuation import advance_evacuations, begin_evacuation, end_evacuation
 from .models import Directory, DirectoryChange, EndpointEntry
 
 # Errors of a watch after which only a full load brings this instance up to date: the changes are
@@ -60,6 +61,8 @@
         Time since which the store has answered without failure.
     is_loaded : bool
         Whether the configuration and the endpoints have been read and brought up to date once.
+    evacuation_ms : float
+        Time within which requests to an evacuated zone must end; 0 to end them at once.
     has_live_feed, is_relay : callable
         Return whether changes arrive from a relay, and whether this instance is a relay.
     on_history_updated : callable
@@ -110,6 +113,7 @@
         self.last_direct_answer_at_ms = 0.0
         self.failure_free_since_ms = 0.0
         self.is_loaded = False
+        self.evacuation_ms = 0.0
         self.has_live_feed: Callable[[], bool] = lambda: False
         self.is_relay: Callable[[], bool] = lambda: False
         self.on_history_updated: Callable[[], None] = lambda: None
@@ -204,6 +208,53 @@
     _notify_changes(state, changes)
 
 
+def _apply_evacuation(state: DiscoveryState, item: Item, *, is_news: bool) -> None:
+    """Begin or end the evacuation of a zone.
+
+    News that may have waited for an outage to end leaves no time to move the services one by one.
+    """
+    now_ms = _now_ms(state)
+    zone = item.key.removeprefix(state.format.evacuations_prefix)
+    if item.value is None:
+        ended, changes = end_evacuation(state.directory, zone, now_ms)
+        if ended is not None:
+            state.log.record(
+                "evacuation_ended",
+                zone=zone,
+                endpoints=len(changes),
+                lasted_ms=now_ms - ended.begun_at_ms,
+            )
+        state.on_changes(changes)
+        return
+    is_timely = is_news and not _is_near_outage(state, now_ms)
+    if zone not in state.directory.evacuations:
+        state.counters.count("evacuations")
+        state.log.record("evacuation_begun", zone=zone, revision=item.revision, timely=is_timely)
+    within_ms = state.evacuation_ms if is_timely else 0.0
+    changes = begin_evacuation(state.directory, zone, now_ms, within_ms=within_ms)
+    _notify_evacuated(state, changes, now_ms)
+
+
+def _notify_evacuated(
+    state: DiscoveryState, changes: list[DirectoryChange], now_ms: float
+) -> None:
+    """Pass on the endpoints that have moved, and log the evacuations that are obeyed from now."""
+    for zone, evacuation in state.directory.evacuations.items():
+        if evacuation.obeyed_since_ms == now_ms:
+            took_ms = now_ms - evacuation.begun_at_ms
+            state.log.record("evacuation_obeyed", zone=zone, took_ms=took_ms)
+    if changes:
+        state.on_changes(changes)
+
+
+def move_evacuated_services(state: DiscoveryState) -> None:
+    """Withdraw the endpoints of evacuated zones whose service is due to move."""
+    evacuations = state.directory.evacuations.values()
+    if any(evacuation.obeyed_since_ms is None for evacuation in evacuations):
+        now_ms = _now_ms(state)
+        _notify_evacuated(state, advance_evacuations(state.directory, now_ms), now_ms)
+
+
 def drop_lapsed_endpoints(state: DiscoveryState) -> None:
     """Remove endpoints whose entries did not reappear in time after an outage of the store."""
     if state.directory.lapsed_until_ms:
@@ -262,30 +313,32 @@
 async def _read_snapshot(
     state: DiscoveryState, client: StoreClient, *, is_stale: bool
 ) -> Snapshot | StoreError:
-    """Read the configuration, the relays and the endpoints.
+    """Read the configuration, the evacuations, the relays and the endpoints.
 
-    A stale read costs a tenth of a consistent one. It returns the revision that it reflects, from
-    which a watch delivers the later changes.
+    One listing of the operator's keys costs as much as a read of the configuration alone. A stale
+    read costs a tenth of a consistent one. It returns the revision that it reflects, from which a
+    watch delivers the later changes.
     """
-    call = state.format.encode_read(state.format.configuration_key, is_stale)
-    outcome = await client.call(call, READ_TIMEOUT_MS)
-    if isinstance(outcome, StoreError):
-        return outcome
-    configuration = state.format.decode_item(outcome.body)
-    if configuration is None:
-        return StoreError(StoreErrorKind.BAD_REPLY, "cannot decode item")
+    format_ = state.format
+    operator = await _list_prefix(state, client, format_.operator_prefix, is_stale=is_stale)
+    if isinstance(operator, StoreError):
+        return operator
+    configuration = [item for item in operator[0] if item.key == format_.configuration_key]
+    evacuations = [item for item in operator[0] if item.key.startswith(format_.evacuations_prefix)]
+    if not configuration:
+        return StoreError(StoreErrorKind.NOT_FOUND, "no configuration")
     relays = await _list_prefix(state, client, RELAY_KEY_PREFIX, is_stale=is_stale)
     if isinstance(relays, StoreError):
         return relays
-    endpoints = await _list_prefix(state, client, state.format.endpoints_prefix, is_stale=is_stale)
+    endpoints = await _list_prefix(state, client, format_.endpoints_prefix, is_stale=is_stale)
     if isinstance(endpoints, StoreError):
         return endpoints
-    revision = min(configuration.revision, relays[1], endpoints[1])
-    return Snapshot(configuration.items, relays[0], endpoints[0], revision)
+    revision = min(operator[1], relays[1], endpoints[1])
+    return Snapshot(configuration, evacuations, relays[0], endpoints[0], revision)
 
 
 def _apply_first_snapshot(state: DiscoveryState, snapshot: Snapshot) -> None:
-    """Initialise the configuration, the relays and the directory from a snapshot."""
+    """Initialise the configuration, the evacuations, the relays and the directory."""
     now_ms = _now_ms(state)
     for item in snapshot.configuration:
         apply_configuration(state, item.value or b"", item.revision)
@@ -298,6 +351,8 @@
     _notify_changes(
         state, resync(state.directory, entries, now_ms, may_have_lapsed=may_have_lapsed)
     )
+    for item in snapshot.evacuations:
+        _apply_evacuation(state, item, is_news=False)
     reset_history(state.feed, snapshot.revision)
 
 
@@ -315,20 +370,32 @@
         return None
     keys = [state.format.endpoints_prefix + name for name in state.directory.by_id]
     keys += [RELAY_KEY_PREFIX + zone for zone in state.feed.relays]
-    apply_changes(state, changes_since(state.feed.revision, keys, snapshot), snapshot.revision)
+    keys += [state.format.evacuations_prefix + zone for zone in state.directory.evacuations]
+    changes = changes_since(state.feed.revision, keys, snapshot)
+    apply_changes(state, changes, snapshot.revision, is_news=False)
     return None
 
 
-def apply_changes(state: DiscoveryState, items: list[Item], revision: int) -> None:
-    """Apply all changes up to a revision, from the store or from a relay."""
+def apply_changes(
+    state: DiscoveryState, items: list[Item], revision: int, *, is_news: bool = True
+) -> None:
+    """Apply all changes up to a revision, from the store or from a relay.
+
+    Parameters
+    ----------
+    is_news : bool
+        Whether the changes were made just now, as far as this instance can tell.
+    """
     for item in record_changes(state.feed, items, revision):
         with state.failures.contain("apply_change", key=item.key, revision=item.revision):
-            _apply_change(state, item)
+            _apply_change(state, item, is_news=is_news)
     state.on_history_updated()
 
 
-def _apply_change(state: DiscoveryState, item: Item) -> None:
-    if apply_relay_item(state.feed, item, _now_ms(state)):
+def _apply_change(state: DiscoveryState, item: Item, *, is_news: bool) -> None:
+    if item.key.startswith(state.format.evacuations_prefix):
+        _apply_evacuation(state, item, is_news=is_news)
+    elif apply_relay_item(state.feed, item, _now_ms(state)):
         state.log.detail("relay_changed", key=item.key, revision=item.revision)
     elif item.key.startswith(state.format.endpoints_prefix):
         _apply_event(state, item)
--- a/packages/wisteriarock/src/wisteriarock/discovery/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/decide.py
@@ -11,23 +11,10 @@
     RETRY_BACKOFF_LIMIT_MS,
     RETRY_BACKOFF_MAX_MS,
 )
+from .listing import list_endpoint, unlist_endpoint
 from .models import Directory, DirectoryChange, EndpointEntry
 
 
-def _add_to_service(directory: Directory, endpoint: Endpoint) -> None:
-    endpoints = directory.by_service.setdefault(endpoint.service, [])
-    if endpoint not in endpoints:
-        endpoints.append(endpoint)
-    directory.version += 1
-
-
-def _remove_from_service(directory: Directory, endpoint: Endpoint) -> None:
-    endpoints = directory.by_service.get(endpoint.service, [])
-    if endpoint in endpoints:
-        endpoints.remove(endpoint)
-    directory.version += 1
-
-
 def _create_endpoint(entry: EndpointEntry, now_ms: float) -> Endpoint:
     endpoint = Endpoint(
         entry.endpoint_id, entry.service, entry.host, entry.port, entry.zone, max(1, entry.slots)
@@ -62,20 +49,21 @@
             current.slots = max(1, entry.slots)
             if entry.is_draining and not current.is_draining:
                 current.is_draining = True
-                _remove_from_service(directory, current)
+                unlist_endpoint(directory, current)
                 changes.append(DirectoryChange("draining", current, False))
             elif not entry.is_draining and current.is_draining and not current.has_said_leaving:
                 current.is_draining = False
-                _add_to_service(directory, current)
+                list_endpoint(directory, current)
                 changes.append(DirectoryChange("ready", current, False))
             return changes
-        _remove_from_service(directory, current)
+        unlist_endpoint(directory, current)
         changes.append(DirectoryChange("replaced", current, True))
     endpoint = _create_endpoint(entry, now_ms)
     endpoint.is_draining = entry.is_draining
+    endpoint.is_evacuated = entry.zone in directory.evacuations
     directory.by_id[entry.endpoint_id] = endpoint
     if not entry.is_draining:
-        _add_to_service(directory, endpoint)
+        list_endpoint(directory, endpoint)
     changes.append(DirectoryChange("added", endpoint, False))
     return changes
 
@@ -89,7 +77,7 @@
     if endpoint.is_draining or directory.by_id.get(endpoint.endpoint_id) is not endpoint:
         return []
     endpoint.is_draining = True
-    _remove_from_service(directory, endpoint)
+    unlist_endpoint(directory, endpoint)
     return [DirectoryChange("draining", endpoint, False)]
 
 
@@ -116,7 +104,7 @@
 def _drop_endpoint(directory: Directory, endpoint: Endpoint) -> DirectoryChange:
     directory.by_id.pop(endpoint.endpoint_id, None)
     directory.lapsed_until_ms.pop(endpoint.endpoint_id, None)
-    _remove_from_service(directory, endpoint)
+    unlist_endpoint(directory, endpoint)
     endpoint.is_draining = True
     return DirectoryChange("gone", endpoint, False)
 
@@ -165,7 +153,12 @@
     A key that is missing from the snapshot counts as removed at the snapshot's revision, because
     the store's history no longer tells when it was removed.
     """
-    items = [*snapshot.configuration, *snapshot.relays, *snapshot.endpoints]
+    items = [
+        *snapshot.configuration,
+        *snapshot.evacuations,
+        *snapshot.relays,
+        *snapshot.endpoints,
+    ]
     changed = [item for item in items if item.revision > revision]
     current_keys = {item.key for item in items}
     removed = [Item(key, None, snapshot.revision) for key in known_keys if key not in current_keys]
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/discovery/evacuation.py
@@ -0,0 +1,91 @@
+"""Evacuations: operators ask that nothing more is sent to the endpoints of an availability zone.
+
+The services of a zone move one after the other, in an order that is the same at all instances, so
+that their load reaches the other zones in steps.
+"""
+
+import zlib
+
+from wisteriarock.balancing.models import Endpoint
+
+from .const import EVACUATION_SPREAD_SHARE, EVACUATION_WAIT_SHARE
+from .listing import list_endpoint, unlist_endpoint
+from .models import Directory, DirectoryChange, Evacuation
+
+_HASH_RANGE = 2**32
+
+
+def begin_evacuation(
+    directory: Directory, zone: str, now_ms: float, *, within_ms: float
+) -> list[DirectoryChange]:
+    """Begin the evacuation of a zone, unless it is known already.
+
+    Parameters
+    ----------
+    within_ms : float
+        Time within which requests to the zone must end; 0 if it may have passed already, so that
+        all services move at once.
+
+    Returns
+    -------
+    list of DirectoryChange
+        The endpoints that have moved at once.
+    """
+    if zone not in directory.evacuations:
+        directory.evacuations[zone] = Evacuation(now_ms, within_ms)
+    return advance_evacuations(directory, now_ms)
+
+
+def advance_evacuations(directory: Directory, now_ms: float) -> list[DirectoryChange]:
+    """Withdraw the endpoints whose service is due to move."""
+    changes = []
+    for zone, evacuation in directory.evacuations.items():
+        if evacuation.obeyed_since_ms is not None:
+            continue
+        waiting = 0
+        for endpoint in directory.by_id.values():
+            if endpoint.zone != zone or endpoint.is_evacuated:
+                continue
+            if now_ms < evacuation.begun_at_ms + _delay_ms(directory, endpoint, evacuation, now_ms):
+                waiting += 1
+                continue
+            endpoint.is_evacuated = True
+            unlist_endpoint(directory, endpoint)
+            changes.append(DirectoryChange("evacuated", endpoint, False))
+        if not waiting:
+            evacuation.obeyed_since_ms = now_ms
+    return changes
+
+
+def _delay_ms(
+    directory: Directory, endpoint: Endpoint, evacuation: Evacuation, now_ms: float
+) -> float:
+    """Return the time after which the service of an endpoint moves."""
+    service = endpoint.service
+    position = (zlib.crc32(service.encode()) + 0.5) / _HASH_RANGE
+    if _has_warm_endpoint_elsewhere(directory, service, now_ms):
+        return evacuation.within_ms * EVACUATION_SPREAD_SHARE * position
+    return evacuation.within_ms * EVACUATION_WAIT_SHARE
+
+
+def _has_warm_endpoint_elsewhere(directory: Directory, service: str, now_ms: float) -> bool:
+    return any(
+        other.zone not in directory.evacuations
+        and not other.is_unreachable
+        and other.cold_until_ms <= now_ms
+        for other in directory.by_service.get(service, ())
+    )
+
+
+def end_evacuation(
+    directory: Directory, zone: str, now_ms: float
+) -> tuple[Evacuation | None, list[DirectoryChange]]:
+    """End the evacuation of a zone; return it, None if it is not known, and the changes."""
+    evacuation = directory.evacuations.pop(zone, None)
+    changes = []
+    for endpoint in directory.by_id.values():
+        if endpoint.zone == zone and endpoint.is_evacuated:
+            endpoint.is_evacuated = False
+            list_endpoint(directory, endpoint)
+            changes.append(DirectoryChange("returned", endpoint, False))
+    return evacuation, changes
--- a/packages/wisteriarock/src/wisteriarock/discovery/models.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/models.py
@@ -27,15 +27,38 @@
     started_at_unix_ms: int | None
 
 
+class Evacuation:
+    """The evacuation of an availability zone, as this instance follows it.
+
+    Attributes
+    ----------
+    begun_at_ms : float
+        Time at which this instance learnt of it.
+    within_ms : float
+        Time over which the services of the zone move.
+    obeyed_since_ms : float or None
+        Time since which no endpoint of the zone gets requests, None while services still move.
+    """
+
+    __slots__ = ("begun_at_ms", "obeyed_since_ms", "within_ms")
+
+    def __init__(self, begun_at_ms: float, within_ms: float) -> None:
+        self.begun_at_ms = begun_at_ms
+        self.within_ms = within_ms
+        self.obeyed_since_ms: float | None = None
+
+
 class Directory:
     """Known endpoints, indexed by id and by service.
 
     Attributes
     ----------
     by_id : dict
-        All endpoints, including draining ones.
+        All endpoints, including draining and evacuated ones.
     by_service : dict
         Endpoints that may get new requests, by service.
+    evacuations : dict
+        Evacuations by availability zone.
     lapsed_until_ms : dict
         For each endpoint whose entry disappeared around an outage of the store, the time until
         which the entry may reappear.
@@ -43,11 +66,12 @@
         Incremented with every change of `by_service`.
     """
 
-    __slots__ = ("by_id", "by_service", "lapsed_until_ms", "version")
+    __slots__ = ("by_id", "by_service", "evacuations", "lapsed_until_ms", "version")
 
     def __init__(self) -> None:
         self.by_id: dict[str, Endpoint] = {}
         self.by_service: dict[str, list[Endpoint]] = {}
+        self.evacuations: dict[str, Evacuation] = {}
         self.lapsed_until_ms: dict[str, float] = {}
         self.version = 0
 
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -26,6 +26,17 @@
             }
             for name, latency in instance.dispatch.latencies.items()
         },
+        "evacuations": {
+            zone: {
+                "known_for_ms": round(now_ms - evacuation.begun_at_ms),
+                "obeyed_for_ms": (
+                    None
+                    if evacuation.obeyed_since_ms is None
+                    else round(now_ms - evacuation.obeyed_since_ms)
+                ),
+            }
+            for zone, evacuation in instance.directory.evacuations.items()
+        },
         "gatherers": [gatherer.name for gatherer in instance.dispatch.gatherers.gatherers],
         "budget": {
             service: round(bucket.tokens, 2) for service, bucket in instance.budget.buckets.items()
@@ -35,6 +46,7 @@
                 "service": endpoint.service,
                 "zone": endpoint.zone,
                 "is_draining": endpoint.is_draining,
+                "is_evacuated": endpoint.is_evacuated,
                 "is_unreachable": endpoint.is_unreachable,
                 "in_flight": len(endpoint.in_flight),
                 "slow_ratio": round(endpoint.slow_ratio, 2),
@@ -52,6 +64,9 @@
     endpoints = instance.directory.by_id.values()
     unreachable = sum(endpoint.is_unreachable for endpoint in endpoints)
     limited = sum(endpoint.rate_limit is not None for endpoint in endpoints)
+    evacuated = sum(endpoint.is_evacuated for endpoint in endpoints)
+    evacuations = instance.directory.evacuations.values()
+    obeyed = sum(evacuation.obeyed_since_ms is not None for evacuation in evacuations)
     now_s = instance.loop.time()
     return {
         "ready": ("Whether the instance is in rotation", float(bool(instance.was_ready))),
@@ -72,4 +87,7 @@
         "endpoints": ("Endpoints known", float(len(endpoints))),
         "endpoints_unreachable": ("Endpoints that cannot be reached", float(unreachable)),
         "endpoints_limited": ("Endpoints that name a rate limit", float(limited)),
+        "evacuations_known": ("Zones that are to be evacuated", float(len(evacuations))),
+        "evacuations_obeyed": ("Zones whose endpoints get no more requests", float(obeyed)),
+        "endpoints_evacuated": ("Endpoints withdrawn as their zone is evacuated", float(evacuated)),
     }
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -59,6 +59,7 @@
     release_held_requests(instance)
     expire_quarantine(instance.dispatch.quarantine, now_ms)
     discovery.drop_lapsed_endpoints(instance.discovery)
+    discovery.move_evacuated_services(instance.discovery)
     endpoints = list(instance.directory.by_id.values())
     for zone in mark_lost_zones(endpoints, now_ms):
         instance.log.record("zone_unreachable", zone=zone)
@@ -74,6 +75,7 @@
             not endpoint.is_unreachable
             or now_ms < endpoint.next_probe_at_ms
             or endpoint.is_draining
+            or endpoint.is_evacuated
         ):
             continue
         if endpoint.is_zone_lost:
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -127,6 +127,7 @@
             self.counters,
             rng,
         )
+        self.discovery.evacuation_ms = settings.evacuation_ms
         self.dispatch.limit_sharers = lambda service: limit_sharers(self, service)
         self.feed = Feed(
             loop,
@@ -387,9 +388,9 @@
 def on_directory_changes(instance: Instance, changes: list[DirectoryChange]) -> None:
     """Close the connections of removed, replaced and draining endpoints."""
     for change in changes:
-        if change.kind in ("added", "lapsed"):
+        if change.kind in ("added", "lapsed", "returned"):
             continue
-        if change.kind in ("draining", "ready"):
+        if change.kind in ("draining", "ready", "evacuated"):
             pool = instance.pools.get(change.endpoint.endpoint_id)
         else:
             pool = instance.pools.pop(change.endpoint.endpoint_id, None)
@@ -397,6 +398,9 @@
             continue
         if change.kind == "ready":
             pool.reopen()
+        elif change.kind == "evacuated":
+            # Idle connections are kept for the endpoint's return.
+            pool.return_waiting("evacuated")
         elif change.closes_connections:
             pool.close()
         else:
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -27,6 +27,8 @@
         Share of a core that the instance may use, and the speed of that core relative to others.
     memory_mb : float
         Memory above which the platform ends the process; `memory_mb` of `limits` in the file.
+    evacuation_ms : float
+        Published time after which an evacuated availability zone gets no more requests.
     """
 
     instance: str
@@ -43,6 +45,7 @@
     cpu_share: float = 1.0
     cpu_speed: float = 1.0
     memory_mb: float = MEMORY_DEFAULT_MB
+    evacuation_ms: float = 0.0
 
 
 class SettingsError(NamedTuple):
@@ -97,6 +100,7 @@
         ("extra_window_s", 1.0, 3_600.0, 10.0),
         ("cpu_share", 0.001, 1_000.0, 1.0),
         ("cpu_speed", 0.001, 1_000.0, 1.0),
+        ("evacuation_ms", 0.0, 600_000.0, 0.0),
     ):
         value = data.get(name, default)
         number = _parse_number(value, default)
@@ -131,6 +135,7 @@
         numbers["cpu_share"],
         numbers["cpu_speed"],
         numbers["memory_mb"],
+        numbers["evacuation_ms"],
     )
 
 
--- a/packages/wisteriarock/src/wisteriarock/store/models.py
+++ b/packages/wisteriarock/src/wisteriarock/store/models.py
@@ -48,6 +48,7 @@
     """All data of interest in the store, with the revision from which to follow changes."""
 
     configuration: list[Item]
+    evacuations: list[Item]
     relays: list[Item]
     endpoints: list[Item]
     revision: int
@@ -77,6 +78,10 @@
         Key of the configuration, written by the operator.
     endpoints_prefix : str
         Prefix of the keys that endpoints write.
+    operator_prefix : str
+        Prefix of all keys that the operator writes.
+    evacuations_prefix : str
+        Prefix of the keys that ask for the evacuation of an availability zone, whose name follows.
     """
 
     encode_read: Callable[[str, bool], bytes]
@@ -95,3 +100,5 @@
     classify: Callable[[int], StoreErrorKind | None]
     configuration_key: str
     endpoints_prefix: str
+    operator_prefix: str
+    evacuations_prefix: str
--- a/tests/wisteriarock/discovery/test_controller.py
+++ b/tests/wisteriarock/discovery/test_controller.py
@@ -34,7 +34,8 @@
 }
 
 
-def _make_state() -> tuple[DiscoveryState, VirtualLoop]:
+def make_state() -> tuple[DiscoveryState, VirtualLoop]:
+    """Return the state of an instance that has loaded the store up to revision 10."""
     loop = VirtualLoop()
     state = DiscoveryState(
         loop,  # type: ignore[arg-type]
@@ -57,7 +58,8 @@
     return Item("servers/e1", json.dumps({**ENTRY, **changes}).encode(), revision)
 
 
-def _make_answer(revision: int, failure_free_ms: float = 60_000.0) -> FeedAnswer:
+def make_answer(revision: int, failure_free_ms: float = 60_000.0) -> FeedAnswer:
+    """Return the answer of a relay without changes."""
     return {"revision": revision, "store_age_ms": 5.0, "calm_ms": failure_free_ms, "changes": []}
 
 
@@ -67,10 +69,10 @@
     A watch of the instance had failed, it followed relays from then on, and it never noticed that
     the outage of the store had ended, so the removal counted as a lapse.
     """
-    state, loop = _make_state()
+    state, loop = make_state()
     apply_changes(state, [_make_entry(11)], 11)
     state.is_store_down = True
-    apply_feed_answer(state, [Item("servers/e1", None, 12)], _make_answer(12))
+    apply_feed_answer(state, [Item("servers/e1", None, 12)], make_answer(12))
     loop.run_until_ms(LAPSE_GRACE_MS + 1)
     drop_lapsed_endpoints(state)
     assert not state.directory.by_service["shard-0"]
@@ -79,14 +81,14 @@
 
 def test_entry_lapsed_in_outage_seen_only_by_relay():
     """Guards against followers dropping endpoints after an outage that only the relay noticed."""
-    state, loop = _make_state()
+    state, loop = make_state()
     apply_changes(state, [_make_entry(11)], 11)
     loop.run_until_ms(60_000.0)
     apply_feed_answer(
-        state, [Item("servers/e1", None, 12)], _make_answer(12, failure_free_ms=300.0)
+        state, [Item("servers/e1", None, 12)], make_answer(12, failure_free_ms=300.0)
     )
     assert state.directory.by_service["shard-0"]
-    apply_feed_answer(state, [_make_entry(13)], _make_answer(13, failure_free_ms=900.0))
+    apply_feed_answer(state, [_make_entry(13)], make_answer(13, failure_free_ms=900.0))
     loop.run_until_ms(60_000.0 + LAPSE_GRACE_MS + 1)
     drop_lapsed_endpoints(state)
     assert state.directory.by_service["shard-0"]
@@ -107,10 +109,10 @@
         {"zone": ""},
         {"cold_left_ms": "soon"},
     ):
-        state, _ = _make_state()
+        state, _ = make_state()
         apply_changes(state, [_make_entry(11, **change)], 11)
         assert not state.directory.by_id, change
-    state, _ = _make_state()
+    state, _ = make_state()
     items = [Item("servers/bad", b"\xff\x00", 11), _make_entry(12)]
     apply_changes(state, items, 12)
     assert list(state.directory.by_id) == ["e1"]
@@ -118,7 +120,7 @@
 
 def test_configuration_and_entries_in_one_batch():
     """Guards against a change of the configuration being handled as an entry."""
-    state, _ = _make_state()
+    state, _ = make_state()
     value = json.dumps(operator_configuration(4)).encode()
     apply_changes(state, [Item("op/config", value, 11), _make_entry(12)], 12)
     assert state.catalog.configuration is not None and state.catalog.configuration.version == 4
--- a/tests/wisteriarock/discovery/test_decide.py
+++ b/tests/wisteriarock/discovery/test_decide.py
@@ -111,7 +111,7 @@
         Item("servers/new", b"b", 12),
         Item("op/config", b"c", 14),
     )
-    snapshot = Snapshot([other], [], [old, new], 15)
+    snapshot = Snapshot([other], [], [], [old, new], 15)
     changes = changes_since(10, ["servers/old", "servers/gone"], snapshot)
     assert changes == [other, new, Item("servers/gone", None, 15)]
     assert changes_since(15, ["servers/old", "servers/new"], snapshot) == []
--- a/tests/wisteriarock/front/test_settings.py
+++ b/tests/wisteriarock/front/test_settings.py
@@ -84,6 +84,7 @@
         "{{bounds.budget_ratio}}": "0.2",
         "{{bounds.budget_extra}}": "56",
         "{{bounds.budget_window_s}}": "10",
+        "{{bounds.evac_ms}}": "5000",
         "{{limits.cpu_share}}": "0.537",
         "{{limits.cores}}": "2",
         "{{limits|json}}": '{"memory_mb": 200, "max_fds": 4100}',
@@ -101,7 +102,7 @@
     settings = parse_settings(_fill_template())
     assert isinstance(settings, FrontSettings)
     assert settings.drain_grace_ms == 6_000 and settings.cpu_share == 0.537
-    assert settings.memory_mb == 200
+    assert settings.memory_mb == 200 and settings.evacuation_ms == 5_000
 
 
 def test_bounds_with_fractions_or_without_value_are_valid():
@@ -115,6 +116,7 @@
                 "{{bounds.budget_ratio}}": "",
                 "{{bounds.budget_extra}}": "",
                 "{{bounds.budget_window_s}}": "",
+                "{{bounds.evac_ms}}": "",
                 "{{limits.cpu_share}}": "",
                 "{{limits.cores}}": "",
                 "{{limits|json}}": "null",
@@ -123,6 +125,7 @@
     )
     assert isinstance(settings, FrontSettings)
     assert (settings.drain_grace_ms, settings.cpu_share, settings.cpu_speed) == (6_000, 1.0, 1.0)
+    assert settings.evacuation_ms == 0
 
 
 load_tests = function_suite(globals())
