--- a/packages/wisteriarock/src/wisteriarock/discovery/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/controller.py
@@ -237,9 +237,7 @@
     _notify_evacuated(state, changes, now_ms)
 
 
-def _notify_evacuated(
-    state: DiscoveryState, changes: list[DirectoryChange], now_ms: float
-) -> None:
+def _notify_evacuated(state: DiscoveryState, changes: list[DirectoryChange], now_ms: float) -> None:
     """Pass on the endpoints that have moved, and log the evacuations that are obeyed from now."""
     for zone, evacuation in state.directory.evacuations.items():
         if evacuation.obeyed_since_ms == now_ms:
--- a/tests/wisteriarock/discovery/test_controller.py
+++ b/tests/wisteriarock/discovery/test_controller.py
@@ -84,9 +84,7 @@
     state, loop = make_state()
     apply_changes(state, [_make_entry(11)], 11)
     loop.run_until_ms(60_000.0)
-    apply_feed_answer(
-        state, [Item("servers/e1", None, 12)], make_answer(12, failure_free_ms=300.0)
-    )
+    apply_feed_answer(state, [Item("servers/e1", None, 12)], make_answer(12, failure_free_ms=300.0))
     assert state.directory.by_service["shard-0"]
     apply_feed_answer(state, [_make_entry(13)], make_answer(13, failure_free_ms=900.0))
     loop.run_until_ms(60_000.0 + LAPSE_GRACE_MS + 1)
--- a/tests/wisteriarock/discovery/test_evacuation.py
+++ b/tests/wisteriarock/discovery/test_evacuation.py
@@ -51,8 +51,9 @@
 
 
 def test_service_with_only_cold_endpoints_elsewhere_moves_last():
-    """Guards against the load of a zone reaching endpoints that have just started, and against a
-    service that stays until the others are warm.
+    """Guards against the load of a zone reaching endpoints that have just started.
+
+    A service does not stay until the others are warm either.
     """
     directory = _make_directory(2)
     for zone in ("zone-b", "zone-c"):
