Keep to the rates that services state for cold endpoints

Cause: `warmup_s` and `cold_per_s` were not read, an entry's `cold_left_ms` only for new endpoints, and each instance halved its own preference for a cold endpoint without regard to the others.

Change: a cold endpoint has a limit like those that endpoints name, divided so that each second stays below the published bound: in whole requests while few instances share it, at random with a margin of six standard deviations otherwise. The largest number of instances counted is used; while it is unknown, cold endpoints get nothing. Legs that waited long for a connection are not sent to a cold endpoint. Endpoints that return from an evacuation, or could not be reached, count as cold. The limit rises over a second before it ends.

The soak's self-check that ignores limits now changes `dispatch/limits.py`, where limits are read since.

--- a/packages/wisteriarock/src/wisteriarock/discovery/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/decide.py
@@ -47,6 +47,8 @@
         )
         if is_same:
             current.slots = max(1, entry.slots)
+            if entry.cold_left_ms > 0:
+                current.cold_until_ms = now_ms + entry.cold_left_ms
             if entry.is_draining and not current.is_draining:
                 current.is_draining = True
                 unlist_endpoint(directory, current)
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -51,9 +51,9 @@
     pause_left_ms,
     record_pause,
     record_rate_limit,
-    return_unsent_leg,
     send_leg,
 )
+from .limits import return_unsent_leg
 from .models import Fragment, Leg, LegKind, Query, RequestHead, Shard
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -6,19 +6,14 @@
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.http.const import PART_MAX_BYTES
 from wisteriarock.http.models import Exchange, ExchangeFailure, Headers, Reply
-from wisteriarock.limits.endpoint_limit import (
-    count_limited_leg,
-    may_send,
-    return_unsent,
-    try_acquire,
-    update_limit,
-)
+from wisteriarock.limits.endpoint_limit import EndpointLimit, update_limit
 from wisteriarock.limits.pause import allows_request, begin_pause, end_probing
 
 from .const import ABANDONED_LEG_GRACE_MS
 from .decide import record_latency
+from .limits import acquire, confirm_leg, count_leg, may_send_to, return_unsent_leg
 from .models import Leg, LegKind, Query, Shard
-from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
+from .state import NO_ENDPOINTS, DispatchState
 
 OnEnd = Callable[[Leg, Reply | ExchangeFailure], None]
 
@@ -30,11 +25,12 @@
 
     `on_end` is called once with the outcome of the leg.
     """
-    endpoint = _choose_within_limit(state, query, shard, now_ms)
-    if endpoint is None:
+    chosen = _choose_within_limit(state, query, shard, now_ms)
+    if chosen is None:
         return False
+    endpoint, limits = chosen
     leg = Leg(query, shard, endpoint, kind, now_ms)
-    leg.limit = endpoint.rate_limit
+    leg.limits = limits
     shard.tried_endpoint_ids.add(endpoint.endpoint_id)
     shard.legs.append(leg)
     shard.possible_runs += 1
@@ -44,7 +40,7 @@
 
     def encode() -> bytes | None:
         time_left_ms = query.legs_expire_at_ms - state.loop.time() * 1000
-        if query.is_done or time_left_ms < 1 or not _acquire_if_limited_since(state, leg):
+        if query.is_done or time_left_ms < 1 or not confirm_leg(state, leg):
             return None
         return wire_format.encode_leg(
             query.template, endpoint.endpoint_id, time_left_ms, query.request.body
@@ -58,9 +54,7 @@
     def on_sent() -> None:
         shard.sent_legs += 1
         state.counters.count("legs")
-        if endpoint.rate_limit is not None:
-            count_limited_leg(endpoint.rate_limit, kind.value)
-            state.counters.count("limited_legs", kind.value)
+        count_leg(state, leg)
 
     exchange = Exchange(encode, accepts, lambda outcome: on_end(leg, outcome), on_sent)
     leg.exchange = exchange
@@ -72,8 +66,14 @@
 
 def _choose_within_limit(
     state: DispatchState, query: Query, shard: Shard, now_ms: float
-) -> Endpoint | None:
-    """Choose the best endpoint not yet tried whose rate limit, if any, allows another leg."""
+) -> tuple[Endpoint, tuple[EndpointLimit, ...]] | None:
+    """Choose the best endpoint not yet tried whose rate limits, if any, allow another leg.
+
+    Returns
+    -------
+    tuple or None
+        The endpoint, and the limits from which the leg was taken.
+    """
     endpoints = state.directory.by_service.get(shard.service, NO_ENDPOINTS)
     excluded = shard.tried_endpoint_ids
     while True:
@@ -92,37 +92,12 @@
                 state.counters.count("shards_withheld")
                 state.log.detail("withheld", request=query.request_id, service=shard.service)
             return None
-        if _acquire(state, endpoint, now_ms):
-            return endpoint
+        limits = acquire(state, endpoint, now_ms)
+        if limits is not None:
+            return endpoint, limits
         excluded = excluded | {endpoint.endpoint_id}
 
 
-def _acquire(state: DispatchState, endpoint: Endpoint, now_ms: float) -> bool:
-    """Take a leg from the rate limit of an endpoint; return False if it is used up."""
-    limit = endpoint.rate_limit
-    if limit is None:
-        return True
-    return try_acquire(limit, state.limit_sharers(endpoint.service), now_ms, state.rng)
-
-
-def _acquire_if_limited_since(state: DispatchState, leg: Leg) -> bool:
-    """Take a leg that waited for a connection from a limit named meanwhile."""
-    limit = leg.endpoint.rate_limit
-    if limit is None or leg.limit is not None:
-        return True
-    if not _acquire(state, leg.endpoint, loop_time_ms(state)):
-        return False
-    leg.limit = limit
-    return True
-
-
-def return_unsent_leg(leg: Leg) -> None:
-    """Return a leg that was not sent to the rate limit from which it was taken."""
-    limit, leg.limit = leg.limit, None
-    if limit is not None:
-        return_unsent(limit)
-
-
 def pause_left_ms(state: DispatchState, service: str, now_ms: float) -> float:
     """Return the time until a reachable endpoint of a service is not paused, 0 if one is not."""
     endpoints = state.directory.by_service.get(service, NO_ENDPOINTS)
@@ -131,14 +106,11 @@
 
 
 def can_send_leg(state: DispatchState, service: str, now_ms: float) -> bool:
-    """Return whether a service has a reachable endpoint whose rate limit allows a leg now."""
+    """Return whether a service has a reachable endpoint whose rate limits allow a leg now."""
     return any(
         not endpoint.is_unreachable
         and allows_request(endpoint.pause, len(endpoint.in_flight), now_ms)
-        and (
-            endpoint.rate_limit is None
-            or may_send(endpoint.rate_limit, state.limit_sharers(service), now_ms)
-        )
+        and may_send_to(state, endpoint, now_ms)
         for endpoint in state.directory.by_service.get(service, NO_ENDPOINTS)
     )
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -137,8 +137,8 @@
 
     Attributes
     ----------
-    limit : EndpointLimit or None
-        The rate limit of the endpoint from which the leg was acquired.
+    limits : tuple of EndpointLimit
+        The rate limits of the endpoint from which the leg was acquired.
     """
 
     __slots__ = (
@@ -147,7 +147,7 @@
         "is_abandoned",
         "is_done",
         "kind",
-        "limit",
+        "limits",
         "query",
         "sent_at_ms",
         "shard",
@@ -160,7 +160,7 @@
         self.shard = shard
         self.endpoint = endpoint
         self.kind = kind
-        self.limit: EndpointLimit | None = None
+        self.limits: tuple[EndpointLimit, ...] = ()
         self.sent_at_ms = now_ms
         self.exchange: Exchange | None = None
         self.is_done = False
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -9,6 +9,7 @@
 from wisteriarock.discovery.models import Directory
 from wisteriarock.gathering.models import Gatherer, GathererDirectory
 from wisteriarock.http.pool import Pool
+from wisteriarock.limits.cold_limit import ColdBound
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
 from wisteriarock.quarantine.models import Notice, Quarantine
@@ -42,6 +43,10 @@
         Called with the notice of a request that ends endpoints, for the other instances.
     limit_sharers : callable
         Returns the number of instances that share the rate limits of the endpoints of a service.
+    cold_sharers : callable
+        Returns the same for the limits of cold endpoints; None while it is not known.
+    cold_bound : ColdBound
+        Published bound on the requests to a cold endpoint.
     stops_at_ms : float or None
         Time at which a process that is shutting down ends, None if it is not shutting down.
     isolated_since_ms : float or None
@@ -89,6 +94,8 @@
         self.quarantine = Quarantine()
         self.on_deadly: Callable[[Notice], None] = lambda notice: None
         self.limit_sharers: Callable[[str], float] = lambda service: 1.0
+        self.cold_sharers: Callable[[str], float | None] = lambda service: None
+        self.cold_bound = ColdBound()
         self.stops_at_ms: float | None = None
         self.isolated_since_ms: float | None = None
 
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -48,6 +48,8 @@
                 "is_draining": endpoint.is_draining,
                 "is_evacuated": endpoint.is_evacuated,
                 "is_unreachable": endpoint.is_unreachable,
+                "cold_for_ms": max(0, round(endpoint.cold_until_ms - now_ms)),
+                "cold_rate_per_s": endpoint.cold_limit.per_s if endpoint.cold_limit else None,
                 "in_flight": len(endpoint.in_flight),
                 "slow_ratio": round(endpoint.slow_ratio, 2),
                 "error_rate": round(endpoint.error_rate, 2),
@@ -64,6 +66,8 @@
     endpoints = instance.directory.by_id.values()
     unreachable = sum(endpoint.is_unreachable for endpoint in endpoints)
     limited = sum(endpoint.rate_limit is not None for endpoint in endpoints)
+    cold = sum(endpoint.cold_until_ms > instance.loop.time() * 1000 for endpoint in endpoints)
+    cold_limited = sum(endpoint.cold_limit is not None for endpoint in endpoints)
     evacuated = sum(endpoint.is_evacuated for endpoint in endpoints)
     evacuations = instance.directory.evacuations.values()
     obeyed = sum(evacuation.obeyed_since_ms is not None for evacuation in evacuations)
@@ -87,6 +91,11 @@
         "endpoints": ("Endpoints known", float(len(endpoints))),
         "endpoints_unreachable": ("Endpoints that cannot be reached", float(unreachable)),
         "endpoints_limited": ("Endpoints that name a rate limit", float(limited)),
+        "endpoints_cold": ("Endpoints that have started lately", float(cold)),
+        "endpoints_cold_limited": (
+            "Endpoints whose service limits requests to cold ones",
+            float(cold_limited),
+        ),
         "evacuations_known": ("Zones that are to be evacuated", float(len(evacuations))),
         "evacuations_obeyed": ("Zones whose endpoints get no more requests", float(obeyed)),
         "endpoints_evacuated": ("Endpoints withdrawn as their zone is evacuated", float(evacuated)),
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -14,6 +14,7 @@
 from wisteriarock.discovery import controller as discovery
 from wisteriarock.dispatch.controller import apply_notice
 from wisteriarock.dispatch.legs import close_abandoned_legs
+from wisteriarock.dispatch.limits import update_cold
 from wisteriarock.feed.following import report_lost_zones
 from wisteriarock.feed.notices import report_notice
 from wisteriarock.http.const import TIMEOUT_CHECK_INTERVAL_MS
@@ -68,6 +69,7 @@
                 _withdraw_from(instance, endpoint)
     probes: dict[str, int] = {}
     for endpoint in endpoints:
+        update_cold(instance.dispatch, endpoint, now_ms)
         if mark_if_unreachable(endpoint, now_ms):
             instance.log.record("endpoint_unreachable", endpoint=endpoint.endpoint_id)
             _withdraw_from(instance, endpoint)
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -41,12 +41,20 @@
 from wisteriarock.http.buffers import BufferBudget
 from wisteriarock.http.front import Answer, CallerRequest, ListenerState, Respond
 from wisteriarock.http.pool import Pool
+from wisteriarock.limits.cold_limit import ColdBound
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
 from wisteriarock.observability.failures import FailureReporter
 from wisteriarock.store.client import StoreClient
 from wisteriarock.store.models import StoreFormat
 
+from .cold import (
+    ColdSharers,
+    cold_limit_sharers,
+    record_instance_count,
+    suspect_cold,
+    suspect_restart,
+)
 from .const import (
     BUFFER_MEMORY_SHARE,
     CONNECTION_CAP_SHARE,
@@ -92,6 +100,7 @@
             INSTANCES_DEFAULT,
         )
         self.instance_count = INSTANCES_DEFAULT
+        self.cold_sharers = ColdSharers()
         self.gatherer_count = INSTANCES_DEFAULT
         self.is_gatherer = True
         self.gathered_services: frozenset[str] = frozenset()
@@ -129,6 +138,8 @@
         )
         self.discovery.evacuation_ms = settings.evacuation_ms
         self.dispatch.limit_sharers = lambda service: limit_sharers(self, service)
+        self.dispatch.cold_sharers = lambda service: cold_limit_sharers(self, service)
+        self.dispatch.cold_bound = ColdBound(settings.cold_overshoot, settings.cold_slack)
         self.feed = Feed(
             loop,
             self.feed_state,
@@ -224,6 +235,7 @@
     gatherer_count = count_gatherers(instance.feed_state, now_ms)
     if instance_count is None or gatherer_count is None:
         return
+    record_instance_count(instance, instance_count)
     if (instance_count, gatherer_count) == (instance.instance_count, instance.gatherer_count):
         return
     instance.log.record(
@@ -337,6 +349,8 @@
         if not is_open:
             observe_connect_failure(endpoint)
             return
+        if endpoint.connect_failures or endpoint.is_unreachable:
+            suspect_restart(instance, endpoint)
         instance.counters.count("connections_opened")
         if endpoint.is_unreachable:
             on_endpoint_reached(instance, endpoint)
@@ -361,6 +375,9 @@
 def on_endpoint_reached(instance: Instance, endpoint: Endpoint) -> None:
     """Use an unreachable endpoint again, and its whole zone if the zone was lost."""
     if endpoint.is_zone_lost:
+        for other in instance.directory.by_id.values():
+            if other.zone == endpoint.zone and other.is_zone_lost:
+                suspect_restart(instance, other)
         restored_count = restore_zone(instance.directory.by_id.values(), endpoint.zone)
         instance.log.record("zone_back", zone=endpoint.zone, endpoints=restored_count)
     else:
@@ -388,6 +405,8 @@
 def on_directory_changes(instance: Instance, changes: list[DirectoryChange]) -> None:
     """Close the connections of removed, replaced and draining endpoints."""
     for change in changes:
+        if change.kind == "returned":
+            suspect_cold(instance, change.endpoint)
         if change.kind in ("added", "lapsed", "returned"):
             continue
         if change.kind in ("draining", "ready", "evacuated"):
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -29,6 +29,9 @@
         Memory above which the platform ends the process; `memory_mb` of `limits` in the file.
     evacuation_ms : float
         Published time after which an evacuated availability zone gets no more requests.
+    cold_overshoot, cold_slack : float
+        Published bound on the requests of one second to a cold endpoint: factor on the rate that its
+        service states, and number on top.
     """
 
     instance: str
@@ -46,6 +49,8 @@
     cpu_speed: float = 1.0
     memory_mb: float = MEMORY_DEFAULT_MB
     evacuation_ms: float = 0.0
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
 
 
 class SettingsError(NamedTuple):
@@ -101,6 +106,8 @@
         ("cpu_share", 0.001, 1_000.0, 1.0),
         ("cpu_speed", 0.001, 1_000.0, 1.0),
         ("evacuation_ms", 0.0, 600_000.0, 0.0),
+        ("cold_overshoot", 0.0, 1_000.0, 1.0),
+        ("cold_slack", 0.0, 100_000.0, 0.0),
     ):
         value = data.get(name, default)
         number = _parse_number(value, default)
@@ -136,6 +143,8 @@
         numbers["cpu_speed"],
         numbers["memory_mb"],
         numbers["evacuation_ms"],
+        numbers["cold_overshoot"],
+        numbers["cold_slack"],
     )
 
 
--- a/packages/wisteriarock/src/wisteriarock/limits/endpoint_limit.py
+++ b/packages/wisteriarock/src/wisteriarock/limits/endpoint_limit.py
@@ -1,15 +1,35 @@
-"""Rate limit that an endpoint names in its replies, for all instances together.
+"""Rate limit of an endpoint, for all instances together.
 
 Each instance keeps to its share of the limit, so that no coordination is needed for each request.
 A share starts empty when the limit is first named.
 """
 
 import random
+from collections.abc import Callable
+from typing import NamedTuple
 
 from .const import BURST_FIXED, BURST_S, RATE_MIN_PER_S, RATE_SHARE
 from .token_bucket import TokenBucket, refill, try_consume
 
 
+class Share(NamedTuple):
+    """Share of one instance in a limit.
+
+    Attributes
+    ----------
+    burst : float
+        Requests that the instance may send at once; less than 1 if it is rounded at random.
+    """
+
+    rate_per_s: float
+    burst: float
+
+
+def share_named_limit(per_s: float, sharers: float) -> Share:
+    """Return the share of one instance in a limit that an endpoint names in its replies."""
+    return Share(RATE_SHARE * per_s / sharers, (BURST_S * per_s + BURST_FIXED) / sharers)
+
+
 class EndpointLimit:
     """Rate limit of an endpoint.
 
@@ -23,16 +43,24 @@
         Share of this instance.
     legs : dict
         Number of legs sent since the limit was first named, by kind.
+    share : callable
+        Returns the share of one instance from the rate and the number of sharers.
     """
 
-    __slots__ = ("bucket", "first_named_at_ms", "legs", "named_at_ms", "per_s")
+    __slots__ = ("bucket", "first_named_at_ms", "legs", "named_at_ms", "per_s", "share")
 
-    def __init__(self, per_s: float, now_ms: float) -> None:
+    def __init__(
+        self,
+        per_s: float,
+        now_ms: float,
+        share: Callable[[float, float], Share] = share_named_limit,
+    ) -> None:
         self.per_s = per_s
         self.first_named_at_ms = now_ms
         self.named_at_ms = now_ms
         self.bucket = TokenBucket(0.0, 0.0, 0.0, now_ms)
         self.legs: dict[str, int] = {}
+        self.share = share
 
 
 def update_limit(
@@ -71,14 +99,13 @@
 
 
 def count_limited_leg(limit: EndpointLimit, kind: str) -> None:
-    """Count a leg sent to an endpoint that names a limit."""
+    """Count a leg sent to an endpoint that has a limit."""
     limit.legs[kind] = limit.legs.get(kind, 0) + 1
 
 
 def _refill_share(limit: EndpointLimit, sharers: float, now_ms: float) -> TokenBucket:
     bucket, per_s = limit.bucket, max(RATE_MIN_PER_S, limit.per_s)
-    bucket.rate_per_s = RATE_SHARE * per_s / sharers
-    bucket.burst = (BURST_S * per_s + BURST_FIXED) / sharers
+    bucket.rate_per_s, bucket.burst = limit.share(per_s, sharers)
     refill(bucket, now_ms)
     return bucket
 
--- a/tests/wisteriaplatform/test_store.py
+++ b/tests/wisteriaplatform/test_store.py
@@ -10,6 +10,7 @@
     decode_lease,
     decode_listing,
 )
+from wisteriarock.catalog.models import Service
 from wisteriarock.discovery.models import EndpointEntry
 
 from tests.common import function_suite
@@ -108,4 +109,22 @@
     )
 
 
+def _decode_service(**fields: object) -> Service | str:
+    service = {"name": "invoicing", "health_path": "/health", "max_conns": 26, **fields}
+    data = json.dumps({"version": 1, "routes": [], "services": [service]})
+    configuration = decode_configuration(data.encode())
+    return configuration if isinstance(configuration, str) else configuration.services[0]
+
+
+def test_rates_of_cold_endpoints_are_decoded():
+    """Guards against a limit that is not read, and against a malformed one that stops an instance."""
+    service = _decode_service(warmup_s=2.5, cold_per_s=7)
+    assert service == Service("invoicing", "/health", 26, 2_500.0, 7.0)
+    assert _decode_service() == Service("invoicing", "/health", 26, 0.0, 0.0)
+    assert _decode_service(warmup_s=None, cold_per_s=0.0) == _decode_service()
+    for value in (-1, "7", True, [], {}, 10**400, float("nan"), float("inf")):
+        assert isinstance(_decode_service(cold_per_s=value), str), value
+        assert isinstance(_decode_service(warmup_s=value), str), value
+
+
 load_tests = function_suite(globals())
--- a/tests/wisteriarock/dispatch/test_rate_limits.py
+++ b/tests/wisteriarock/dispatch/test_rate_limits.py
@@ -32,7 +32,8 @@
         self.waiting.append(exchange)
 
 
-def _create_instances(route: Route, count: int, replicas: int, work_ms: float) -> list[Emulator]:
+def create_instances(route: Route, count: int, replicas: int, work_ms: float) -> list[Emulator]:
+    """Return instances that share their endpoints."""
     first = Emulator(route, replicas, work_ms, instances=count)
     others = [
         Emulator(
@@ -49,7 +50,7 @@
     return [first, *others]
 
 
-def _send_requests(instances: list[Emulator], per_s: float, for_ms: float) -> None:
+def send_requests(instances: list[Emulator], per_s: float, for_ms: float) -> None:
     """Send requests at a rate to randomly chosen instances, and wait until all have ended."""
     loop, rng = instances[0].loop, instances[0].rng
     at_ms, number = 0.0, 0
@@ -88,11 +89,11 @@
 
 def _check_limited_service(count: int, *, limit_per_s: float, per_s: float, for_ms: float) -> None:
     """Check that instances keep to the limits of two of the three endpoints of a service."""
-    instances = _create_instances(make_single_service_route(), count, 3, 190.0)
+    instances = create_instances(make_single_service_route(), count, 3, 190.0)
     limited = [instances[0].endpoints[f"invoicing/{number}"] for number in range(2)]
     for endpoint in limited:
         _limit(endpoint, limit_per_s)
-    _send_requests(instances, per_s, for_ms)
+    send_requests(instances, per_s, for_ms)
     for endpoint in limited:
         _check_limit(endpoint)
 
@@ -103,10 +104,10 @@
 
 def test_limited_shard_endpoint_is_not_sent_more_by_all_instances():
     """Guards against legs beyond a named limit (LIMIT on the day `capped`): fan-out."""
-    instances = _create_instances(make_fan_out_route(20), 8, 2, 20.0)
+    instances = create_instances(make_fan_out_route(20), 8, 2, 20.0)
     endpoint = instances[0].endpoints["shard-3/0"]
     _limit(endpoint, 7.0)
-    _send_requests(instances, 45.0, 20_000.0)
+    send_requests(instances, 45.0, 20_000.0)
     _check_limit(endpoint)
 
 
@@ -125,11 +126,11 @@
 
     Pattern: every endpoint of a service names half of the rate that callers ask for.
     """
-    instances = _create_instances(make_single_service_route(), 8, 3, 50.0)
+    instances = create_instances(make_single_service_route(), 8, 3, 50.0)
     limited = list(instances[0].endpoints.values())
     for endpoint in limited:
         _limit(endpoint, 5.0)
-    _send_requests(instances, 30.0, 24_000.0)
+    send_requests(instances, 30.0, 24_000.0)
     for endpoint in limited:
         _check_limit(endpoint)
     ran = {request_id for endpoint in limited for request_id in endpoint.runs}
@@ -152,11 +153,11 @@
 
     Pattern: every endpoint of four out of ten shards names half of the rate that callers ask for.
     """
-    instances = _create_instances(make_fan_out_route(10, min_coverage=0.9), 8, 2, 10.0)
+    instances = create_instances(make_fan_out_route(10, min_coverage=0.9), 8, 2, 10.0)
     for number in range(4):
         for replica in range(2):
             _limit(instances[0].endpoints[f"shard-{number}/{replica}"], 5.0)
-    _send_requests(instances, 20.0, 24_000.0)
+    send_requests(instances, 20.0, 24_000.0)
     answers = _answers(instances)
     refused = [took for took, answer in answers.values() if answer.status == 503]
     assert refused and max(refused) < 5.0
@@ -169,7 +170,7 @@
 
 def test_endpoint_gets_its_full_load_again_after_its_limit_has_ended():
     """Guards against an endpoint that is left unused after it no longer names a limit."""
-    instances = _create_instances(make_fan_out_route(4), 8, 2, 10.0)
+    instances = create_instances(make_fan_out_route(4), 8, 2, 10.0)
     endpoint = instances[0].endpoints["shard-0/0"]
     _limit(endpoint, 2.0)
 
@@ -177,7 +178,7 @@
         endpoint.limit_per_s = None
 
     endpoint.loop.call_at(12.0, end_limit)
-    _send_requests(instances, 30.0, 30_000.0)
+    send_requests(instances, 30.0, 30_000.0)
     before = sum(at_ms < LIMITED_FROM_MS for at_ms, _ in endpoint.senders) / 4.0
     after = sum(22_000.0 <= at_ms < 30_000.0 for at_ms, _ in endpoint.senders) / 8.0
     assert after > 0.8 * before, (before, after)
@@ -186,7 +187,7 @@
 
 def test_limit_named_by_another_endpoint_at_the_address_is_ignored():
     """Guards against applying the limit of an endpoint that has taken over an address."""
-    (instance,) = _create_instances(make_fan_out_route(4), 1, 2, 10.0)
+    (instance,) = create_instances(make_fan_out_route(4), 1, 2, 10.0)
     endpoint = instance.endpoints["shard-0/0"]
     endpoint.mode, endpoint.limit_per_s = "other", 1.0
     instance.send_requests(10, 100.0)
@@ -195,7 +196,7 @@
 
 def test_leg_that_waits_for_a_connection_keeps_to_a_limit_named_meanwhile():
     """Guards against legs sent beyond a limit because they were chosen before it was named."""
-    (instance,) = _create_instances(make_single_service_route(), 1, 1, 10.0)
+    (instance,) = create_instances(make_single_service_route(), 1, 1, 10.0)
     waiting: list[Exchange] = []
     instance.state.pool_of = lambda _: WaitingPool(waiting)  # type: ignore[assignment,return-value]
     for number in range(3):
@@ -209,7 +210,7 @@
 
 def test_leg_that_is_not_sent_does_not_count_towards_the_limit():
     """Guards against a limit that is used up by legs that never reached the endpoint."""
-    (instance,) = _create_instances(make_single_service_route(), 1, 1, 10.0)
+    (instance,) = create_instances(make_single_service_route(), 1, 1, 10.0)
     waiting: list[Exchange] = []
     instance.state.pool_of = lambda _: WaitingPool(waiting)  # type: ignore[assignment,return-value]
     endpoint = instance.directory.by_id["invoicing/0"]
--- a/tests/wisteriarock/front/test_settings.py
+++ b/tests/wisteriarock/front/test_settings.py
@@ -85,6 +85,8 @@
         "{{bounds.budget_extra}}": "56",
         "{{bounds.budget_window_s}}": "10",
         "{{bounds.evac_ms}}": "5000",
+        "{{bounds.cold_overshoot}}": "1.5",
+        "{{bounds.cold_slack}}": "5",
         "{{limits.cpu_share}}": "0.537",
         "{{limits.cores}}": "2",
         "{{limits|json}}": '{"memory_mb": 200, "max_fds": 4100}',
@@ -103,6 +105,7 @@
     assert isinstance(settings, FrontSettings)
     assert settings.drain_grace_ms == 6_000 and settings.cpu_share == 0.537
     assert settings.memory_mb == 200 and settings.evacuation_ms == 5_000
+    assert (settings.cold_overshoot, settings.cold_slack) == (1.5, 5.0)
 
 
 def test_bounds_with_fractions_or_without_value_are_valid():
@@ -117,6 +120,8 @@
                 "{{bounds.budget_extra}}": "",
                 "{{bounds.budget_window_s}}": "",
                 "{{bounds.evac_ms}}": "",
+                "{{bounds.cold_overshoot}}": "",
+                "{{bounds.cold_slack}}": "",
                 "{{limits.cpu_share}}": "",
                 "{{limits.cores}}": "",
                 "{{limits|json}}": "null",
@@ -125,7 +130,7 @@
     )
     assert isinstance(settings, FrontSettings)
     assert (settings.drain_grace_ms, settings.cpu_share, settings.cpu_speed) == (6_000, 1.0, 1.0)
-    assert settings.evacuation_ms == 0
+    assert (settings.evacuation_ms, settings.cold_overshoot, settings.cold_slack) == (0, 1, 0)
 
 
 load_tests = function_suite(globals())
--- a/tests/wisteriastandins/soak/test_run.py
+++ b/tests/wisteriastandins/soak/test_run.py
@@ -81,9 +81,9 @@
 def test_ignored_rate_limit_is_found():
     """Guards against missing instances that send more than an endpoint takes."""
     result = _run_copy(
-        "dispatch/legs.py",
-        "    limit = endpoint.rate_limit\n    if limit is None:\n        return True\n",
-        "    return True\n",
+        "dispatch/limits.py",
+        "    limits = (endpoint.rate_limit, update_cold(state, endpoint, now_ms))\n",
+        "    limits: tuple[EndpointLimit | None, ...] = ()\n",
         [Fault(0.5, FaultKind.ENDPOINT_LIMIT, 4, 1.0)],
     )
     assert "rate_limit" in {violation.guarantee for violation in result.violations}
