--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -144,8 +144,8 @@
 
     Attributes
     ----------
-    limit : EndpointLimit or None
-        The rate limit of the endpoint from which the leg was acquired.
+    limits : tuple of EndpointLimit
+        The rate limits of the endpoint from which the leg was acquired.
     """
 
     __slots__ = (
@@ -154,7 +154,7 @@
         "is_abandoned",
         "is_done",
         "kind",
-        "limit",
+        "limits",
         "query",
         "sent_at_ms",
         "shard",
@@ -167,7 +167,7 @@
         self.shard = shard
         self.endpoint = endpoint
         self.kind = kind
-        self.limit: EndpointLimit | None = None
+        self.limits: tuple[EndpointLimit, ...] = ()
         self.sent_at_ms = now_ms
         self.exchange: Exchange | None = None
         self.is_done = False
