Decode the load that endpoints report

Cause: endpoints of some services state requests running, requests waiting, slots and the pace of their machine in each reply; nothing read it.

Change: one record of a reply, checked; a malformed or repeated report is no report. No decision uses it yet.

--- a/tests/wisteriaplatform/test_requests.py
+++ b/tests/wisteriaplatform/test_requests.py
@@ -1,6 +1,7 @@
 """Tests of the decoding of the platform's HTTP messages."""
 
 from wisteriaplatform.requests import read_reply
+from wisteriarock.balancing.models import LoadReport
 
 from tests.common import function_suite
 
@@ -19,6 +20,40 @@
     assert read_reply(200, [(b"Server-Stamp", b"p")]).rate_limit_per_s is None
 
 
+def test_load_report_is_decoded():
+    """Guards against ignoring the load that an endpoint reports."""
+    for value, expected in (
+        (b"3,0,8", LoadReport(3, 0, 8, 1.0)),
+        (b" 3, 12 ,8,250 ", LoadReport(3, 12, 8, 2.5)),
+        (b"0,0,0,0", LoadReport(0, 0, 0, 0.0)),
+    ):
+        for status in (200, 503):
+            assert read_reply(status, [(b"Server-Load", value)]).load == expected, value
+
+
+def test_malformed_load_report_is_ignored():
+    """Guards against choosing endpoints by figures that are no load report."""
+    for value in (
+        b"",
+        b"3,0",
+        b"3,0,8,100,1",
+        b"3,-1,8",
+        b"3,0,8,-100",
+        b"3,,8",
+        b"3,0,8,1e2",
+        b"3,0,8,1.5",
+        b"3;0;8",
+        b"9" * 400 + b",0,8",
+        b"9" * 10 + b",0,8",
+        b"\xb2,0,8",
+    ):
+        assert read_reply(200, [(b"Server-Load", value)]).load is None, value
+    twice = [(b"Server-Load", b"3,0,8"), (b"Server-Load", b"3,0,8")]
+    assert read_reply(200, twice).load is None
+    assert read_reply(200, twice + twice[:1]).load is None
+    assert read_reply(200, []).load is None
+
+
 def test_leaving_is_decoded():
     """Guards against ignoring an endpoint that says it leaves, and against other values."""
     for values, expected in (
