Estimate the load of endpoints from their reports

Cause: an instance chose by its own legs and by the average ratio of observed latencies, which holds lasting speed, pace, queue and chance in one figure that decays within 3 s.

Change: a report goes into the estimate by its age: reported requests end within about the expected latency, longer queues later, legs sent since are added, and the pace decays towards the usual one of the endpoint. Own latencies are compared with what speed and report lead to expect, so that an endpoint that reports falsely is found out. The setting even_load uses lasting speed and trouble the same way where endpoints report nothing.

--- a/packages/wisteriarock/src/wisteriarock/balancing/const.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/const.py
@@ -40,3 +40,35 @@
 ZONE_PROBES_MAX = 3
 # Minimum share of unreachable endpoints in a zone that an isolated instance reports as lost.
 LOST_ZONE_UNREACHABLE_SHARE = 0.5
+# Random share of the expected latency if the estimate knows the load or the speed of endpoints: the
+# news of each instance is of another age, which spreads the choices as well.
+EVEN_JITTER_SHARE = 0.1
+# Requests that an endpoint reports end within about the expected latency, and those that wait for a
+# slot later by this factor for each one per slot.
+QUEUE_DECAY_FACTOR = 4.0
+# Weight of a new report in the usual load, and the share of it that an old report stands for: the
+# endpoint with the oldest report would otherwise seem to be the idlest. The usual load decays as
+# well, so that an endpoint is tried again.
+LOAD_WEIGHT = 0.1
+USUAL_LOAD_SHARE = 0.5
+USUAL_LOAD_DECAY_MS = 10_000.0
+# Time constant with which a reported pace decays (to 1/e) towards the usual pace.
+PACE_DECAY_MS = 250.0
+# Multiple of the usual pace above which the reported one decays with `OBSERVATION_DECAY_MS`.
+PACE_FAULT_RATIO = 3.0
+# Range in which reported figures are taken for true.
+PACE_MIN = 0.7
+PACE_MAX = 20.0
+REPORTED_LOAD_MAX_PER_SLOT = 8.0
+# Age after which a report counts as too old; the estimate has forgotten it long before.
+REPORT_MAX_AGE_MS = 2_000.0
+# Part of the average ratio of observed to explained latency that is left to chance, and the clip of
+# a sample. Work differs by half from request to request.
+CHANCE_RATIO = 1.0
+UNEXPLAINED_MAX = 5.0
+# Weight of a new sample in the lasting speed, the clip of a sample and the range of the speed.
+SPEED_WEIGHT = 0.05
+FIRST_SAMPLE_WEIGHT = 0.5
+SPEED_SAMPLE_MAX = 3.0
+SPEED_MIN = 0.5
+SPEED_MAX = 2.0
--- a/packages/wisteriarock/src/wisteriarock/balancing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/decide.py
@@ -11,6 +11,7 @@
     CONNECT_PENALTY_MS,
     CROSS_ZONE_PENALTY_MS,
     ERROR_PENALTY_FACTOR,
+    EVEN_JITTER_SHARE,
     JITTER_SHARE,
     LOST_ZONE_UNREACHABLE_SHARE,
     OBSERVATION_DECAY_MS,
@@ -23,7 +24,15 @@
     ZONE_SILENCE_MS,
     ZONE_SILENT_ENDPOINTS_MIN,
 )
-from .models import Endpoint
+from .load import (
+    expected_load,
+    expected_pace,
+    learn_speed,
+    record_report,
+    trouble_ratio,
+    unexplained_ratio,
+)
+from .models import Endpoint, LoadReport
 
 
 def silence_ms(endpoint: Endpoint, now_ms: float) -> float:
@@ -37,14 +46,28 @@
 
 
 def estimate_cost_ms(
-    endpoint: Endpoint, zone: str, expected_ms: float, now_ms: float, rng: random.Random
+    endpoint: Endpoint,
+    zone: str,
+    expected_ms: float,
+    now_ms: float,
+    rng: random.Random,
+    *,
+    is_even: bool = False,
 ) -> float:
-    """Estimate the latency of the next leg on an endpoint, including penalties."""
+    """Estimate the latency of the next leg on an endpoint, including penalties.
+
+    With `is_even`, or if the endpoint reports its load, lasting speed, pace and trouble are kept
+    apart; otherwise the observed ratio of latencies stands for all of them.
+    """
     weight = math.exp((endpoint.observed_at_ms - now_ms) / OBSERVATION_DECAY_MS)
     ratio = 1.0 + (endpoint.slow_ratio - 1.0) * weight
+    jitter_share = JITTER_SHARE
+    if is_even or endpoint.load is not None:
+        ratio = endpoint.speed_ratio * expected_pace(endpoint, now_ms) * trouble_ratio(ratio)
+        jitter_share = EVEN_JITTER_SHARE
     if endpoint.cold_until_ms > now_ms:
         ratio *= COLD_FACTOR
-    cost = expected_ms * ratio * (1.0 + len(endpoint.in_flight) / endpoint.slots)
+    cost = expected_ms * ratio * (1.0 + expected_load(endpoint, expected_ms, now_ms))
     if endpoint.zone != zone:
         cost += CROSS_ZONE_PENALTY_MS
     if endpoint.error_rate:
@@ -52,7 +75,7 @@
     silent_ms = silence_ms(endpoint, now_ms)
     if silent_ms > STALL_MIN_MS and silent_ms > STALL_LATENCY_FACTOR * expected_ms * ratio:
         cost += expected_ms * STALL_PENALTY_FACTOR
-    return cost + expected_ms * JITTER_SHARE * rng.random()
+    return cost + expected_ms * jitter_share * rng.random()
 
 
 def choose_endpoint(
@@ -63,12 +86,14 @@
     now_ms: float,
     rng: random.Random,
     has_idle_connection: Callable[[Endpoint], bool] = lambda _: True,
+    *,
+    is_even: bool = False,
 ) -> Endpoint | None:
     """Return the endpoint with the lowest estimated cost, None if there is no candidate.
 
     Unreachable and paused endpoints and those whose ids are in `excluded` are skipped. An idle
     connection makes an endpoint preferable, so that connections stay in use where there are few
-    queries.
+    queries. `is_even` asks for an estimate that spreads the load evenly.
     """
     best = None
     best_cost = math.inf
@@ -77,7 +102,7 @@
             continue
         if not allows_request(endpoint.pause, len(endpoint.in_flight), now_ms):
             continue
-        cost = estimate_cost_ms(endpoint, zone, expected_ms, now_ms, rng)
+        cost = estimate_cost_ms(endpoint, zone, expected_ms, now_ms, rng, is_even=is_even)
         if not has_idle_connection(endpoint):
             cost += CONNECT_PENALTY_MS
         if cost < best_cost:
@@ -98,15 +123,29 @@
 
 
 def observe_reply(
-    endpoint: Endpoint, elapsed_ms: float, expected_ms: float, *, is_error: bool, now_ms: float
+    endpoint: Endpoint,
+    elapsed_ms: float,
+    expected_ms: float,
+    *,
+    is_error: bool,
+    now_ms: float,
+    report: LoadReport | None = None,
+    has_run: bool = True,
+    is_even: bool = False,
 ) -> None:
-    """Record a reply; an error does not count towards the endpoint's latency."""
+    """Record a reply and its load report; an error does not count towards the latency."""
+    if report is not None:
+        record_report(endpoint, report, now_ms, counts_replied=has_run)
     _decay_observations(endpoint, now_ms)
     endpoint.last_reply_at_ms = now_ms
     mark_reachable(endpoint)
     endpoint.error_rate += OBSERVATION_WEIGHT * ((1.0 if is_error else 0.0) - endpoint.error_rate)
     if not is_error and expected_ms > 0:
         ratio = elapsed_ms / expected_ms
+        if is_even or endpoint.load is not None:
+            ratio = unexplained_ratio(endpoint, elapsed_ms, expected_ms, report)
+            if endpoint.cold_until_ms <= now_ms:
+                learn_speed(endpoint, ratio)
         endpoint.slow_ratio += OBSERVATION_WEIGHT * (ratio - endpoint.slow_ratio)
 
 
--- a/packages/wisteriarock/src/wisteriarock/balancing/models.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/models.py
@@ -12,7 +12,8 @@
     Attributes
     ----------
     running, waiting : int
-        Requests that the endpoint runs, and that wait for a slot.
+        Requests that the endpoint runs, the one that it replies to among them, and that wait for a
+        slot.
     slots : int
         Requests that it can run at the same time.
     pace : float
@@ -54,8 +55,14 @@
         Pause that the endpoint asked for.
     rate_limit : EndpointLimit or None
         The rate limit that the endpoint names in its replies, None if it names none.
+    speed_ratio : float
+        Lasting ratio of the work time of this endpoint to that of others; below 1 if it is faster.
     silent_since_ms : float or None
         Send time of the first leg abandoned without a reply since the last reply.
+    usual_load : float
+        Moving average of the requests that the endpoint reports, at most its slots.
+    usual_pace : float
+        Moving average of the pace that the endpoint reports.
     """
 
     __slots__ = (
@@ -84,6 +91,9 @@
         "silent_since_ms",
         "slots",
         "slow_ratio",
+        "speed_ratio",
+        "usual_load",
+        "usual_pace",
         "zone",
     )
 
@@ -109,6 +119,9 @@
         self.load_at_ms = 0.0
         self.in_flight: dict[int, float] = {}
         self.slow_ratio = 1.0
+        self.speed_ratio = 1.0
+        self.usual_load = 0.0
+        self.usual_pace = 1.0
         self.error_rate = 0.0
         self.observed_at_ms = 0.0
         self.pause = Pause()
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -265,10 +265,17 @@
         record_pause(state, leg, head.pause_s, now_ms)
         if head.is_leaving and not endpoint.has_said_leaving:
             state.on_leaving(endpoint)
+    may_have_run = not (head.was_not_run or head.is_misdirected)
     observe_reply(
-        endpoint, elapsed_ms, query.latency.expected_ms, is_error=not is_success, now_ms=now_ms
+        endpoint,
+        elapsed_ms,
+        query.latency.expected_ms,
+        is_error=not is_success,
+        now_ms=now_ms,
+        report=None if head.is_misdirected else head.load,
+        has_run=may_have_run,
+        is_even=state.is_load_even,
     )
-    may_have_run = not (head.was_not_run or head.is_misdirected)
     if may_have_run:
         record_survivor(state, query, outcome.status)
     if is_success:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -85,6 +85,7 @@
             now_ms,
             state.rng,
             lambda endpoint: state.pool_of(endpoint).has_idle_connection(now_ms),
+            is_even=state.is_load_even,
         )
         if endpoint is None:
             if excluded is not shard.tried_endpoint_ids and not shard.is_withheld:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -40,6 +40,8 @@
         Called with an endpoint whose address belongs to another one, and with one that leaves.
     on_deadly : callable
         Called with the notice of a request that ends endpoints, for the other instances.
+    is_load_even : bool
+        Whether legs are spread by speed and load also where endpoints report none.
     limit_sharers : callable
         Returns the number of instances that share the rate limits of the endpoints of a service.
     stops_at_ms : float or None
@@ -88,6 +90,7 @@
         self.gatherers = GathererDirectory()
         self.quarantine = Quarantine()
         self.on_deadly: Callable[[Notice], None] = lambda notice: None
+        self.is_load_even = False
         self.limit_sharers: Callable[[str], float] = lambda service: 1.0
         self.stops_at_ms: float | None = None
         self.isolated_since_ms: float | None = None
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -127,6 +127,7 @@
             self.counters,
             rng,
         )
+        self.dispatch.is_load_even = settings.even_load
         self.dispatch.limit_sharers = lambda service: limit_sharers(self, service)
         self.feed = Feed(
             loop,
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -25,6 +25,8 @@
         Address that serves metrics and the state dump.
     cpu_share, cpu_speed : float
         Share of a core that the instance may use, and the speed of that core relative to others.
+    even_load : bool
+        Whether endpoints are chosen by lasting speed and load also where they report none.
     memory_mb : float
         Memory above which the platform ends the process; `memory_mb` of `limits` in the file.
     """
@@ -43,6 +45,7 @@
     cpu_share: float = 1.0
     cpu_speed: float = 1.0
     memory_mb: float = MEMORY_DEFAULT_MB
+    even_load: bool = False
 
 
 class SettingsError(NamedTuple):
@@ -113,6 +116,9 @@
     for name in ("instance", "zone"):
         if not isinstance(data.get(name), str) or not data[name]:
             return SettingsError(name, repr(data.get(name)), "a non-empty string")
+    even_load = data.get("even_load", False)
+    if not isinstance(even_load, bool):
+        return SettingsError("even_load", repr(even_load), "true or false")
     metrics = data.get("metrics_address")
     if metrics is not None and parse_address(metrics) is None:
         return SettingsError("metrics_address", repr(metrics), "HOST:PORT")
@@ -131,6 +137,7 @@
         numbers["cpu_share"],
         numbers["cpu_speed"],
         numbers["memory_mb"],
+        even_load,
     )
 
 
