--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -139,6 +139,7 @@
         self.dispatch.is_loaded = lambda: self.discovery.is_loaded
         self.dispatch.news_age_ms = lambda: loop.time() * 1000 - self.discovery.last_answer_at_ms
         self.discovery.evacuation_ms = settings.evacuation_ms
+        self.dispatch.is_load_even = settings.even_load
         self.dispatch.limit_sharers = lambda service: limit_sharers(self, service)
         self.dispatch.cold_sharers = lambda service: cold_limit_sharers(self, service)
         self.dispatch.cold_bound = ColdBound(settings.cold_overshoot, settings.cold_slack)
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -25,6 +25,8 @@
         Address that serves metrics and the state dump.
     cpu_share, cpu_speed : float
         Share of a core that the instance may use, and the speed of that core relative to others.
+    even_load : bool
+        Whether endpoints are chosen by lasting speed and load also where they report none.
     memory_mb : float
         Memory above which the platform ends the process; `memory_mb` of `limits` in the file.
     evacuation_ms : float
@@ -51,6 +53,7 @@
     evacuation_ms: float = 0.0
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
+    even_load: bool = False
 
 
 class SettingsError(NamedTuple):
@@ -124,6 +127,9 @@
     for name in ("instance", "zone"):
         if not isinstance(data.get(name), str) or not data[name]:
             return SettingsError(name, repr(data.get(name)), "a non-empty string")
+    even_load = data.get("even_load", False)
+    if not isinstance(even_load, bool):
+        return SettingsError("even_load", repr(even_load), "true or false")
     metrics = data.get("metrics_address")
     if metrics is not None and parse_address(metrics) is None:
         return SettingsError("metrics_address", repr(metrics), "HOST:PORT")
@@ -145,6 +151,7 @@
         numbers["evacuation_ms"],
         numbers["cold_overshoot"],
         numbers["cold_slack"],
+        even_load,
     )
 
 
