Take endpoints as cold after a pause, and play cold returns and evacuations in the soak

Its first runs showed a second with more than a cold endpoint takes: instances that had started together counted four or two of six at first.

A process that stood still for a second takes the endpoints of services with a stated rate as cold until news has arrived, also on a suspended machine, whose steady clock does not count the time. A new share holds what it would have gained since the endpoint last got something from this instance, so that endpoints that were down do not idle at their return.

--- a/packages/standins/src/wisteriastandins/soak/const.py
+++ b/packages/standins/src/wisteriastandins/soak/const.py
@@ -29,6 +29,14 @@
 DEADLY_ENDS_MAX = 3
 DEADLY_REACTION_MS = 100.0
 MAX_ATTEMPTS = 2
+# Time after which an evacuated zone gets no more requests.
+EVACUATION_MS = 5_000.0
+# Time for which endpoints are cold, the requests that a cold endpoint takes in a second, and the
+# bound in each second: a factor on that rate and a number on top.
+WARMUP_MS = 3_000.0
+COLD_RATE_PER_S = 4.0
+COLD_OVERSHOOT = 1.5
+COLD_SLACK = 5.0
 # Time that a caller waits, and the tolerance for a late answer.
 CALLER_TIMEOUT_MS = 1_500.0
 CALLER_SLACK_MS = 1_000.0
--- a/packages/standins/src/wisteriastandins/soak/faults.py
+++ b/packages/standins/src/wisteriastandins/soak/faults.py
@@ -31,6 +31,7 @@
 from .models import Disturbance, DrainingEndpoint, Fault, FaultKind, RateLimit
 from .programs import Program
 from .world import REPLICAS, SoakDeployment, add_endpoint, configure, register, remove_endpoint
+from .zones import evacuate, return_cold
 
 ALL_INSTANCES = -1
 SLOW_LINK_MS = 80.0
@@ -454,6 +455,8 @@
     FaultKind.ENDPOINT_UNNAMED: _refuse_without_id,
     FaultKind.ENDPOINT_LEAVING: _leave,
     FaultKind.ENDPOINT_PAUSE: _ask_for_pause,
+    FaultKind.COLD_RETURN: return_cold,
+    FaultKind.EVACUATE: evacuate,
     FaultKind.DEADLY_REQUESTS: _send_deadly_requests,
     FaultKind.LARGE_CHANGES: _pause_under_large_changes,
     FaultKind.ENDPOINT_DRAIN: _replace_endpoint,
--- a/packages/standins/src/wisteriastandins/soak/models.py
+++ b/packages/standins/src/wisteriastandins/soak/models.py
@@ -40,6 +40,8 @@
     ENDPOINT_UNNAMED = "endpoint_unnamed"
     ENDPOINT_LEAVING = "endpoint_leaving"
     ENDPOINT_PAUSE = "endpoint_pause"
+    COLD_RETURN = "cold_return"
+    EVACUATE = "evacuate"
     DEADLY_REQUESTS = "deadly_requests"
     LARGE_CHANGES = "large_changes"
     ENDPOINT_DRAIN = "endpoint_drain"
@@ -181,6 +183,22 @@
     pause_ms: float
 
 
+class ZoneEvacuation(NamedTuple):
+    """An evacuation of a zone, from the store's confirmation until its end."""
+
+    zone: str
+    confirmed_ms: float
+    to_ms: float
+
+
+class ColdPeriod(NamedTuple):
+    """A period in which an endpoint was cold."""
+
+    endpoint_id: str
+    from_ms: float
+    to_ms: float
+
+
 class DeadlyEnd(NamedTuple):
     """The end of an endpoint under a request."""
 
@@ -202,6 +220,8 @@
         self.limit_notices: list[LimitNotice] = []
         self.leaving_notices: list[LeavingNotice] = []
         self.pause_notices: list[PauseNotice] = []
+        self.evacuations: list[ZoneEvacuation] = []
+        self.cold_periods: list[ColdPeriod] = []
         self.deadly_ends: list[DeadlyEnd] = []
         self.deadly_until_ms = 0.0
         self.kill_all_times_ms: list[float] = []
--- a/packages/standins/src/wisteriastandins/soak/plan.py
+++ b/packages/standins/src/wisteriastandins/soak/plan.py
@@ -14,6 +14,8 @@
 # Relative frequency of fault kinds, 1 by default; low for kinds that affect the whole deployment.
 _WEIGHTS = {
     FaultKind.KILL_ALL: 0.25,
+    FaultKind.COLD_RETURN: 0.7,
+    FaultKind.EVACUATE: 0.7,
     FaultKind.RESHARD: 0.4,
     FaultKind.DEADLY_REQUESTS: 0.5,
     FaultKind.LARGE_CHANGES: 0.4,
--- a/packages/standins/src/wisteriastandins/soak/programs.py
+++ b/packages/standins/src/wisteriastandins/soak/programs.py
@@ -7,7 +7,16 @@
 import sys
 from pathlib import Path
 
-from .const import DRAIN_GRACE_MS, EXTRA_FIXED, EXTRA_RATIO, EXTRA_WINDOW_S, ZONES
+from .const import (
+    COLD_OVERSHOOT,
+    COLD_SLACK,
+    DRAIN_GRACE_MS,
+    EVACUATION_MS,
+    EXTRA_FIXED,
+    EXTRA_RATIO,
+    EXTRA_WINDOW_S,
+    ZONES,
+)
 
 RESTART_DELAY_S = 0.3
 
@@ -52,6 +61,9 @@
             "extra_ratio": EXTRA_RATIO,
             "extra_fixed": EXTRA_FIXED,
             "extra_window_s": EXTRA_WINDOW_S,
+            "evacuation_ms": EVACUATION_MS,
+            "cold_overshoot": COLD_OVERSHOOT,
+            "cold_slack": COLD_SLACK,
         }
         self.settings_path.write_text(json.dumps(settings), encoding="utf-8")
 
--- a/packages/standins/src/wisteriastandins/soak/run.py
+++ b/packages/standins/src/wisteriastandins/soak/run.py
@@ -13,6 +13,7 @@
 from .models import Fault, Observations, Violation
 from .plan import format_plan, make_plan
 from .world import SoakDeployment, start_deployment, stop_deployment, track_task
+from .zones import check_cold_endpoints, check_evacuations
 
 
 class SoakOptions(NamedTuple):
@@ -86,6 +87,8 @@
     violations = check_untimed(deployment.observations)
     if options.check_timing:
         violations += check_timed(deployment.observations, end_ms)
+        violations += check_evacuations(deployment.observations)
+        violations += check_cold_endpoints(deployment.observations)
     return SoakResult(plan, deployment.observations, violations, started_ms)
 
 
--- a/packages/standins/src/wisteriastandins/soak/world.py
+++ b/packages/standins/src/wisteriastandins/soak/world.py
@@ -16,6 +16,7 @@
 from .checks import make_records
 from .const import (
     CALLER_TIMEOUT_MS,
+    COLD_RATE_PER_S,
     HOST,
     LEDGERS,
     MAX_ATTEMPTS,
@@ -24,6 +25,7 @@
     NEW_SHARDS,
     SHARDS,
     TOP_K,
+    WARMUP_MS,
     ZONES,
 )
 from .models import (
@@ -250,7 +252,13 @@
         "version": deployment.version,
         "routes": _routes(deployment, ledger),
         "services": [
-            {"name": name, "health_path": "/health", "max_conns": MAX_CONNECTIONS}
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_conns": MAX_CONNECTIONS,
+                "warmup_s": WARMUP_MS / 1000,
+                "cold_per_s": COLD_RATE_PER_S,
+            }
             for name in (*SHARDS, *NEW_SHARDS, *LEDGERS)
         ],
         "limits": _LIMITS,
--- a/packages/wisteriarock/src/wisteriarock/balancing/models.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/models.py
@@ -49,6 +49,8 @@
         Whether the endpoint is unreachable because its whole zone is.
     last_reply_at_ms : float
         Time of the last reply.
+    last_sent_at_ms : float
+        Time of the last leg that was sent.
     load : LoadReport or None
         The last load report, received at `load_at_ms`.
     pause : Pause
@@ -80,6 +82,7 @@
         "is_unreachable",
         "is_zone_lost",
         "last_reply_at_ms",
+        "last_sent_at_ms",
         "load",
         "load_at_ms",
         "next_probe_at_ms",
@@ -113,6 +116,7 @@
         self.is_unreachable = False
         self.is_zone_lost = False
         self.last_reply_at_ms = 0.0
+        self.last_sent_at_ms = 0.0
         self.cold_until_ms = 0.0
         self.cold_limit: EndpointLimit | None = None
         self.load: LoadReport | None = None
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -56,6 +56,7 @@
 )
 from .limits import return_unsent_leg
 from .models import Fragment, Leg, LegKind, Query, RequestHead, Shard
+from .resumption import check_resumption
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
 
@@ -67,6 +68,7 @@
     state: DispatchState, request: CallerRequest, respond: Respond
 ) -> Callable[[], None]:
     """Start a query for a caller's request and return the function that cancels it."""
+    check_resumption(state)
     head = state.wire_format.read_request(request)
     if head is None:
         refuse_request(state, respond, b"-", 400, "bad request headers")
@@ -168,6 +170,7 @@
     state: DispatchState, request: CallerRequest, respond: Respond
 ) -> Callable[[], None]:
     """Start the query for a fragment that another instance of the zone handed over."""
+    check_resumption(state)
     query = create_fragment_query(state, request, respond)
     if query is None:
         respond(Answer(400, [], b"malformed fragment"))
--- a/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
@@ -27,7 +27,11 @@
         return share_cold_limit(state.cold_bound, per_s, sharers)
 
     per_s = service.cold_rate_per_s if service is not None else 0.0
-    limit = update_cold_limit(before, per_s, endpoint.cold_until_ms, now_ms, share)
+    # A predecessor of this process may have sent legs until just before its start.
+    unused_since_ms = max(state.started_at_ms, endpoint.last_sent_at_ms)
+    limit = update_cold_limit(
+        before, per_s, endpoint.cold_until_ms, now_ms, share, unused_since_ms
+    )
     endpoint.cold_limit = limit
     if before is None and limit is not None:
         state.log.detail(
@@ -121,8 +125,9 @@
 
 
 def count_leg(state: DispatchState, leg: Leg) -> None:
-    """Count a leg that was sent to an endpoint with a limit."""
+    """Record that a leg was sent, and count it if its endpoint has a limit."""
     kind, endpoint = leg.kind.value, leg.endpoint
+    endpoint.last_sent_at_ms = loop_time_ms(state)
     for limit, name in ((endpoint.rate_limit, "limited_legs"), (endpoint.cold_limit, "cold_legs")):
         if limit is not None:
             count_limited_leg(limit, kind)
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -1,6 +1,7 @@
 """Dispatch state shared by all requests."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -53,6 +54,14 @@
         Returns whether the configuration was brought up to date since the start of the process.
     news_age_ms : callable
         Returns the time since the store was last heard of, directly or through a relay.
+    has_cold_rates : bool
+        Whether any service limits the requests to its cold endpoints.
+    uptime_ms : callable
+        Returns the time of a clock that also counts while the machine is suspended.
+    alive_at_ms : float
+        Last time of that clock at which this process was known to run.
+    started_at_ms : float
+        Time at which this process started.
     stops_at_ms : float or None
         Time at which a process that is shutting down ends, None if it is not shutting down.
     isolated_since_ms : float or None
@@ -105,6 +114,10 @@
         self.cold_bound = ColdBound()
         self.is_loaded: Callable[[], bool] = lambda: True
         self.news_age_ms: Callable[[], float] = lambda: 0.0
+        self.started_at_ms = loop.time() * 1000
+        self.has_cold_rates = False
+        self.uptime_ms: Callable[[], float] = lambda: loop.time() * 1000
+        self.alive_at_ms = math.inf
         self.stops_at_ms: float | None = None
         self.isolated_since_ms: float | None = None
 
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -15,6 +15,7 @@
 from wisteriarock.dispatch.controller import apply_notice
 from wisteriarock.dispatch.legs import close_abandoned_legs
 from wisteriarock.dispatch.limits import update_cold
+from wisteriarock.dispatch.resumption import check_resumption
 from wisteriarock.feed.following import report_lost_zones
 from wisteriarock.feed.notices import report_notice
 from wisteriarock.http.const import TIMEOUT_CHECK_INTERVAL_MS
@@ -56,6 +57,7 @@
 
 def _check_endpoints(instance: Instance) -> None:
     now_ms = instance.loop.time() * 1000
+    check_resumption(instance.dispatch)
     close_abandoned_legs(instance.dispatch, now_ms)
     release_held_requests(instance)
     expire_quarantine(instance.dispatch.quarantine, now_ms)
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -54,6 +54,7 @@
     record_instance_count,
     suspect_cold,
     suspect_restart,
+    uptime_ms,
 )
 from .const import (
     BUFFER_MEMORY_SHARE,
@@ -142,6 +143,7 @@
         self.dispatch.is_load_even = settings.even_load
         self.dispatch.limit_sharers = lambda service: limit_sharers(self, service)
         self.dispatch.cold_sharers = lambda service: cold_limit_sharers(self, service)
+        self.dispatch.uptime_ms = uptime_ms
         self.dispatch.cold_bound = ColdBound(settings.cold_overshoot, settings.cold_slack)
         self.feed = Feed(
             loop,
@@ -433,6 +435,9 @@
 def on_configuration(instance: Instance, configuration: Configuration) -> None:
     """Apply the limits for callers and drop the latencies of removed routes."""
     instance.caller_listener.limits = configuration.limits
+    instance.dispatch.has_cold_rates = any(
+        service.cold_rate_per_s for service in configuration.services
+    )
     instance.gathered_services = frozenset(
         shard for route in configuration.routes for shard in route.shards
     )
--- a/packages/wisteriarock/src/wisteriarock/limits/cold_limit.py
+++ b/packages/wisteriarock/src/wisteriarock/limits/cold_limit.py
@@ -79,6 +79,7 @@
     cold_until_ms: float,
     now_ms: float,
     share: Callable[[float, float], Share],
+    unused_since_ms: float,
 ) -> EndpointLimit | None:
     """Return the limit of an endpoint that is cold, or was until lately; None if it has none.
 
@@ -91,10 +92,16 @@
         Rate that the service states; 0 if it states none.
     share : callable
         Returns the share of one instance from the rate and the number of sharers.
+    unused_since_ms : float
+        Time since which this instance has sent nothing to the endpoint. A new share holds what it would
+        have gained since, so that an endpoint which was down gets requests at once.
     """
     warm_ms = now_ms - cold_until_ms
     if per_s <= 0 or warm_ms >= (0.0 if current is None else WARM_RAMP_MS):
         return None
-    limit = EndpointLimit(per_s, now_ms, share) if current is None else current
+    limit = current
+    if limit is None:
+        limit = EndpointLimit(per_s, now_ms, share)
+        limit.bucket.refilled_at_ms = min(now_ms, unused_since_ms)
     limit.per_s = per_s * (1.0 + WARM_RAMP_FACTOR * max(0.0, warm_ms) / WARM_RAMP_MS)
     return limit
--- a/tests/wisteriaplatform/test_cold_endpoints.py
+++ b/tests/wisteriaplatform/test_cold_endpoints.py
@@ -39,6 +39,7 @@
     async with deployment() as running:
         await _state_cold_rate(running, 1.0)
         record_instance_count(running.instance, 50)
+        running.instance.cold_sharers.counted_at_ms -= 60_000.0
         for name in ("invoicing.0", "shard-0.0"):
             entry = running.endpoints[name].make_entry(cold_left_ms=600_000, seq=2)
             running.store.put(f"servers/{name}", entry)
@@ -100,6 +101,8 @@
         instance.feed_state.instance_counts = dict.fromkeys(zones, (27, now_ms))
         record_instance_count(instance, 81)
         record_instance_count(instance, 54)
+        assert cold_limit_sharers(instance, "invoicing") is None, "counted just now"
+        instance.cold_sharers.counted_at_ms -= 60_000.0
         assert cold_limit_sharers(instance, "invoicing") == 81
         # Endpoints tell of a zone whose instances were never counted.
         del instance.feed_state.instance_counts["zone-c"]
--- a/tests/wisteriarock/dispatch/test_cold.py
+++ b/tests/wisteriarock/dispatch/test_cold.py
@@ -140,6 +140,27 @@
     assert {answer.status for _, answer in instance.answers.values()} == {200}
 
 
+def test_instance_that_was_paused_takes_endpoints_as_cold():
+    """Guards against an instance that resumes with its full load at endpoints that turned cold.
+
+    Pattern: a suspended machine, whose steady clock does not count the time.
+    """
+    for per_s in (0.0, 6.0):
+        (instance,) = create_instances(make_single_service_route(), 1, 2, 10.0)
+        _limit_cold([instance], per_s, 1.0)
+        state, paused_ms = instance.state, [0.0]
+        state.has_cold_rates = bool(per_s)
+        state.uptime_ms = lambda: instance.loop.time() * 1000 + paused_ms[0]  # noqa: B023
+        instance.send_requests(10, 20.0)
+        assert not any(name == "resumed" for name, _ in instance.log.events)
+        paused_ms[0] = 4_000.0
+        state.alive_at_ms = instance.loop.time() * 1000
+        instance.send_requests(100, 10.0, first=10)
+        assert any(name == "resumed" for name, _ in instance.log.events) == bool(per_s)
+        sent = sum(len(endpoint.senders) for endpoint in instance.endpoints.values())
+        assert sent <= 10 + 2 * 14 if per_s else sent == 110
+
+
 def test_legs_that_waited_for_a_connection_do_not_reach_a_cold_endpoint_together():
     """Guards against legs acquired over seconds that are sent when a connection opens.
 
--- a/tests/wisteriarock/limits/test_cold_limit.py
+++ b/tests/wisteriarock/limits/test_cold_limit.py
@@ -34,6 +34,8 @@
     and some pause.
     """
     limits = [EndpointLimit(per_s, 0.0, _share) for _ in range(instances)]
+    for limit in limits:
+        limit.bucket.refilled_at_ms = rng.choice((0.0, -10_000.0))
     paused_until_ms = [0.0] * instances
     sent_ms = []
     for tick in range(8 * 50):
@@ -105,6 +107,19 @@
         assert len(times_ms) >= least * per_s * 8.0, instances
 
 
+def test_share_begins_with_what_was_not_used():
+    """Guards against an endpoint that was down and idles at its return, and against a whole share on
+    top of the load that an endpoint has just had.
+    """
+    rng = random.Random(1)
+    for unused_since_ms, expected in ((9_990.0, False), (0.0, True)):
+        limit = update_cold_limit(None, 5.0, 20_000.0, 10_000.0, _share, unused_since_ms)
+        assert limit is not None
+        assert try_acquire(limit, 3.0, 10_000.0, rng) == expected
+        sent = sum(try_acquire(limit, 3.0, 10_000.0, rng) for _ in range(9))
+        assert sent + expected <= _share(5.0, 3.0).burst
+
+
 def test_unstated_bound_is_the_stated_rate():
     """Guards against requests beyond the rate where no overshoot is published."""
     for sharers in (1.0, 3.0, 50.0):
@@ -114,19 +129,19 @@
 
 def test_limit_rises_before_it_ends():
     """Guards against a herd that meets an endpoint at the moment at which it turns warm."""
-    limit = update_cold_limit(None, 5.0, 1_000.0, 0.0, _share)
+    limit = update_cold_limit(None, 5.0, 1_000.0, 0.0, _share, 0.0)
     assert limit is not None and limit.per_s == 5.0 and limit.bucket.tokens == 0.0
     rates = []
     for now_ms in range(1_000, 1_000 + int(WARM_RAMP_MS), 100):
-        assert update_cold_limit(limit, 5.0, 1_000.0, float(now_ms), _share) is limit
+        assert update_cold_limit(limit, 5.0, 1_000.0, float(now_ms), _share, 0.0) is limit
         rates.append(limit.per_s)
     assert rates[0] == 5.0 and rates == sorted(rates) and rates[-1] > 25.0
-    assert update_cold_limit(limit, 5.0, 1_000.0, 1_000.0 + WARM_RAMP_MS, _share) is None
+    assert update_cold_limit(limit, 5.0, 1_000.0, 1_000.0 + WARM_RAMP_MS, _share, 0.0) is None
     # Cold again at any moment: the limit is back at once.
-    assert update_cold_limit(limit, 5.0, 9_000.0, 1_500.0, _share) is limit and limit.per_s == 5.0
-    assert update_cold_limit(None, 0.0, 1_000.0, 0.0, _share) is None
+    assert update_cold_limit(limit, 5.0, 9_000.0, 1_500.0, _share, 0.0) is limit and limit.per_s == 5.0
+    assert update_cold_limit(None, 0.0, 1_000.0, 0.0, _share, 0.0) is None
     # An endpoint that was not cold has no limit after its start.
-    assert update_cold_limit(None, 5.0, 1_000.0, 1_000.0, _share) is None
+    assert update_cold_limit(None, 5.0, 1_000.0, 1_000.0, _share, 0.0) is None
 
 
 load_tests = function_suite(globals())
--- a/tests/wisteriastandins/soak/test_checks.py
+++ b/tests/wisteriastandins/soak/test_checks.py
@@ -41,16 +41,18 @@
 SHARDS = ("shard-0", "shard-1", "shard-2", "shard-3")
 
 
-def _make_observations() -> Observations:
+def make_observations() -> Observations:
+    """Return observations with one version and one process."""
     observations = Observations()
     observations.versions.append(ConfigurationVersion(1, 0.0, SHARDS, "ledger-a"))
     observations.lifetimes.append(ProcessLifetime(0, 0.0, 100_000.0))
     return observations
 
 
-def _add_arrival(
+def add_arrival(
     observations: Observations, request_id: str, service: str, at_ms: float = 10.0
 ) -> str:
+    """Record an arrival at the endpoint 1 of a service and return its stamp."""
     stamp = f"{service}.{len(observations.arrivals)}"
     observations.arrivals.append(
         Arrival(at_ms, request_id, service, f"{service}.1", "/", b"", stamp)
@@ -58,15 +60,16 @@
     return stamp
 
 
-def _make_attempt(kind: RequestKind = RequestKind.BOOK, **changes: object) -> Attempt:
+def make_attempt(kind: RequestKind = RequestKind.BOOK, **changes: object) -> Attempt:
+    """Return an answered request; `changes` replaces fields."""
     attempt = Attempt("r", kind, 0, 0.0, 50.0, 200, {}, b"")
     return attempt._replace(**changes)  # type: ignore[arg-type]
 
 
 def _make_search(observations: Observations, shards: tuple[str, ...], missing: int) -> Attempt:
-    stamps = ", ".join(_add_arrival(observations, "r", shard) for shard in shards)
+    stamps = ", ".join(add_arrival(observations, "r", shard) for shard in shards)
     headers = {"part-stamps": stamps, "missing-parts": str(missing)}
-    return _make_attempt(RequestKind.SEARCH, headers=headers, body=merge_records(list(shards), "r"))
+    return make_attempt(RequestKind.SEARCH, headers=headers, body=merge_records(list(shards), "r"))
 
 
 def _count_violations(observations: Observations, attempt: Attempt) -> int:
@@ -76,7 +79,7 @@
 
 def test_answers():
     """Guards against accepting incomplete answers or answers to another request."""
-    observations = _make_observations()
+    observations = make_observations()
     good = _make_search(observations, SHARDS[:3], 1)
     assert not _count_violations(observations, good)
     assert _count_violations(observations, good._replace(body=good.body[:-16]))
@@ -89,8 +92,8 @@
     assert _count_violations(
         observations, _make_search(observations, ("shard-0", "part-1", "shard-2", "shard-3"), 0)
     )
-    stamp = _add_arrival(observations, "r", "ledger-a")
-    plain = _make_attempt(headers={"server-stamp": stamp}, body=make_records("ledger-a", "r"))
+    stamp = add_arrival(observations, "r", "ledger-a")
+    plain = make_attempt(headers={"server-stamp": stamp}, body=make_records("ledger-a", "r"))
     assert not _count_violations(observations, plain)
     assert _count_violations(observations, plain._replace(body=b"other"))
     assert _count_violations(observations, plain._replace(headers={}))
@@ -98,27 +101,27 @@
 
 def test_runs():
     """Guards against missing repeated executions, false refusals or requests nobody sent."""
-    observations = _make_observations()
-    observations.attempts = [_make_attempt()]
-    _add_arrival(observations, "r", "ledger-a")
+    observations = make_observations()
+    observations.attempts = [make_attempt()]
+    add_arrival(observations, "r", "ledger-a")
     assert not list(check_runs(observations))
-    observations.attempts = [_make_attempt(status=503)]
+    observations.attempts = [make_attempt(status=503)]
     assert [each.guarantee for each in check_runs(observations)] == ["refused"]
-    _add_arrival(observations, "r", "ledger-a")
-    observations.attempts = [_make_attempt()]
+    add_arrival(observations, "r", "ledger-a")
+    observations.attempts = [make_attempt()]
     assert [each.guarantee for each in check_runs(observations)] == ["twice"]
-    observations.attempts = [_make_attempt(RequestKind.LOOKUP)]
+    observations.attempts = [make_attempt(RequestKind.LOOKUP)]
     assert not list(check_runs(observations))
-    _add_arrival(observations, "r", "ledger-a")
+    add_arrival(observations, "r", "ledger-a")
     assert [each.guarantee for each in check_runs(observations)] == ["attempts"]
     observations.arrivals = []
-    _add_arrival(observations, "hidden", "ledger-a")
+    add_arrival(observations, "hidden", "ledger-a")
     assert [each.guarantee for each in check_runs(observations)] == ["unasked"]
 
 
 def test_process_ends():
     """Guards against missing a process that ends by itself, also after another signal."""
-    observations = _make_observations()
+    observations = make_observations()
     kill, stop, hang_up = signal.SIGKILL, signal.SIGTERM, signal.SIGHUP
     for status, sent_signals, is_violation in (
         (-kill, {kill}, False),
@@ -139,19 +142,19 @@
 
 def test_leaving_endpoints_and_pauses():
     """Guards against missing requests to an endpoint that said it wants none."""
-    observations = _make_observations()
+    observations = make_observations()
     observations.attempts = [
-        _make_attempt(request_id=name, sent_ms=9_000.0) for name in ("told", "r", "r2", "r3")
+        make_attempt(request_id=name, sent_ms=9_000.0) for name in ("told", "r", "r2", "r3")
     ]
     observations.leaving_notices = [LeavingNotice("ledger-a.1", "told", 1_000.0)]
-    _add_arrival(observations, "r", "ledger-a", 3_900.0)
+    add_arrival(observations, "r", "ledger-a", 3_900.0)
     assert not list(check_leaving(observations))
-    _add_arrival(observations, "r2", "ledger-a", 4_100.0)
+    add_arrival(observations, "r2", "ledger-a", 4_100.0)
     assert list(check_leaving(observations))
     observations.pause_notices = [PauseNotice("ledger-a.1", "told", 1_000.0, 5_000.0)]
-    _add_arrival(observations, "r3", "ledger-a", 6_100.0)
+    add_arrival(observations, "r3", "ledger-a", 6_100.0)
     assert not list(check_pauses(observations))
-    _add_arrival(observations, "r3", "ledger-a", 5_900.0)
+    add_arrival(observations, "r3", "ledger-a", 5_900.0)
     assert list(check_pauses(observations))
     observations.disturbances = [Disturbance(0, 500.0, 900.0, False)]
     assert not list(check_pauses(observations)) and not list(check_leaving(observations))
@@ -159,23 +162,23 @@
 
 def test_deadly_requests():
     """Guards against missing a request that is sent on after endpoints have ended under it."""
-    observations = _make_observations()
+    observations = make_observations()
     observations.deadly_ends = [DeadlyEnd("r", at_ms) for at_ms in (100.0, 110.0, 120.0)]
-    _add_arrival(observations, "r", "shard-0", 150.0)
-    _add_arrival(observations, "other", "shard-0", 900.0)
+    add_arrival(observations, "r", "shard-0", 150.0)
+    add_arrival(observations, "other", "shard-0", 900.0)
     assert not list(check_deadly_requests(observations))
-    _add_arrival(observations, "r", "shard-1", 300.0)
+    add_arrival(observations, "r", "shard-1", 300.0)
     assert list(check_deadly_requests(observations))
 
 
 def test_draining_endpoints():
     """Guards against missing new requests to a draining endpoint."""
-    observations = _make_observations()
-    observations.attempts = [_make_attempt(sent_ms=4_000.0)]
+    observations = make_observations()
+    observations.attempts = [make_attempt(sent_ms=4_000.0)]
     observations.draining_endpoints = [DrainingEndpoint("ledger-a.1", 1_000.0)]
-    _add_arrival(observations, "r", "ledger-a", 3_900.0)
+    add_arrival(observations, "r", "ledger-a", 3_900.0)
     assert not list(check_draining(observations))
-    _add_arrival(observations, "r", "ledger-a", 4_100.0)
+    add_arrival(observations, "r", "ledger-a", 4_100.0)
     assert list(check_draining(observations))
     observations.disturbances = [Disturbance(0, 500.0, 900.0, False)]
     assert not list(check_draining(observations))
@@ -183,13 +186,13 @@
 
 def test_stops():
     """Guards against missing requests that a planned stop interrupted."""
-    observations = _make_observations()
+    observations = make_observations()
     observations.disturbances = [Disturbance(0, 0.0, 6_000.0, True)]
-    observations.attempts = [_make_attempt(status=0, ended_ms=500.0)]
+    observations.attempts = [make_attempt(status=0, ended_ms=500.0)]
     assert list(check_planned_stops(observations))
-    observations.attempts = [_make_attempt(status=0, ended_ms=20.0)]
+    observations.attempts = [make_attempt(status=0, ended_ms=20.0)]
     assert not list(check_planned_stops(observations))
-    _add_arrival(observations, "r", "ledger-a")
+    add_arrival(observations, "r", "ledger-a")
     assert list(check_planned_stops(observations))
     observations.disturbances.append(Disturbance(-1, 100.0, 200.0, False))
     assert not list(check_planned_stops(observations))
@@ -197,9 +200,9 @@
 
 def test_configuration():
     """Guards against missing a version that is applied late or reverted."""
-    observations = _make_observations()
+    observations = make_observations()
     observations.versions.append(ConfigurationVersion(2, 10_000.0, SHARDS, "ledger-b"))
-    probe = _make_attempt(
+    probe = make_attempt(
         RequestKind.PROBE, expected_version=2, sent_ms=12_000.0, ended_ms=12_010.0
     )
     observations.attempts = [probe._replace(status=404)]
@@ -217,22 +220,22 @@
 
 def test_rate_limits():
     """Guards against missing more requests than an endpoint said that it takes."""
-    observations = _make_observations()
+    observations = make_observations()
     observations.rate_limits = [RateLimit("ledger-a.1", 1.0, 1_000.0, 12_000.0)]
-    observations.attempts = [_make_attempt(request_id=f"r{number}") for number in range(12)]
+    observations.attempts = [make_attempt(request_id=f"r{number}") for number in range(12)]
     for number in range(12):
-        _add_arrival(observations, f"r{number}", "ledger-a", 4_000.0 + number * 300.0)
+        add_arrival(observations, f"r{number}", "ledger-a", 4_000.0 + number * 300.0)
     assert not list(check_rate_limits(observations)), "no instance was told"
     observations.limit_notices = [LimitNotice("ledger-a.1", "r0", 2_000.0)]
     assert [each.guarantee for each in check_rate_limits(observations)] == ["rate_limit"]
     observations.attempts[:2] = [
-        _make_attempt(request_id=f"r{number}", instance=1) for number in range(2)
+        make_attempt(request_id=f"r{number}", instance=1) for number in range(2)
     ]
     observations.limit_notices.append(LimitNotice("ledger-a.1", "r2", 2_000.0))
     assert list(check_rate_limits(observations)), "the sum of both instances counts"
     observations.limit_notices[0] = LimitNotice("ledger-a.1", "r0", 11_000.0)
     assert not list(check_rate_limits(observations)), "the other one was told later"
-    observations.attempts[:2] = [_make_attempt(request_id=f"r{number}") for number in range(2)]
+    observations.attempts[:2] = [make_attempt(request_id=f"r{number}") for number in range(2)]
     observations.limit_notices = [LimitNotice("ledger-a.1", "r0", 2_000.0)]
     assert list(check_rate_limits(observations))
     observations.disturbances = [Disturbance(0, 2_000.0, 2_500.0, False)]
@@ -241,26 +244,26 @@
 
 def test_budget_connections_time_and_recovery():
     """Guards against missing violations of limits on all instances together."""
-    observations = _make_observations()
+    observations = make_observations()
     for number in range(20):
         for _ in range(4):
-            _add_arrival(observations, f"r{number}", "shard-0", number * 100.0)
+            add_arrival(observations, f"r{number}", "shard-0", number * 100.0)
     assert not list(check_budget(observations))
     for _ in range(2):
-        _add_arrival(observations, "r0", "shard-0", 2_000.0)
+        add_arrival(observations, "r0", "shard-0", 2_000.0)
     assert [each.guarantee for each in check_budget(observations)] == ["budget"]
     observations.peak_connections = {"a": 26}
     assert not list(check_connections(observations))
     observations.peak_connections = {"a": 27}
     assert list(check_connections(observations))
-    observations.attempts = [_make_attempt(ended_ms=3_000.0)]
+    observations.attempts = [make_attempt(ended_ms=3_000.0)]
     assert list(check_answer_times(observations))
     observations.disturbances = [Disturbance(0, 0.0, 10.0, False)]
     assert not list(check_answer_times(observations))
     observations.kill_all_times_ms = [0.0]
-    observations.attempts = [_make_attempt(sent_ms=13_000.0, status=503) for _ in range(4)]
+    observations.attempts = [make_attempt(sent_ms=13_000.0, status=503) for _ in range(4)]
     assert list(check_recovery(observations, 20_000.0))
-    observations.attempts[0] = _make_attempt(sent_ms=13_000.0)
+    observations.attempts[0] = make_attempt(sent_ms=13_000.0)
     assert not list(check_recovery(observations, 20_000.0))
 
 
--- a/tests/wisteriastandins/soak/test_run.py
+++ b/tests/wisteriastandins/soak/test_run.py
@@ -29,7 +29,7 @@
         assert sum(1 for attempt in result.observations.attempts if attempt.status == 200) > 100
 
 
-def _run_copy(path: str, before: str, after: str, plan: list[Fault]) -> SoakResult:
+def run_copy(path: str, before: str, after: str, plan: list[Fault]) -> SoakResult:
     """Run a copy of the programs with a bug planted in one file."""
     with tempfile.TemporaryDirectory() as folder:
         for package in PACKAGES:
@@ -44,7 +44,7 @@
 
 def test_doubled_send_is_found():
     """Guards against missing a request that runs twice."""
-    result = _run_copy(
+    result = run_copy(
         "dispatch/legs.py",
         "    state.pool_of(endpoint).send(leg.exchange)\n",
         "    state.pool_of(endpoint).send(leg.exchange)\n"
@@ -58,7 +58,7 @@
 def test_lost_part_counted_as_present_is_found():
     """Guards against trusting the reported number of missing parts."""
     failing = [Fault(0.5, FaultKind.ENDPOINT_ERROR, target, 6.0) for target in (4, 5)]
-    result = _run_copy(
+    result = run_copy(
         "dispatch/answers.py",
         "    missing = len(query.shards) - query.parts\n",
         "    missing = 0\n",
@@ -69,7 +69,7 @@
 
 def test_stale_configuration_is_found():
     """Guards against missing an instance that keeps an older configuration version."""
-    result = _run_copy(
+    result = run_copy(
         "discovery/controller.py",
         "    if not adopt(state.catalog, configuration, now_ms):\n",
         "    if state.catalog.configuration or not adopt(state.catalog, configuration, now_ms):\n",
@@ -80,7 +80,7 @@
 
 def test_ignored_rate_limit_is_found():
     """Guards against missing instances that send more than an endpoint takes."""
-    result = _run_copy(
+    result = run_copy(
         "dispatch/limits.py",
         "    limits = (endpoint.rate_limit, update_cold(state, endpoint, now_ms))\n",
         "    limits: tuple[EndpointLimit | None, ...] = ()\n",
