Look for limits of cold endpoints only where there may be one

The checks ran for each leg and, ten times a second, for each endpoint, also where no service states a rate for cold endpoints. Same choices (checksums of the dispatch test); the cost was not measured on its own.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
@@ -60,6 +60,12 @@
     return state.limit_sharers(endpoint.service)
 
 
+def _is_unlimited(endpoint: Endpoint, now_ms: float) -> bool:
+    """Return whether an endpoint has no limit, as most have, without looking for one."""
+    is_warm = endpoint.cold_limit is None and now_ms >= endpoint.cold_until_ms
+    return is_warm and endpoint.rate_limit is None
+
+
 def _limits_of(state: DispatchState, endpoint: Endpoint, now_ms: float) -> list[EndpointLimit]:
     limits = (endpoint.rate_limit, update_cold(state, endpoint, now_ms))
     return [limit for limit in limits if limit is not None]
@@ -67,6 +73,8 @@
 
 def may_send_to(state: DispatchState, endpoint: Endpoint, now_ms: float) -> bool:
     """Return whether the limits of an endpoint may allow a leg now."""
+    if _is_unlimited(endpoint, now_ms):
+        return True
     for limit in _limits_of(state, endpoint, now_ms):
         sharers = _sharers(state, endpoint, limit)
         if sharers is None or not may_send(limit, sharers, now_ms):
@@ -87,6 +95,8 @@
     tuple of EndpointLimit or None
         The limits from which the leg is taken; None if one of them is used up.
     """
+    if _is_unlimited(endpoint, now_ms):
+        return held
     taken: list[EndpointLimit] = []
     for limit in _limits_of(state, endpoint, now_ms):
         if limit in held:
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -71,7 +71,8 @@
                 _withdraw_from(instance, endpoint)
     probes: dict[str, int] = {}
     for endpoint in endpoints:
-        update_cold(instance.dispatch, endpoint, now_ms)
+        if instance.dispatch.has_cold_rates:
+            update_cold(instance.dispatch, endpoint, now_ms)
         if mark_if_unreachable(endpoint, now_ms):
             instance.log.record("endpoint_unreachable", endpoint=endpoint.endpoint_id)
             _withdraw_from(instance, endpoint)
