--- a/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
@@ -27,7 +27,11 @@
         return share_cold_limit(state.cold_bound, per_s, sharers)
 
     per_s = service.cold_rate_per_s if service is not None else 0.0
-    limit = update_cold_limit(before, per_s, endpoint.cold_until_ms, now_ms, share)
+    # A predecessor of this process may have sent legs until just before its start.
+    unused_since_ms = max(state.started_at_ms, endpoint.last_sent_at_ms)
+    limit = update_cold_limit(
+        before, per_s, endpoint.cold_until_ms, now_ms, share, unused_since_ms
+    )
     endpoint.cold_limit = limit
     if before is None and limit is not None:
         state.log.detail(
@@ -56,6 +60,12 @@
     return state.limit_sharers(endpoint.service)
 
 
+def _is_unlimited(endpoint: Endpoint, now_ms: float) -> bool:
+    """Return whether an endpoint has no limit, as most have, without looking for one."""
+    is_warm = endpoint.cold_limit is None and now_ms >= endpoint.cold_until_ms
+    return is_warm and endpoint.rate_limit is None
+
+
 def _limits_of(state: DispatchState, endpoint: Endpoint, now_ms: float) -> list[EndpointLimit]:
     limits = (endpoint.rate_limit, update_cold(state, endpoint, now_ms))
     return [limit for limit in limits if limit is not None]
@@ -63,6 +73,8 @@
 
 def may_send_to(state: DispatchState, endpoint: Endpoint, now_ms: float) -> bool:
     """Return whether the limits of an endpoint may allow a leg now."""
+    if _is_unlimited(endpoint, now_ms):
+        return True
     for limit in _limits_of(state, endpoint, now_ms):
         sharers = _sharers(state, endpoint, limit)
         if sharers is None or not may_send(limit, sharers, now_ms):
@@ -83,6 +95,8 @@
     tuple of EndpointLimit or None
         The limits from which the leg is taken; None if one of them is used up.
     """
+    if _is_unlimited(endpoint, now_ms):
+        return held
     taken: list[EndpointLimit] = []
     for limit in _limits_of(state, endpoint, now_ms):
         if limit in held:
@@ -121,8 +135,9 @@
 
 
 def count_leg(state: DispatchState, leg: Leg) -> None:
-    """Count a leg that was sent to an endpoint with a limit."""
+    """Record that a leg was sent, and count it if its endpoint has a limit."""
     kind, endpoint = leg.kind.value, leg.endpoint
+    endpoint.last_sent_at_ms = loop_time_ms(state)
     for limit, name in ((endpoint.rate_limit, "limited_legs"), (endpoint.cold_limit, "cold_legs")):
         if limit is not None:
             count_limited_leg(limit, kind)
