Spread the choice of many instances over the endpoints of a service

Change: an old report adds doubt to the estimate, up or down; the usual load of an endpoint stands for part of an old report; at most 8 endpoints, drawn at random, are compared for a leg. A program plays many instances on the decision functions alone and compares other ways to choose.

--- a/packages/wisteriarock/src/wisteriarock/balancing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/decide.py
@@ -10,7 +10,9 @@
     COLD_FACTOR,
     CONNECT_PENALTY_MS,
     CROSS_ZONE_PENALTY_MS,
+    DOUBT_JITTER_SHARE,
     ERROR_PENALTY_FACTOR,
+    EVEN_CANDIDATES_MAX,
     EVEN_JITTER_SHARE,
     JITTER_SHARE,
     LOST_ZONE_UNREACHABLE_SHARE,
@@ -29,6 +31,7 @@
     expected_pace,
     learn_speed,
     record_report,
+    report_weight,
     trouble_ratio,
     unexplained_ratio,
 )
@@ -61,10 +64,11 @@
     """
     weight = math.exp((endpoint.observed_at_ms - now_ms) / OBSERVATION_DECAY_MS)
     ratio = 1.0 + (endpoint.slow_ratio - 1.0) * weight
-    jitter_share = JITTER_SHARE
+    jitter_share, jitter_offset = JITTER_SHARE, 0.0
     if is_even or endpoint.load is not None:
         ratio = endpoint.speed_ratio * expected_pace(endpoint, now_ms) * trouble_ratio(ratio)
-        jitter_share = EVEN_JITTER_SHARE
+        doubt_share = DOUBT_JITTER_SHARE * (1.0 - report_weight(endpoint, expected_ms, now_ms))
+        jitter_share, jitter_offset = EVEN_JITTER_SHARE + doubt_share, doubt_share / 2
     if endpoint.cold_until_ms > now_ms:
         ratio *= COLD_FACTOR
     cost = expected_ms * ratio * (1.0 + expected_load(endpoint, expected_ms, now_ms))
@@ -75,7 +79,7 @@
     silent_ms = silence_ms(endpoint, now_ms)
     if silent_ms > STALL_MIN_MS and silent_ms > STALL_LATENCY_FACTOR * expected_ms * ratio:
         cost += expected_ms * STALL_PENALTY_FACTOR
-    return cost + expected_ms * jitter_share * rng.random()
+    return cost + expected_ms * jitter_share * rng.random() - expected_ms * jitter_offset
 
 
 def choose_endpoint(
@@ -97,10 +101,12 @@
     """
     best = None
     best_cost = math.inf
-    for endpoint in endpoints:
-        if endpoint.is_unreachable or endpoint.endpoint_id in excluded:
-            continue
-        if not allows_request(endpoint.pause, len(endpoint.in_flight), now_ms):
+    candidates = endpoints
+    if is_even and len(endpoints) > EVEN_CANDIDATES_MAX:
+        usable = [each for each in endpoints if _is_usable(each, excluded, now_ms)]
+        candidates = rng.sample(usable, min(EVEN_CANDIDATES_MAX, len(usable)))
+    for endpoint in candidates:
+        if not _is_usable(endpoint, excluded, now_ms):
             continue
         cost = estimate_cost_ms(endpoint, zone, expected_ms, now_ms, rng, is_even=is_even)
         if not has_idle_connection(endpoint):
@@ -110,6 +116,12 @@
     return best
 
 
+def _is_usable(endpoint: Endpoint, excluded: Collection[str], now_ms: float) -> bool:
+    if endpoint.is_unreachable or endpoint.endpoint_id in excluded:
+        return False
+    return allows_request(endpoint.pause, len(endpoint.in_flight), now_ms)
+
+
 def has_reachable(endpoints: Sequence[Endpoint]) -> bool:
     """Return whether any of the endpoints is not marked as unreachable."""
     return any(not endpoint.is_unreachable for endpoint in endpoints)
--- a/packages/wisteriarock/src/wisteriarock/balancing/load.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/load.py
@@ -4,7 +4,7 @@
 
 from .const import (
     CHANCE_RATIO,
-    FIRST_SAMPLE_WEIGHT,
+    FIRST_PACE_WEIGHT,
     LOAD_WEIGHT,
     OBSERVATION_DECAY_MS,
     PACE_DECAY_MS,
@@ -38,11 +38,9 @@
     pace = limit_pace(report.pace)
     waiting = min(report.waiting, load_max)
     running = min(running, load_max)
-    is_first = endpoint.load is None
-    weight = FIRST_SAMPLE_WEIGHT if is_first else SPEED_WEIGHT
+    weight = FIRST_PACE_WEIGHT if endpoint.load is None else SPEED_WEIGHT
     endpoint.usual_pace += weight * (min(pace, SPEED_MAX) - endpoint.usual_pace)
-    weight = FIRST_SAMPLE_WEIGHT if is_first else LOAD_WEIGHT
-    endpoint.usual_load += weight * (min(running + waiting, slots) - endpoint.usual_load)
+    endpoint.usual_load += LOAD_WEIGHT * (min(running + waiting, slots) - endpoint.usual_load)
     endpoint.load = LoadReport(running, waiting, slots, pace)
     endpoint.load_at_ms = now_ms
 
@@ -60,23 +58,32 @@
 def expected_load(endpoint: Endpoint, expected_ms: float, now_ms: float) -> float:
     """Estimate the requests at an endpoint, per slot.
 
-    The reported ones end with time, a longer queue later than a short one. Legs of this instance
-    that are still unanswered count in full.
+    Legs of this instance that are still unanswered count in full.
     """
     own = len(endpoint.in_flight)
     report = endpoint.load
     if report is None:
         return own / endpoint.slots
-    reported = report.running + report.waiting
-    queued_per_slot = max(0, reported - report.slots) / report.slots
-    decay_ms = expected_ms * (1.0 + QUEUE_DECAY_FACTOR * queued_per_slot)
     age_ms = now_ms - endpoint.load_at_ms
     usual = USUAL_LOAD_SHARE * endpoint.usual_load * math.exp(-age_ms / USUAL_LOAD_DECAY_MS)
-    weight = math.exp(-age_ms / max(1.0, decay_ms))
-    remaining = usual + (reported - usual) * weight
+    weight = report_weight(endpoint, expected_ms, now_ms)
+    remaining = usual + (report.running + report.waiting - usual) * weight
     return max(remaining + _count_sent_since(endpoint, endpoint.load_at_ms), own) / report.slots
 
 
+def report_weight(endpoint: Endpoint, expected_ms: float, now_ms: float) -> float:
+    """Return how much the last report still says about the load, 1 if it has none.
+
+    The reported requests end with time, a longer queue later than a short one.
+    """
+    report = endpoint.load
+    if report is None:
+        return 1.0
+    queued_per_slot = max(0, report.running + report.waiting - report.slots) / report.slots
+    decay_ms = max(1.0, expected_ms * (1.0 + QUEUE_DECAY_FACTOR * queued_per_slot))
+    return math.exp((endpoint.load_at_ms - now_ms) / decay_ms)
+
+
 def _count_sent_since(endpoint: Endpoint, since_ms: float) -> int:
     count = 0
     for sent_at_ms in reversed(endpoint.in_flight.values()):
--- a/tests/wisteriarock/balancing/crowd.py
+++ b/tests/wisteriarock/balancing/crowd.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from wisteriarock.balancing.decide import observe_reply
+from wisteriarock.balancing.decide import choose_endpoint, observe_reply
 from wisteriarock.balancing.models import Endpoint, LoadReport
 
 from tests.wisteriarock.dispatch.emulator import VirtualLoop
@@ -82,8 +82,8 @@
         Load of the busiest endpoint in a second over the mean of all, averaged over the seconds.
     overrun_share : float
         Share of requests that waited although another endpoint had a free slot.
-    latency_p50_ms, latency_p99_ms, wait_p99_ms, wait_mean_ms : float
-        Latency, and the part of it that requests waited for a slot.
+    wait_mean_ms, wait_p99_ms, latency_mean_ms, latency_p99_ms : float
+        Time that requests waited for a slot, and their latency.
     cross_zone_share : float
         Share of requests sent to another zone.
     shares : list of float
@@ -100,6 +100,21 @@
     shares: list[float]
 
 
+def mean_figures(runs: Sequence[Figures]) -> Figures:
+    """Return the means of the figures of several runs, and the shares of the first one."""
+    means = [sum(values) / len(runs) for values in zip(*[run[:-1] for run in runs], strict=True)]
+    return Figures(*means, runs[0].shares)
+
+
+def choose_evenly(
+    endpoints: Sequence[Endpoint], zone: str, expected_ms: float, now_ms: float, rng: random.Random
+) -> Endpoint:
+    """Choose as an instance does that is asked for even load."""
+    chosen = choose_endpoint(endpoints, (), zone, expected_ms, now_ms, rng, is_even=True)
+    assert chosen is not None
+    return chosen
+
+
 class Server:
     """An endpoint as it is, apart from what instances know of it."""
 
