--- a/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
@@ -29,9 +29,7 @@
     per_s = service.cold_rate_per_s if service is not None else 0.0
     # A predecessor of this process may have sent legs until just before its start.
     unused_since_ms = max(state.started_at_ms, endpoint.last_sent_at_ms)
-    limit = update_cold_limit(
-        before, per_s, endpoint.cold_until_ms, now_ms, share, unused_since_ms
-    )
+    limit = update_cold_limit(before, per_s, endpoint.cold_until_ms, now_ms, share, unused_since_ms)
     endpoint.cold_limit = limit
     if before is None and limit is not None:
         state.log.detail(
--- a/tests/wisteriarock/limits/test_cold_limit.py
+++ b/tests/wisteriarock/limits/test_cold_limit.py
@@ -138,7 +138,9 @@
     assert rates[0] == 5.0 and rates == sorted(rates) and rates[-1] > 25.0
     assert update_cold_limit(limit, 5.0, 1_000.0, 1_000.0 + WARM_RAMP_MS, _share, 0.0) is None
     # Cold again at any moment: the limit is back at once.
-    assert update_cold_limit(limit, 5.0, 9_000.0, 1_500.0, _share, 0.0) is limit and limit.per_s == 5.0
+    assert (
+        update_cold_limit(limit, 5.0, 9_000.0, 1_500.0, _share, 0.0) is limit and limit.per_s == 5.0
+    )
     assert update_cold_limit(None, 0.0, 1_000.0, 0.0, _share, 0.0) is None
     # An endpoint that was not cold has no limit after its start.
     assert update_cold_limit(None, 5.0, 1_000.0, 1_000.0, _share, 0.0) is None
--- a/tests/wisteriastandins/soak/test_checks.py
+++ b/tests/wisteriastandins/soak/test_checks.py
@@ -202,9 +202,7 @@
     """Guards against missing a version that is applied late or reverted."""
     observations = make_observations()
     observations.versions.append(ConfigurationVersion(2, 10_000.0, SHARDS, "ledger-b"))
-    probe = make_attempt(
-        RequestKind.PROBE, expected_version=2, sent_ms=12_000.0, ended_ms=12_010.0
-    )
+    probe = make_attempt(RequestKind.PROBE, expected_version=2, sent_ms=12_000.0, ended_ms=12_010.0)
     observations.attempts = [probe._replace(status=404)]
     assert not list(check_configuration(observations))
     late = probe._replace(status=404, sent_ms=13_500.0, ended_ms=13_510.0)
