Hold customers to their allotments over all instances

Change: each instance counts what customers ask and reports it to the relay of its zone, relays exchange totals, and a relay that sees a customer's bucket empty orders the share of its requests to admit, pushed to members in an open call. No request waits. Over the allotment a request gets 429 with a Retry-After that fits the debt. Without contact to a relay an instance keeps to its equal share, rounded at random by the function that limits of endpoints use (moved to limits/share). Relays set aside the share of instances that are silent, counted by zone, and use part of the tolerated excess (quota_* of the settings) only after a window in which nearly all were heard. Without customers that have a limit no task runs and no state is kept. The dump shows allotment, use, refusals and orders.

--- a/packages/wisteriarock/src/wisteriarock/customers/const.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/const.py
@@ -6,3 +6,59 @@
 KEY_NEWS_AGE_MAX_MS = 5_000.0
 # Largest number of log lines on odd customers for each configuration.
 LOGGED_ODD_CUSTOMERS_MAX = 10
+# Shares of the tolerated excess that a relay adds to the allotment of a window and that it lets a
+# customer run into debt, and that instances without contact to a relay may use together. The rest
+# covers the delay of reports and orders.
+RELAY_RATE_EXCESS_SHARE = 0.45
+RELAY_DEBT_SHARE = 0.15
+# Share of all instances that a relay has to hear of for the former.
+EXCESS_HEARD_SHARE_MIN = 0.9
+ALONE_EXCESS_SHARE = 0.25
+# Share of the rate of the allotment at which they go on; the rest of a window's allotment is added
+# to the burst, as most of their customers send them less than one request in a window.
+ALONE_RATE_SHARE = 0.5
+# Part of its share that an instance has when it starts. Its predecessor may just have used it.
+START_SHARE = 0.6
+# Time within which a customer is led back to its allowed debt.
+CORRECTION_S = 0.4
+# Time constant of the rate at which a customer asks.
+ASKED_TIME_CONSTANT_S = 1.0
+# Time for which a lower rate is paid for at most: the largest debt, in allotments of this time.
+DEBT_MAX_S = 2.0
+# Shortest interval of the reports of an instance, and the addition for each member of its relay.
+REPORT_INTERVAL_MIN_MS = 100.0
+REPORT_INTERVAL_PER_MEMBER_MS = 2.0
+# Timeout of a report, and the age of unconfirmed requests above which an instance is on its own.
+REPORT_TIMEOUT_MS = 250.0
+UNCONFIRMED_MAX_MS = 600.0
+# Longest wait of a watch for orders, its timeout beyond that, and the age of the last answer above
+# which an instance is on its own.
+WATCH_WAIT_MS = 1_000.0
+WATCH_SLACK_MS = 300.0
+HEARD_MAX_MS = 2_000.0
+# Age at which an order that no relay has confirmed is dropped.
+ORDER_MAX_AGE_MS = 5_000.0
+# Interval of the exchange of totals between relays, at least and at most.
+EXCHANGE_INTERVAL_MS = 150.0
+EXCHANGE_IDLE_INTERVAL_MS = 300.0
+# Age of the last message of a relay above which its members count as silent; counts for it are then
+# dropped, as it has limited itself to its part meanwhile.
+PEER_TIMEOUT_MS = 750.0
+# Age of the last message of a member above which it counts as silent.
+MEMBER_TIMEOUT_MS = 2_500.0
+# Time for which a new relay counts the instances that its predecessor knew.
+SETTLE_MS = 2_000.0
+# Relative change of a share of admission that is worth a message.
+ORDER_CHANGE_MIN = 0.25
+# Shortest interval between changes of orders, unless a customer comes under one.
+ORDER_INTERVAL_MS = 250.0
+# Time for which a relay that failed is avoided, and the pause before the next attempt.
+RELAY_AVOIDED_MS = 1_000.0
+RETRY_PAUSE_MS = 50.0
+# Limits of the time after which a refused customer may come back.
+WAIT_MIN_MS = 100.0
+WAIT_MAX_MS = 5_000.0
+# Largest number of customers in a message between instances.
+MESSAGE_CUSTOMERS_MAX = 5_000
+# Largest number of customers in the state dump.
+DUMPED_CUSTOMERS_MAX = 200
--- a/packages/wisteriarock/src/wisteriarock/customers/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/diagnostics.py
@@ -1,10 +1,14 @@
 """What operators see of customers, without keys or their digests."""
 
+from typing import Any
+
 from wisteriarock.catalog.models import Catalog
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
 
-from .const import LOGGED_ODD_CUSTOMERS_MAX
+from .const import DUMPED_CUSTOMERS_MAX, LOGGED_ODD_CUSTOMERS_MAX
+from .decide import current_order, is_alone
+from .models import LocalAllotments, Totals
 
 
 def report_odd_customers(catalog: Catalog, log: EventLog, counters: Counters) -> None:
@@ -17,3 +21,35 @@
         counters.count("odd_customers", by=len(reasons))
     for reason in reasons[:LOGGED_ODD_CUSTOMERS_MAX]:
         log.record("customer_bad", reason=reason)
+
+
+def customers_diagnostics(
+    catalog: Catalog, local: LocalAllotments, totals: Totals | None, now_ms: float
+) -> dict[str, Any]:
+    """Return the allotments, what is used of them, and the orders in force.
+
+    Shows the customers that have sent requests here, those with the most refusals first. At a
+    relay, `tokens` and `asked_per_s` are those of all instances.
+    """
+    names = sorted(local.usage, key=lambda name: -local.usage[name].refused)
+    rows = {}
+    for name in names[:DUMPED_CUSTOMERS_MAX]:
+        customer, usage = catalog.customers.get(name), local.usage[name]
+        order = current_order(local, name, now_ms)
+        total = totals.customers.get(name) if totals else None
+        rows[name] = {
+            "rate_per_s": customer.rate_per_s if customer else None,
+            "burst": customer.burst if customer else None,
+            "admitted": usage.admitted,
+            "refused_over_allotment": usage.refused,
+            "admitted_share": round(order.share, 3) if order else 1.0,
+            "own_share_tokens": round(usage.share.tokens, 2),
+            "tokens": round(total.tokens, 1) if total else None,
+            "asked_per_s": round(total.asked_per_s, 1) if total else None,
+        }
+    return {
+        "relay": local.relay or None,
+        "is_alone": is_alone(local, now_ms),
+        "order_age_ms": round(now_ms - local.orders_at_ms) if local.orders else None,
+        "customers": rows,
+    }
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/customers/models.py
@@ -0,0 +1,188 @@
+"""Data types of allotments."""
+
+from typing import NamedTuple
+
+from wisteriarock.limits.token_bucket import TokenBucket
+
+
+class Tolerance(NamedTuple):
+    """Requests above the allotment that are tolerated in a window.
+
+    Attributes
+    ----------
+    window_s : float
+        Length of the window.
+    ratio, fixed : float
+        Tolerated excess: a share of the allotment of the window, and a number of requests.
+    """
+
+    window_s: float = 5.0
+    ratio: float = 0.0
+    fixed: float = 0.0
+
+
+class Counts(NamedTuple):
+    """Requests of a customer: those that it asked for, and those of them that were admitted."""
+
+    asked: int
+    admitted: int
+
+
+class Order(NamedTuple):
+    """Share (0 to 1) of a customer's requests to admit, and the wait of a refused one."""
+
+    share: float
+    wait_ms: float
+
+
+class Report(NamedTuple):
+    """Counts that an instance, or a relay for all its members, has not reported before.
+
+    Attributes
+    ----------
+    sender, zone : str
+        Name and zone of the instance.
+    members : dict
+        Number of instances for which it speaks, by their zone; empty if it speaks for itself only.
+    counts : dict
+        Counts by customer.
+    """
+
+    sender: str
+    zone: str
+    members: dict[str, int]
+    counts: dict[str, Counts]
+
+
+class OrdersAnswer(NamedTuple):
+    """Answer of a relay: all orders in force.
+
+    Attributes
+    ----------
+    is_settled : bool
+        Whether the relay has watched long enough to lift orders of its predecessor.
+    interval_ms : float
+        Shortest interval at which it wants reports of an instance.
+    """
+
+    relay: str
+    version: int
+    is_settled: bool
+    interval_ms: float
+    orders: dict[str, Order]
+
+
+class Usage:
+    """What this instance has done for one customer.
+
+    Attributes
+    ----------
+    share : TokenBucket
+        Equal share of the allotment, used without contact to a relay. Requests that are admitted
+        with contact are taken from it as well, so that a loss of contact gives nothing new.
+    """
+
+    __slots__ = ("admitted", "refused", "share")
+
+    def __init__(self, started_at_ms: float) -> None:
+        self.admitted = 0
+        self.refused = 0
+        self.share = TokenBucket(0.0, 0.0, 0.0, started_at_ms)
+
+
+class LocalAllotments:
+    """Allotments as one instance uses them.
+
+    Attributes
+    ----------
+    usage : dict
+        Usage by customer, of those with a limit that have sent requests here.
+    pending : dict
+        Counts by customer that were not reported yet.
+    pending_since_ms : float or None
+        Time of the oldest admitted request that no relay has confirmed.
+    orders, orders_at_ms
+        Orders in force, and the time at which a relay last confirmed them.
+    heard_at_ms : float
+        Time of the last answer of a relay.
+    interval_ms : float
+        Shortest interval of reports.
+    started_at_ms : float
+        Time at which the process started.
+    relay, version
+        The relay that last answered, and the version of its orders.
+    """
+
+    def __init__(self, tolerance: Tolerance, now_ms: float) -> None:
+        self.tolerance = tolerance
+        self.started_at_ms = now_ms
+        self.usage: dict[str, Usage] = {}
+        self.pending: dict[str, Counts] = {}
+        self.pending_since_ms: float | None = None
+        self.orders: dict[str, Order] = {}
+        self.orders_at_ms = 0.0
+        self.heard_at_ms = float("-inf")
+        self.interval_ms = 0.0
+        self.relay = ""
+        self.version = 0
+
+
+class CustomerTotal:
+    """What a relay knows of the requests of one customer at all instances.
+
+    `tokens` may be negative. `asked_per_s` decays with time since `updated_at_ms`.
+    """
+
+    __slots__ = ("asked_per_s", "tokens", "updated_at_ms")
+
+    def __init__(self, now_ms: float) -> None:
+        self.tokens = 0.0
+        self.asked_per_s = 0.0
+        self.updated_at_ms = now_ms
+
+
+class Outbox:
+    """Counts that another relay has not got yet, the oldest of them since `since_ms`."""
+
+    __slots__ = ("counts", "sent_at_ms", "since_ms")
+
+    def __init__(self) -> None:
+        self.counts: dict[str, Counts] = {}
+        self.since_ms: float | None = None
+        self.sent_at_ms = float("-inf")
+
+
+class Totals:
+    """Allotments as the relay of a zone sees them.
+
+    Attributes
+    ----------
+    customers : dict
+        Totals by customer, of those that have sent requests lately.
+    members : dict
+        Zone, and time of the last message, of each instance that reports to this relay.
+    peers : dict
+        Number of members of each other relay by zone, with the time of that information.
+    outboxes : dict
+        Counts of the members that another relay has not got yet, by its name.
+    orders, version
+        Orders in force, and a number that grows with each change, the last one at `changed_at_ms`.
+    incomplete_at_ms : float
+        Last time at which too few instances were heard of; at first the start of the relay.
+    started_at_ms : float
+        Time at which this instance became relay.
+    """
+
+    def __init__(self, name: str, zone: str, tolerance: Tolerance, now_ms: float) -> None:
+        self.name = name
+        self.zone = zone
+        self.tolerance = tolerance
+        self.customers: dict[str, CustomerTotal] = {}
+        self.members: dict[str, tuple[str, float]] = {}
+        self.peers: dict[str, tuple[dict[str, int], float]] = {}
+        self.outboxes: dict[str, Outbox] = {}
+        self.orders: dict[str, Order] = {}
+        self.version = 1
+        self.changed_at_ms = now_ms
+        self.incomplete_at_ms = now_ms
+        self.started_at_ms = now_ms
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/customers/totals.py
@@ -0,0 +1,232 @@
+"""Decide at the relay of a zone which customers are near their allotment.
+
+Each relay counts the requests of all instances: those of its members from their reports, those of
+other zones from the totals of their relays. What it does not hear of makes the allotment smaller.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Mapping
+
+from wisteriarock.catalog.models import Customer
+
+from .const import (
+    ASKED_TIME_CONSTANT_S,
+    CORRECTION_S,
+    DEBT_MAX_S,
+    EXCESS_HEARD_SHARE_MIN,
+    EXCHANGE_IDLE_INTERVAL_MS,
+    EXCHANGE_INTERVAL_MS,
+    MEMBER_TIMEOUT_MS,
+    ORDER_CHANGE_MIN,
+    ORDER_INTERVAL_MS,
+    PEER_TIMEOUT_MS,
+    RELAY_DEBT_SHARE,
+    RELAY_RATE_EXCESS_SHARE,
+    REPORT_INTERVAL_MIN_MS,
+    REPORT_INTERVAL_PER_MEMBER_MS,
+    SETTLE_MS,
+)
+from .decide import add_counts, limit_wait_ms, tolerated_excess
+from .models import Counts, CustomerTotal, Order, OrdersAnswer, Outbox, Report, Totals
+
+
+def count_members(totals: Totals, now_ms: float) -> dict[str, int]:
+    """Return the number of instances that report to this relay, itself included, by zone."""
+    for name in [
+        name for name, (_, at_ms) in totals.members.items() if now_ms - at_ms > MEMBER_TIMEOUT_MS
+    ]:
+        del totals.members[name]
+    counts = Counter(zone for name, (zone, _) in totals.members.items() if name != totals.name)
+    counts[totals.zone] += 1
+    return dict(counts)
+
+
+def heard_share(totals: Totals, zone_sizes: Mapping[str, int], now_ms: float) -> float:
+    """Return the share of all instances whose requests this relay counts.
+
+    An instance that has changed its relay is a member of both for a while, so that no zone counts
+    for more than its instances.
+
+    Parameters
+    ----------
+    zone_sizes : mapping
+        Number of instances by zone, as far as it is known.
+    """
+    heard = Counter(count_members(totals, now_ms))
+    if now_ms - totals.started_at_ms < SETTLE_MS:
+        heard[totals.zone] = max(heard[totals.zone], zone_sizes.get(totals.zone, 0))
+    for members, at_ms in totals.peers.values():
+        if now_ms - at_ms <= PEER_TIMEOUT_MS:
+            heard.update(members)
+    known = sum(min(count, zone_sizes.get(zone, count)) for zone, count in heard.items())
+    share = known / max(1, known, sum(zone_sizes.values()))
+    if share < EXCESS_HEARD_SHARE_MIN:
+        totals.incomplete_at_ms = now_ms
+    return share
+
+
+def _limit(totals: Totals, customer: Customer, share: float, now_ms: float) -> tuple[float, float]:
+    """Return the rate that a relay gives a customer, and the debt that it allows.
+
+    The rate has a part of the tolerated excess only after a window in which nearly all instances
+    were heard of; with silent ones, the excess is left for what is not known.
+    """
+    window_s = totals.tolerance.window_s
+    excess = tolerated_excess(customer, totals.tolerance)
+    rate_per_s = customer.rate_per_s
+    if now_ms - totals.incomplete_at_ms >= window_s * 1000:
+        rate_per_s += RELAY_RATE_EXCESS_SHARE * excess / window_s
+    return share * rate_per_s, share * RELAY_DEBT_SHARE * excess
+
+
+def _advance(
+    total: CustomerTotal, customer: Customer, rate_per_s: float, share: float, now_ms: float
+) -> None:
+    elapsed_s = max(0.0, now_ms - total.updated_at_ms) / 1000
+    total.tokens = min(customer.burst * share, total.tokens + rate_per_s * elapsed_s)
+    total.asked_per_s *= math.exp(-elapsed_s / ASKED_TIME_CONSTANT_S)
+    total.updated_at_ms = max(now_ms, total.updated_at_ms)
+
+
+def record_report(
+    totals: Totals,
+    report: Report,
+    customers: Mapping[str, Customer],
+    share: float,
+    now_ms: float,
+) -> None:
+    """Count the requests of a member, or the totals of another relay.
+
+    Parameters
+    ----------
+    share : float
+        Share of all instances whose requests this relay counts.
+    """
+    if report.members:
+        totals.peers[report.sender] = (report.members, now_ms)
+    else:
+        totals.members[report.sender] = (report.zone, now_ms)
+    for name, counts in report.counts.items():
+        customer = customers.get(name)
+        if customer is None or customer.rate_per_s <= 0:
+            continue
+        rate_per_s, debt = _limit(totals, customer, share, now_ms)
+        total = totals.customers.get(name)
+        if total is None:
+            # Empty when the relay starts: it does not know what was admitted just before.
+            total = totals.customers[name] = CustomerTotal(totals.started_at_ms)
+        _advance(total, customer, rate_per_s, share, now_ms)
+        floor = -debt - DEBT_MAX_S * rate_per_s
+        total.tokens = max(total.tokens - counts.admitted, min(total.tokens, floor))
+        total.asked_per_s += counts.asked / ASKED_TIME_CONSTANT_S
+        if not report.members:
+            for outbox in totals.outboxes.values():
+                add_counts(outbox.counts, name, counts)
+                if outbox.since_ms is None:
+                    outbox.since_ms = now_ms
+
+
+def _make_order(total: CustomerTotal, rate_per_s: float, debt: float) -> Order | None:
+    """Return the share of a customer's requests to admit, None if all of them may be.
+
+    The share leads the bucket to the allowed debt within the correction time, whatever the delay
+    of reports has admitted before.
+    """
+    above_debt = total.tokens + debt
+    allowed_per_s = rate_per_s + above_debt / CORRECTION_S
+    if allowed_per_s >= total.asked_per_s:
+        return None
+    wait_ms = 1000.0 * (1.0 + max(0.0, -above_debt)) / rate_per_s
+    return Order(max(0.0, allowed_per_s / total.asked_per_s), limit_wait_ms(wait_ms))
+
+
+def update_orders(
+    totals: Totals, customers: Mapping[str, Customer], share: float, now_ms: float
+) -> bool:
+    """Renew the orders; return whether they have changed enough to be passed on."""
+    orders: dict[str, Order] = {}
+    for name, total in list(totals.customers.items()):
+        customer = customers.get(name)
+        if customer is None or customer.rate_per_s <= 0:
+            del totals.customers[name]
+            continue
+        rate_per_s, debt = _limit(totals, customer, share, now_ms)
+        _advance(total, customer, rate_per_s, share, now_ms)
+        if total.tokens > 0 and name not in totals.orders:
+            # A few requests close together say little about the rate.
+            continue
+        order = _make_order(total, rate_per_s, debt)
+        if order is not None:
+            orders[name] = order
+    if orders.keys() <= totals.orders.keys():
+        interval_ms = max(ORDER_INTERVAL_MS, _report_interval_ms(totals, now_ms))
+        is_early = now_ms - totals.changed_at_ms < interval_ms
+        if is_early or not _is_changed(totals.orders, orders):
+            return False
+    totals.orders = orders
+    totals.changed_at_ms = now_ms
+    totals.version += 1
+    return True
+
+
+def _is_changed(before: Mapping[str, Order], after: Mapping[str, Order]) -> bool:
+    if before.keys() != after.keys():
+        return True
+    return any(
+        abs(order.share - before[name].share) > ORDER_CHANGE_MIN * before[name].share
+        for name, order in after.items()
+    )
+
+
+def _report_interval_ms(totals: Totals, now_ms: float) -> float:
+    members = sum(count_members(totals, now_ms).values())
+    return max(REPORT_INTERVAL_MIN_MS, REPORT_INTERVAL_PER_MEMBER_MS * members)
+
+
+def make_answer(totals: Totals, now_ms: float) -> OrdersAnswer:
+    """Return the answer to a member."""
+    is_settled = now_ms - totals.started_at_ms >= SETTLE_MS
+    return OrdersAnswer(
+        totals.name,
+        totals.version,
+        is_settled,
+        _report_interval_ms(totals, now_ms),
+        totals.orders,
+    )
+
+
+def keep_outboxes(totals: Totals, relays: set[str]) -> None:
+    """Keep one outbox for each other relay."""
+    for name in totals.outboxes.keys() - relays:
+        del totals.outboxes[name]
+        totals.peers.pop(name, None)
+    for name in relays - totals.outboxes.keys():
+        totals.outboxes[name] = Outbox()
+
+
+def take_totals(totals: Totals, relay: str, now_ms: float) -> Report | None:
+    """Return what another relay has to be told now, None if nothing is due."""
+    outbox = totals.outboxes[relay]
+    interval_ms = EXCHANGE_INTERVAL_MS if outbox.counts else EXCHANGE_IDLE_INTERVAL_MS
+    if now_ms - outbox.sent_at_ms < interval_ms:
+        return None
+    outbox.sent_at_ms = now_ms
+    counts, outbox.counts, outbox.since_ms = outbox.counts, {}, None
+    return Report(totals.name, totals.zone, count_members(totals, now_ms), counts)
+
+
+def return_totals(
+    totals: Totals, relay: str, counts: dict[str, Counts], since_ms: float, now_ms: float
+) -> None:
+    """Take back the totals of a message that was not answered, unless they are too old.
+
+    A relay that has heard nothing for so long keeps to the part of its own members.
+    """
+    outbox = totals.outboxes.get(relay)
+    if outbox is None or now_ms - since_ms > PEER_TIMEOUT_MS:
+        return
+    for name, each in counts.items():
+        add_counts(outbox.counts, name, each)
+    if counts:
+        outbox.since_ms = since_ms
--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -36,7 +36,7 @@
     `wait_ms` is the time before which a retry cannot succeed.
     """
     headers: Headers = []
-    if status in (429, 503):
+    if status == 503:
         headers = _retry_headers(state, time_left_ms, wait_ms)
     elif status == 401:
         headers = state.wire_format.challenge_headers
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -145,9 +145,27 @@
             limited=sum(_is_reachable(state, service) for service in missing),
         )
         return _do_nothing
+    wait_ms = None if customer is None else state.admit_customer(customer)
+    if wait_ms is not None:
+        _refuse_over_allotment(state, query, wait_ms)
+        return _do_nothing
     return _run_query(state, query)
 
 
+def _refuse_over_allotment(state: DispatchState, query: Query, wait_ms: float) -> None:
+    state.counters.count("refusals", "429")
+    state.log.record(
+        "refused",
+        request=query.request_id,
+        route=query.route.name,
+        customer=query.customer.name if query.customer else None,
+        status=429,
+        reason="over the allotment",
+        wait_ms=wait_ms,
+    )
+    query.respond(Answer(429, state.wire_format.retry_headers(wait_ms), b"over the allotment"))
+
+
 def _refuse_quarantined(state: DispatchState, query: Query, quarantined_ms: float) -> None:
     """Refuse a request that was sent again after endpoints ended under it."""
     state.counters.count("refusals", "503")
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from wisteriarock.balancing.models import Endpoint
-from wisteriarock.catalog.models import Catalog
+from wisteriarock.catalog.models import Catalog, Customer
 from wisteriarock.discovery.models import Directory
 from wisteriarock.gathering.models import Gatherer, GathererDirectory
 from wisteriarock.http.pool import Pool
@@ -62,6 +62,9 @@
         Last time of that clock at which this process was known to run.
     started_at_ms : float
         Time at which this process started.
+    admit_customer : callable
+        Returns None if a customer's request is within its allotment, else the time in ms after
+        which the customer may come back.
     stops_at_ms : float or None
         Time at which a process that is shutting down ends, None if it is not shutting down.
     isolated_since_ms : float or None
@@ -118,6 +121,7 @@
         self.has_cold_rates = False
         self.uptime_ms: Callable[[], float] = lambda: loop.time() * 1000
         self.alive_at_ms = math.inf
+        self.admit_customer: Callable[[Customer], float | None] = lambda customer: None
         self.stops_at_ms: float | None = None
         self.isolated_since_ms: float | None = None
 
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+from wisteriarock.customers.diagnostics import customers_diagnostics
+
 if TYPE_CHECKING:
     from .instance import Instance
 
@@ -37,6 +39,13 @@
             }
             for zone, evacuation in instance.directory.evacuations.items()
         },
+        "allotments": (
+            customers_diagnostics(
+                instance.catalog, instance.allotments.local, instance.allotments.totals, now_ms
+            )
+            if instance.has_allotments
+            else None
+        ),
         "gatherers": [gatherer.name for gatherer in instance.dispatch.gatherers.gatherers],
         "budget": {
             service: round(bucket.tokens, 2) for service, bucket in instance.budget.buckets.items()
@@ -90,6 +99,10 @@
         "buffered_bytes": ("Bytes of incomplete messages", float(instance.buffers.total_bytes)),
         "endpoints": ("Endpoints known", float(len(endpoints))),
         "endpoints_unreachable": ("Endpoints that cannot be reached", float(unreachable)),
+        "customers_limited": (
+            "Customers of which only a share of the requests is admitted",
+            float(len(instance.allotments.local.orders)),
+        ),
         "endpoints_limited": ("Endpoints that name a rate limit", float(limited)),
         "endpoints_cold": ("Endpoints that have started lately", float(cold)),
         "endpoints_cold_limited": (
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -8,7 +8,9 @@
 
 from wisteriarock.balancing.decide import mark_reachable, observe_connect_failure, restore_zone
 from wisteriarock.balancing.models import Endpoint
-from wisteriarock.catalog.models import Catalog, Configuration
+from wisteriarock.catalog.models import Catalog, Configuration, Customer
+from wisteriarock.customers.decide import forget_customers, try_admit
+from wisteriarock.customers.models import Tolerance
 from wisteriarock.discovery import controller as discovery
 from wisteriarock.discovery.decide import mark_leaving, remove_entry
 from wisteriarock.discovery.models import Directory, DirectoryChange
@@ -20,6 +22,9 @@
 from wisteriarock.dispatch.controller import handle_fragment, handle_request
 from wisteriarock.dispatch.models import WireFormat
 from wisteriarock.dispatch.state import DispatchState
+from wisteriarock.feed.allotments import PATH_PREFIX as ALLOTMENTS_PATH
+from wisteriarock.feed.allotments import AllotmentExchange, handle_allotment_request
+from wisteriarock.feed.allotments import start as start_allotments
 from wisteriarock.feed.decide import (
     count_assigned_instances,
     count_gatherers,
@@ -90,6 +95,7 @@
         self.held_requests = HeldRequests(loop.time() * 1000)
         self.was_ready: bool | None = None
         self.was_isolated = False
+        self.has_allotments = False
         self.catalog = Catalog()
         self.directory = Directory()
         self.pools: dict[str, Pool] = {}
@@ -163,6 +169,13 @@
             settings.cpu_share * settings.cpu_speed,
             lambda: find_fan_out_shape(self.catalog),
         )
+        self.allotments = AllotmentExchange(
+            self.feed,
+            Tolerance(settings.quota_window_s, settings.quota_overshoot, settings.quota_slack),
+            lambda: self.catalog.customers,
+            lambda: self.instance_count,
+        )
+        self.dispatch.admit_customer = lambda customer: admit_customer(self, customer)
         self.discovery.has_live_feed = lambda: has_live_feed(self.feed_state, loop.time() * 1000)
         self.discovery.is_relay = lambda: is_relay(self.feed)
         self.discovery.on_history_updated = lambda: on_history_updated(self)
@@ -204,6 +217,8 @@
     instance: Instance, request: CallerRequest, respond: Respond
 ) -> Callable[[], None]:
     """Handle a request of another instance: a fragment of a query, or a call for the feed."""
+    if request.target.startswith(ALLOTMENTS_PATH.encode()):
+        return handle_allotment_request(instance.allotments, request, respond)
     if request.target != FRAGMENT_PATH.encode():
         return handle_follower_request(instance.feed, request, respond)
     if instance.phase is not Phase.RUNNING or not instance.discovery.is_loaded:
@@ -212,6 +227,17 @@
     return handle_fragment(instance.dispatch, request, respond)
 
 
+def admit_customer(instance: Instance, customer: Customer) -> float | None:
+    """Admit a request of a customer, or return the wait in ms of one that is over its allotment."""
+    exchange, now_ms = instance.allotments, instance.loop.time() * 1000
+    wait_ms = try_admit(
+        exchange.local, customer, instance.instance_count, now_ms, instance.dispatch.rng
+    )
+    if exchange.local.pending:
+        exchange.has_news.set()
+    return wait_ms
+
+
 def release_held_requests(instance: Instance) -> None:
     """Start the held requests once the instance is loaded or the hold time has expired."""
     released = release_requests(
@@ -442,6 +468,11 @@
         shard for route in configuration.routes for shard in route.shards
     )
     divide_budget(instance)
+    forget_customers(instance.allotments.local, instance.catalog.customers)
+    has_allotments = any(each.rate_per_s > 0 for each in configuration.customers)
+    if has_allotments and not instance.has_allotments:
+        instance.has_allotments = True
+        instance.tasks.update(start_allotments(instance.allotments))
     names = {route.name for route in configuration.routes}
     latencies = instance.dispatch.latencies
     for name in [name for name in latencies if name not in names]:
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -27,6 +27,9 @@
         Share of a core that the instance may use, and the speed of that core relative to others.
     even_load : bool
         Whether endpoints are chosen by lasting speed and load also where they report none.
+    quota_window_s, quota_overshoot, quota_slack : float
+        Requests of a customer above its allotment that are tolerated in each window: a share of the
+        allotment, and a fixed number.
     memory_mb : float
         Memory above which the platform ends the process; `memory_mb` of `limits` in the file.
     evacuation_ms : float
@@ -54,6 +57,9 @@
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
     even_load: bool = False
+    quota_window_s: float = 5.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
 
 
 class SettingsError(NamedTuple):
@@ -106,6 +112,9 @@
         ("extra_ratio", 0.0, 10.0, 0.2),
         ("extra_fixed", 0.0, 100_000.0, 50.0),
         ("extra_window_s", 1.0, 3_600.0, 10.0),
+        ("quota_window_s", 0.1, 3_600.0, 5.0),
+        ("quota_overshoot", 0.0, 10.0, 0.0),
+        ("quota_slack", 0.0, 100_000.0, 0.0),
         ("cpu_share", 0.001, 1_000.0, 1.0),
         ("cpu_speed", 0.001, 1_000.0, 1.0),
         ("evacuation_ms", 0.0, 600_000.0, 0.0),
@@ -152,6 +161,9 @@
         numbers["cold_overshoot"],
         numbers["cold_slack"],
         even_load,
+        numbers["quota_window_s"],
+        numbers["quota_overshoot"],
+        numbers["quota_slack"],
     )
 
 
--- a/packages/wisteriarock/src/wisteriarock/limits/endpoint_limit.py
+++ b/packages/wisteriarock/src/wisteriarock/limits/endpoint_limit.py
@@ -9,7 +9,8 @@
 from typing import NamedTuple
 
 from .const import BURST_FIXED, BURST_S, RATE_MIN_PER_S, RATE_SHARE
-from .token_bucket import TokenBucket, refill, try_consume
+from .share import refill_share, try_acquire_share
+from .token_bucket import TokenBucket
 
 
 class Share(NamedTuple):
@@ -104,10 +105,8 @@
 
 
 def _refill_share(limit: EndpointLimit, sharers: float, now_ms: float) -> TokenBucket:
-    bucket, per_s = limit.bucket, max(RATE_MIN_PER_S, limit.per_s)
-    bucket.rate_per_s, bucket.burst = limit.share(per_s, sharers)
-    refill(bucket, now_ms)
-    return bucket
+    rate_per_s, burst = limit.share(max(RATE_MIN_PER_S, limit.per_s), sharers)
+    return refill_share(limit.bucket, rate_per_s, burst, 1.0, now_ms)
 
 
 def may_send(limit: EndpointLimit, sharers: float, now_ms: float) -> bool:
@@ -123,17 +122,8 @@
 
 
 def try_acquire(limit: EndpointLimit, sharers: float, now_ms: float, rng: random.Random) -> bool:
-    """Take one request from the share of this instance; return False if it is used up.
-
-    A share that never holds a whole request is rounded at random: the request is sent with a
-    probability of what the share holds, and the share is empty in both cases. The instances
-    together then send what their shares add up to, on average.
-    """
-    bucket = _refill_share(limit, sharers, now_ms)
-    if bucket.burst >= 1.0:
-        return try_consume(bucket, 1.0, now_ms)
-    probability, bucket.tokens = bucket.tokens, 0.0
-    return rng.random() < probability
+    """Take one request from the share of this instance; return False if it is used up."""
+    return try_acquire_share(_refill_share(limit, sharers, now_ms), now_ms, rng)
 
 
 def return_unsent(limit: EndpointLimit) -> None:
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -39,6 +39,8 @@
     "store_calls": ("Calls of the platform's store", ()),
     "store_failures": ("Calls of the platform's store without result", ("kind",)),
     "feed_failures": ("Calls of relays without result", ("kind",)),
+    "allotment_failures": ("Calls on allotments without result", ("kind",)),
+    "odd_customers": ("Customers and keys left out of configurations", ()),
     "listen_failures": ("Attempts to listen on an address in use", ("listener",)),
     "evicted_messages": ("Incomplete messages given up as the buffers were full", ()),
     "malformed_entries": ("Entries of the store that name no endpoint", ()),
--- /dev/null
+++ b/tests/wisteriarock/customers/test_allotments.py
@@ -0,0 +1,211 @@
+"""Tests of allotments over many instances, on virtual time."""
+
+from collections.abc import Callable
+
+from hypothesis import HealthCheck, given, seed, settings
+from hypothesis import strategies as st
+from wisteriarock.catalog.models import Customer
+from wisteriarock.customers.const import HEARD_MAX_MS
+from wisteriarock.customers.decide import try_admit
+from wisteriarock.customers.messages import (
+    decode_answer,
+    decode_report,
+    encode_answer,
+    encode_report,
+)
+from wisteriarock.customers.models import Counts, LocalAllotments, Order, OrdersAnswer, Report
+
+from tests.common import function_suite
+from tests.wisteriarock.customers.emulator import TOLERANCE, Emulator
+from tests.wisteriarock.samples import make_rng
+
+ZONES = (27, 25, 27)
+RATE_PER_S = 7.0
+USUAL_PER_S = RATE_PER_S / 1.6
+HOT = 7.5
+
+
+def _customer(rate_per_s: float = RATE_PER_S) -> Customer:
+    return Customer("school", frozenset(), None, rate_per_s, rate_per_s)
+
+
+def _usual(zone: int, now_ms: float) -> float:
+    return USUAL_PER_S / 3
+
+
+def _hot(zone: int, now_ms: float) -> float:
+    return USUAL_PER_S / 3 * (HOT if now_ms >= 6_000 else 1.0)
+
+
+def _hot_in_one_zone(zone: int, now_ms: float) -> float:
+    extra = USUAL_PER_S * (HOT - 1.0) if zone == 0 and now_ms >= 6_000 else 0.0
+    return USUAL_PER_S / 3 + extra
+
+
+def _play(
+    per_s: Callable[[int, float], float],
+    prepare: Callable[[Emulator], None] = lambda emulator: None,
+    for_ms: float = 18_000,
+) -> Emulator:
+    emulator = Emulator(ZONES, _customer(), per_s)
+    prepare(emulator)
+    emulator.run(for_ms)
+    assert emulator.worst_window() <= emulator.allowed(), emulator.worst_window()
+    return emulator
+
+
+def _admitted_share(emulator: Emulator) -> float:
+    return len(emulator.admitted) / len(emulator.asked)
+
+
+def test_calm_customer_is_not_refused():
+    """Guards against refusals below the allotment on a day without hot customers."""
+    assert _admitted_share(_play(_usual)) > 0.98
+
+
+def test_customer_turns_hot_everywhere_or_in_one_zone():
+    """Guards against instances that each admit their part of a crowd, and against too little."""
+    for per_s in (_hot, _hot_in_one_zone):
+        emulator = _play(per_s)
+        owed = RATE_PER_S * 12.0 + USUAL_PER_S * 6.0
+        assert len(emulator.admitted) > 0.95 * owed
+
+
+def test_zone_is_cut_off_beside_a_hot_customer():
+    """Guards against two parts of a network that both give the whole allotment."""
+
+    def cut(emulator: Emulator) -> None:
+        groups = {node.name: 1 for node in emulator.in_zone(0)}
+        emulator.at(5_000, lambda: emulator.groups.update(groups))
+        emulator.at(11_000, emulator.groups.clear)
+
+    _play(_hot, cut)
+    assert _admitted_share(_play(_usual, cut)) > 0.97
+
+
+def test_relay_ends_at_the_peak():
+    """Guards against a customer set free, or refused, by the loss of the relay that counts it."""
+
+    def kill(emulator: Emulator) -> None:
+        emulator.at(7_000, lambda: emulator.restart(emulator.relays[0]))
+
+    _play(_hot, kill)
+    assert _admitted_share(_play(_usual, kill)) > 0.97
+
+
+def test_all_instances_restart_beside_a_hot_customer():
+    """Guards against a new allotment for each process that starts."""
+
+    def restart(emulator: Emulator) -> None:
+        emulator.at(8_000, lambda: [emulator.restart(node) for node in emulator.nodes])
+
+    _play(_hot, restart)
+
+
+def test_relay_pauses_beside_a_hot_customer():
+    """Guards against instances that wait for a relay that does not answer."""
+
+    def pause(emulator: Emulator) -> None:
+        relay = emulator.relays[0]
+        emulator.at(6_000, lambda: setattr(relay, "is_up", False))
+        emulator.at(10_000, lambda: setattr(relay, "is_up", True))
+
+    _play(_hot, pause)
+
+
+def test_allotment_is_cut_to_a_tenth():
+    """Guards against a lower allotment that binds later than one window after it is in force."""
+    emulator = Emulator(ZONES, _customer(), _usual)
+    emulator.at(6_000, lambda: setattr(emulator, "customer", _customer(RATE_PER_S / 10)))
+    emulator.run(20_000)
+    assert emulator.worst_window(from_ms=6_000) <= emulator.allowed()
+    assert len([at_ms for at_ms in emulator.admitted if at_ms > 12_000]) >= 4
+
+
+def test_customer_without_limit_leaves_no_state():
+    """Guards against work for customers that have no allotment."""
+    local = LocalAllotments(TOLERANCE, 0.0)
+    rng = make_rng()
+    state = rng.getstate()
+    for _ in range(100):
+        assert try_admit(local, _customer(0.0), 10, 1e6, rng) is None
+    assert not local.usage and not local.pending and rng.getstate() == state
+
+
+def test_instance_without_relay_keeps_to_its_share():
+    """Guards against instances that admit everything as long as no relay has told them anything."""
+    rng = make_rng()
+    admitted = 0
+    for _ in range(79):
+        local = LocalAllotments(TOLERANCE, 0.0)
+        now_ms = HEARD_MAX_MS + 1.0
+        for _ in range(50):
+            now_ms += 100.0
+            admitted += try_admit(local, _customer(), 79, now_ms, rng) is None
+    allotment = RATE_PER_S * TOLERANCE.window_s + RATE_PER_S
+    assert 0.3 * allotment < admitted < allotment * (1 + TOLERANCE.ratio) + TOLERANCE.fixed
+
+
+_KINDS = ("cut", "heal", "pause", "wake", "restart", "kill_relay", "lose", "deliver")
+_EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(_KINDS),
+        st.integers(0, 8),
+        st.integers(4, 14),
+    ),
+    max_size=8,
+)
+
+
+def _apply(emulator: Emulator, kind: str, number: int) -> None:
+    node = emulator.nodes[number]
+    if kind == "cut":
+        emulator.groups.update({each.name: 1 for each in emulator.in_zone(node.zone)})
+    elif kind == "heal":
+        emulator.groups.clear()
+    elif kind in ("pause", "wake"):
+        node.is_up = kind == "wake"
+    elif kind == "restart":
+        emulator.restart(node)
+    elif kind == "kill_relay":
+        emulator.restart(emulator.relays[node.zone])
+    else:
+        emulator.lost_share = 0.3 if kind == "lose" else 0.0
+
+
+@seed(39)
+@settings(max_examples=60, deadline=None, suppress_health_check=list(HealthCheck))
+@given(events=_EVENTS, hot_at_s=st.integers(4, 10))
+def test_sum_holds_under_any_interleaving(events: list[tuple[str, int, int]], hot_at_s: int):
+    """Guards against a loss, pause, cut or restart that gives an allotment twice."""
+
+    def per_s(zone: int, now_ms: float) -> float:
+        return USUAL_PER_S / 3 * (HOT if now_ms >= hot_at_s * 1_000 else 1.0)
+
+    emulator = Emulator((3, 3, 3), _customer(), per_s)
+    for kind, number, at_s in events:
+        emulator.at(at_s * 1_000.0, lambda kind=kind, number=number: _apply(emulator, kind, number))
+    emulator.run(18_000)
+    assert emulator.worst_window() <= emulator.allowed(), events
+
+
+def test_messages_are_decoded_as_they_were_encoded():
+    """Guards against messages that a peer of the same version cannot read, and malformed ones."""
+    report = Report("front-1", "z", {"z": 27}, {"school": Counts(9, 4), "\u043a": Counts(1, 0)})
+    assert decode_report(encode_report(report)) == report
+    answer = OrdersAnswer("front-1", 7, True, 150.0, {"school": Order(0.25, 300.0)})
+    assert decode_answer(encode_answer(answer)) == answer
+    for body in (
+        b"",
+        b"[]",
+        b"{}",
+        b'{"sender":"a","zone":"z","members":{"z":-1},"counts":{}}',
+        b'{"sender":"a","zone":"z","members":{},"counts":{"c":[1]}}',
+        b'{"sender":"a","zone":"z","members":{},"counts":{"c":[1,1e400]}}',
+        b'{"relay":"a","version":1,"is_settled":1,"interval_ms":1,"orders":{"c":[1.5,1]}}',
+        b'{"relay":"a","version":1,"is_settled":1,"interval_ms":NaN,"orders":{}}',
+    ):
+        assert decode_report(body) is None and decode_answer(body) is None, body
+
+
+load_tests = function_suite(globals())
--- a/tests/wisteriarock/front/test_settings.py
+++ b/tests/wisteriarock/front/test_settings.py
@@ -87,6 +87,9 @@
         "{{bounds.evac_ms}}": "5000",
         "{{bounds.cold_overshoot}}": "1.5",
         "{{bounds.cold_slack}}": "5",
+        "{{bounds.quota_window_s}}": "4",
+        "{{bounds.quota_overshoot}}": "0.1",
+        "{{bounds.quota_slack}}": "",
         "{{limits.cpu_share}}": "0.537",
         "{{limits.cores}}": "2",
         "{{limits|json}}": '{"memory_mb": 200, "max_fds": 4100}',
@@ -106,6 +109,8 @@
     assert settings.drain_grace_ms == 6_000 and settings.cpu_share == 0.537
     assert settings.memory_mb == 200 and settings.evacuation_ms == 5_000
     assert (settings.cold_overshoot, settings.cold_slack) == (1.5, 5.0)
+    tolerance = (settings.quota_window_s, settings.quota_overshoot, settings.quota_slack)
+    assert tolerance == (4.0, 0.1, 0.0)
 
 
 def test_bounds_with_fractions_or_without_value_are_valid():
