--- a/packages/wisteriarock/src/wisteriarock/dispatch/const.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/const.py
@@ -69,7 +69,7 @@
 RETRY_AFTER_SPREAD_MS = 300.0
 # Maximum number of endpoints or services listed in the log line of a failed request.
 LOGGED_NAMES_MAX = 6
-# Time without any work after which this process counts as paused, and the time after it within which
-# news of changes has arrived: a poll of a relay that is lost, and another one.
+# Time without any work after which this process counts as paused, and the time after it within
+# which news of changes has arrived: a poll of a relay that is lost, and another one.
 PAUSE_MIN_MS = 1_000.0
 NEWS_AFTER_PAUSE_MS = 2_000.0
--- a/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
@@ -111,8 +111,8 @@
 def confirm_leg(state: DispatchState, leg: Leg) -> bool:
     """Return whether a leg that may have waited for a connection is sent.
 
-    Limits may have come up meanwhile. A cold endpoint gets no leg that has waited for long, as those
-    that were acquired over some time would reach it together.
+    Limits may have come up meanwhile. A cold endpoint gets no leg that has waited for long, as
+    those that were acquired over some time would reach it together.
     """
     now_ms = loop_time_ms(state)
     has_waited = now_ms - leg.sent_at_ms > COLD_LEG_WAIT_MAX_MS
--- a/packages/wisteriarock/src/wisteriarock/dispatch/resumption.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/resumption.py
@@ -1,4 +1,4 @@
-"""Detects that this process stood still, so that endpoints may have turned cold without its notice."""
+"""Detects that this process stood still while endpoints may have turned cold unnoticed."""
 
 from .const import NEWS_AFTER_PAUSE_MS, PAUSE_MIN_MS
 from .state import DispatchState, loop_time_ms
--- a/packages/wisteriarock/src/wisteriarock/front/cold.py
+++ b/packages/wisteriarock/src/wisteriarock/front/cold.py
@@ -1,4 +1,4 @@
-"""What the limits of cold endpoints need: the number of sharers, and which endpoints may be cold."""
+"""Number of instances that share the limits of cold endpoints, and which endpoints may be cold."""
 
 import time
 from typing import TYPE_CHECKING
@@ -48,8 +48,8 @@
 def cold_limit_sharers(instance: "Instance", service: str) -> float | None:
     """Return the number of instances that share the limit of a cold endpoint, None if unknown.
 
-    What is not known makes the shares smaller. The first counts after a start may lack instances that
-    have started, or were paused, at the same time.
+    What is not known makes the shares smaller. The first counts after a start may lack instances
+    that have started, or were paused, at the same time.
     """
     known = instance.cold_sharers
     now_ms = instance.loop.time() * 1000
@@ -68,7 +68,7 @@
 
 
 def _count_assigned(instance: "Instance") -> int:
-    """Return the number of instances that usually query a given shard, in all zones ever counted."""
+    """Return the number of instances that usually query a shard, in all zones ever counted."""
     feed = instance.feed_state
     return sum(
         1 if feed.gatherer_counts.get(zone) else count
--- a/packages/wisteriarock/src/wisteriarock/front/const.py
+++ b/packages/wisteriarock/src/wisteriarock/front/const.py
@@ -33,6 +33,6 @@
 # Number of attempts to read a settings file that is incomplete, and the time between them.
 SETTINGS_READ_ATTEMPTS = 20
 SETTINGS_READ_INTERVAL_MS = 50.0
-# Time after the first count of the instances until it is used for limits that must hold in sum: a new
-# relay counts its followers for 4 s.
+# Time after the first count of the instances until it is used for limits that must hold in sum: a
+# new relay counts its followers for 4 s.
 COUNT_SETTLE_MS = 4_000.0
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -35,8 +35,8 @@
     evacuation_ms : float
         Published time after which an evacuated availability zone gets no more requests.
     cold_overshoot, cold_slack : float
-        Published bound on the requests of one second to a cold endpoint: factor on the rate that its
-        service states, and number on top.
+        Published bound on the requests of one second to a cold endpoint: factor on the rate that
+        its service states, and number on top.
     """
 
     instance: str
--- a/packages/wisteriarock/src/wisteriarock/limits/cold_limit.py
+++ b/packages/wisteriarock/src/wisteriarock/limits/cold_limit.py
@@ -1,9 +1,10 @@
 """Rate limit of a cold endpoint, for all instances together.
 
-In each second, a cold endpoint takes what its service states, times an overshoot, and a few requests
-more. Two ways to divide that are known to stay below it. While few instances share the limit, each has
-whole requests of its own. Otherwise each share holds less than one request and is rounded at random,
-and the mean of all of them is so far below the bound that chance does not bring their sum above it.
+In each second, a cold endpoint takes what its service states, times an overshoot, and a few
+requests more. Two ways to divide that are known to stay below it. While few instances share the
+limit, each has whole requests of its own. Otherwise each share holds less than one request and is
+rounded at random, and the mean of all of them is so far below the bound that chance does not bring
+their sum above it.
 """
 
 import math
@@ -83,8 +84,8 @@
 ) -> EndpointLimit | None:
     """Return the limit of an endpoint that is cold, or was until lately; None if it has none.
 
-    After the endpoint has become warm, the limit rises for a while before it ends, so that the load of
-    all instances does not reach the endpoint at once.
+    After the endpoint has become warm, the limit rises for a while before it ends, so that the load
+    of all instances does not reach the endpoint at once.
 
     Parameters
     ----------
@@ -93,8 +94,8 @@
     share : callable
         Returns the share of one instance from the rate and the number of sharers.
     unused_since_ms : float
-        Time since which this instance has sent nothing to the endpoint. A new share holds what it would
-        have gained since, so that an endpoint which was down gets requests at once.
+        Time since which this instance has sent nothing to the endpoint. A new share holds what it
+        would have gained since, so that an endpoint which was down gets requests at once.
     """
     warm_ms = now_ms - cold_until_ms
     if per_s <= 0 or warm_ms >= (0.0 if current is None else WARM_RAMP_MS):
--- a/tests/wisteriaplatform/test_cold_endpoints.py
+++ b/tests/wisteriaplatform/test_cold_endpoints.py
@@ -57,7 +57,7 @@
 
 
 async def test_endpoint_that_could_not_be_reached_counts_as_cold():
-    """Guards against the load that meets an endpoint which has started again, before its entry says so.
+    """Guards against full load on an endpoint that has started again before its entry says so.
 
     Without a stated rate, it is used as before.
     """
--- a/tests/wisteriaplatform/test_store.py
+++ b/tests/wisteriaplatform/test_store.py
@@ -117,7 +117,7 @@
 
 
 def test_rates_of_cold_endpoints_are_decoded():
-    """Guards against a limit that is not read, and against a malformed one that stops an instance."""
+    """Guards against a limit that is not read, and a malformed one that stops an instance."""
     service = _decode_service(warmup_s=2.5, cold_per_s=7)
     assert service == Service("invoicing", "/health", 26, 2_500.0, 7.0)
     assert _decode_service() == Service("invoicing", "/health", 26, 0.0, 0.0)
--- a/tests/wisteriarock/limits/test_cold_limit.py
+++ b/tests/wisteriarock/limits/test_cold_limit.py
@@ -30,8 +30,8 @@
     """Return the times at which instances send to a cold endpoint, in order.
 
     All of them want to send `demand_per_s` requests in sum, evenly and, every two seconds, many at
-    the same moment. A leg may wait for a connection. Some instances start again with an empty share,
-    and some pause.
+    the same moment. A leg may wait for a connection. Some instances start again with an empty
+    share, and some pause.
     """
     limits = [EndpointLimit(per_s, 0.0, _share) for _ in range(instances)]
     for limit in limits:
@@ -108,8 +108,9 @@
 
 
 def test_share_begins_with_what_was_not_used():
-    """Guards against an endpoint that was down and idles at its return, and against a whole share on
-    top of the load that an endpoint has just had.
+    """Guards against an endpoint that was down and idles at its return.
+
+    An endpoint that has just had load gets no whole share on top of it.
     """
     rng = random.Random(1)
     for unused_since_ms, expected in ((9_990.0, False), (0.0, True)):
--- a/tests/wisteriastandins/soak/test_zones.py
+++ b/tests/wisteriastandins/soak/test_zones.py
@@ -1,4 +1,4 @@
-"""Tests of the checks of evacuations and cold endpoints, and short runs that must find planted bugs."""
+"""Tests of the checks of evacuations and cold endpoints, and runs that find planted bugs."""
 
 from wisteriastandins.soak.models import (
     ColdPeriod,
