--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Who is served when there is too little room."""
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/overload/models.py
@@ -0,0 +1,148 @@
+"""State of the order of service under overload."""
+
+import enum
+from collections.abc import Callable
+from typing import NamedTuple
+
+# Priority of the customer, then of the route; the lowest rank goes first.
+Rank = tuple[int, int]
+
+
+class RefusalReason(enum.Enum):
+    """Reason for which work is refused for lack of room; nothing of it has run."""
+
+    UNSERVABLE = "unservable"
+    QUEUE_FULL = "queue_full"
+    DISPLACED = "displaced"
+    TOO_LATE = "too_late"
+
+
+class Refusal(NamedTuple):
+    """Refusal of work, with the time after which the customer's queue has room."""
+
+    reason: RefusalReason
+    retry_after_ms: float
+
+
+class Work(NamedTuple):
+    """Work that asks for places in a room.
+
+    Attributes
+    ----------
+    customer : str
+        Name of the customer; empty if the request has none.
+    weight : float
+        Share of the customer in relation to the others of its rank.
+    places : float
+        Number of places that the work takes.
+    start_by_ms : float
+        Time after which the work cannot end before its caller's deadline.
+    start, refuse : callable
+        Called once, by the room's owner, when waiting work starts or is refused.
+    """
+
+    customer: str
+    rank: Rank
+    weight: float
+    places: float
+    start_by_ms: float
+    start: Callable[[], None]
+    refuse: Callable[[Refusal], None]
+
+
+class CustomerUse:
+    """What a customer uses of a room.
+
+    Attributes
+    ----------
+    asked, started : float
+        Decaying counts of the work that was asked for and started, as of `counted_at_ms`.
+    virtual_end : float
+        Virtual time at which the work that has started ends, if every customer of the rank had
+        exactly its weighted share.
+    waiting : list of Work
+        Waiting work, the next one first.
+    """
+
+    __slots__ = ("asked", "counted_at_ms", "started", "virtual_end", "waiting")
+
+    def __init__(self, now_ms: float) -> None:
+        self.asked = 0.0
+        self.started = 0.0
+        self.counted_at_ms = now_ms
+        self.virtual_end = 0.0
+        self.waiting: list[Work] = []
+
+
+class Room:
+    """Places for work under way, and the bounded queues of the customers that wait for one.
+
+    Attributes
+    ----------
+    places : float
+        Places that may be in use at the same time; a single work that needs more may still start.
+    used : float
+        Places in use.
+    hold_ms : float
+        Moving average of the time for which work holds its places.
+    virtual_time : float
+        Virtual time at which the work that started last began.
+    total : CustomerUse
+        Counts of all customers together.
+    """
+
+    __slots__ = (
+        "hold_ms",
+        "name",
+        "places",
+        "total",
+        "used",
+        "uses",
+        "virtual_time",
+        "waiting_count",
+    )
+
+    def __init__(self, name: str, places: float, hold_ms: float, now_ms: float) -> None:
+        self.name = name
+        self.places = places
+        self.used = 0.0
+        self.hold_ms = hold_ms
+        self.virtual_time = 0.0
+        self.total = CustomerUse(now_ms)
+        self.uses: dict[str, CustomerUse] = {}
+        self.waiting_count = 0
+
+
+class LegUse:
+    """Decaying count of the legs sent for a customer, as of `counted_at_ms`."""
+
+    __slots__ = ("counted_at_ms", "legs", "weight")
+
+    def __init__(self, weight: float, now_ms: float) -> None:
+        self.weight = weight
+        self.legs = 0.0
+        self.counted_at_ms = now_ms
+
+
+class OverloadState:
+    """State of one instance; empty as long as the configuration names no customers.
+
+    Attributes
+    ----------
+    processor : Room
+        Room for the legs that this instance processes.
+    services : dict
+        Rooms of the services that are short of slots.
+    short_until_ms : dict
+        Time until which a service counts as short of room.
+    legs : dict
+        Legs sent lately, by customer.
+    """
+
+    __slots__ = ("legs", "processor", "services", "short_until_ms")
+
+    def __init__(self, processor: Room) -> None:
+        self.processor = processor
+        self.services: dict[str, Room] = {}
+        self.short_until_ms: dict[str, float] = {}
+        self.legs: dict[str, LegUse] = {}
