Decide who is served while customers compete for too little room

A queue at an endpoint knows neither customers nor priorities.

Change: package overload, pure decisions: rooms with bounded queues per customer; order by priority of the customer, then of the route, then start-time fair queueing weighted by allotment, then time left; a starved customer goes first; known unservable work is refused at once with a Retry-After from its own queue; extra legs of a flooding customer give way while their budget is short. A gatherer holds fan-outs to what its processor can do in half of the tightest target. Nothing of it runs without customers.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -9,6 +9,7 @@
 from .legs import abandon_leg
 from .merge import merge_records
 from .models import Query
+from .room import leave_room
 from .state import DispatchState, loop_time_ms
 
 
@@ -81,7 +82,10 @@
             failure.status, state.wire_format.forwarded_headers(failure.headers), failure.body
         )
     elif not may_have_run and not query.may_have_run:
-        headers = _retry_headers(state, query.expires_at_ms - loop_time_ms(state))
+        if query.retry_after_ms:
+            headers = state.wire_format.retry_headers(query.retry_after_ms)
+        else:
+            headers = _retry_headers(state, query.expires_at_ms - loop_time_ms(state))
         answer = Answer(503, headers, reason.encode())
     elif loop_time_ms(state) >= query.expires_at_ms:
         answer = Answer(504, [], reason.encode())
@@ -113,6 +117,7 @@
     """Cancel the timers of a query and abandon its legs."""
     query.is_done = True
     state.active.discard(query)
+    leave_room(state, query)
     now_ms = loop_time_ms(state)
     for timer in query.timers:
         timer.cancel()
--- a/packages/wisteriarock/src/wisteriarock/dispatch/budget.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/budget.py
@@ -118,6 +118,12 @@
     return False
 
 
+def get_level(budget: ExtraLegBudget, service: str) -> tuple[float, float]:
+    """Return the tokens of a service and the most that it can have, as of the last check."""
+    bucket = _get_bucket(budget, service)
+    return bucket.tokens, bucket.burst
+
+
 def has_budget(budget: ExtraLegBudget, service: str, now_ms: float) -> bool:
     """Return whether there is budget for one extra leg."""
     bucket = _get_bucket(budget, service)
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -57,6 +57,7 @@
 from .limits import return_unsent_leg
 from .models import Fragment, Leg, LegKind, Query, RequestHead, Shard
 from .resumption import check_resumption
+from .room import count_legs, has_extra_budget, record_shortage, wait_for_room
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
 
@@ -193,6 +194,7 @@
     if query is None:
         respond(Answer(400, [], b"malformed fragment"))
         return _do_nothing
+    record_shortage(state, query)
     return _run_query(state, query)
 
 
@@ -219,12 +221,19 @@
     local_shards, fragments = plan_fragments(state, query, shards)
     for fragment in fragments:
         _send_fragment(state, fragment)
-    _send_first_legs(state, query, local_shards)
+    wait_for_room(
+        state,
+        query,
+        local_shards,
+        lambda: _send_first_legs(state, query, local_shards),
+        lambda: _answer_if_finished(state, query),
+    )
 
 
 def _send_first_legs(state: DispatchState, query: Query, shards: list[Shard]) -> None:
     now_ms = loop_time_ms(state)
     query.own_legs += len(shards)
+    count_legs(state, query, len(shards), now_ms)
     for shard in shards:
         if query.is_done:
             return
@@ -336,6 +345,7 @@
         state.on_misdirected(endpoint)
     if head.was_not_run:
         record_shed(shard, now_ms)
+        record_shortage(state, query)
     # A success that failed a check is no failure of the endpoint, and is not forwarded as one.
     if may_have_run and not leg.is_abandoned and not 200 <= outcome.status < 300:
         shard.failure_reply = outcome
@@ -403,7 +413,7 @@
         return False
     now_ms = loop_time_ms(state)
     is_extra = shard.sent_legs > 0
-    if is_extra and not has_budget(state.budget, shard.service, now_ms):
+    if is_extra and not has_extra_budget(state, query, shard.service, now_ms):
         state.log.detail("budget_exhausted", request=query.request_id, service=shard.service)
         return False
     kind = LegKind.RETRY if is_extra else LegKind.FIRST
@@ -411,6 +421,7 @@
         return False
     if is_extra:
         try_spend(state.budget, shard.service, now_ms)
+        count_legs(state, query, 1, now_ms)
     query.retries += 1
     state.counters.count("retries")
     return True
@@ -436,6 +447,9 @@
     for shard in query.shards:
         if shard.part is not None or shard.is_held:
             continue
+        if shard.is_waiting:
+            may_send_more = True
+            continue
         if shard.fragment is not None and not is_fragment_overdue(query, shard, now_ms):
             may_send_more = True
             continue
@@ -446,10 +460,13 @@
             if now_ms >= shard.retry_at_ms:
                 shard.tried_endpoint_ids.clear()
                 _retry_leg(state, query, shard)
-        elif is_hedge_due(query, shard, now_ms) and has_budget(state.budget, shard.service, now_ms):
+        elif is_hedge_due(query, shard, now_ms) and has_extra_budget(
+            state, query, shard.service, now_ms
+        ):
             if not _send_leg(state, query, shard, LegKind.HEDGE, now_ms):
                 continue
             try_spend(state.budget, shard.service, now_ms)
+            count_legs(state, query, 1, now_ms)
             query.hedges += 1
             state.counters.count("hedges")
             slow_leg = shard.legs[0]
@@ -476,13 +493,13 @@
         answer_success(state, query, "partial")
         return
     for shard in query.shards:
-        is_outstanding = shard.legs or shard.fragment is not None or shard.is_held
+        is_outstanding = shard.legs or shard.fragment or shard.is_held or shard.is_waiting
         if shard.part is None and (is_outstanding or _will_retry_later(state, query, shard)):
             return
     if query.parts >= query.needed_parts and query.route.shards:
         answer_success(state, query, "partial")
         return
-    answer_failure(state, query, "every leg failed")
+    answer_failure(state, query, "no room" if query.retry_after_ms else "every leg failed")
 
 
 def _will_retry_later(state: DispatchState, query: Query, shard: Shard) -> bool:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
@@ -147,7 +147,7 @@
     """
     if shard.part is not None or shard.possible_runs >= query.route.max_attempts:
         return False
-    if shard.is_withheld_by_gatherer or shard.is_held:
+    if shard.is_withheld_by_gatherer or shard.is_held or shard.is_waiting:
         return False
     ends = count_ends(query)
     if not may_send_more(ends, query.survivors, is_fan_out=bool(query.route.shards)):
--- a/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
@@ -33,6 +33,7 @@
 from .identity import customer_of_fragment, effective_priority
 from .merge import merge_records
 from .models import Fragment, Query, RequestHead, Shard
+from .room import is_shared_in_zone
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
 OnFragmentEnd = Callable[[Fragment, Reply | ExchangeFailure], None]
@@ -44,10 +45,13 @@
     """Divide shards of a query into those queried from here and fragments for gatherers."""
     now_ms = loop_time_ms(state)
     gatherers = usable_gatherers(state.gatherers, now_ms)
-    is_divisible = bool(query.route.shards) and query.route.idempotent and not query.is_fragment
-    if not gatherers or not is_divisible or len(query.request.body) > REQUEST_BODY_MAX_BYTES:
+    is_divisible = bool(query.route.shards) and query.route.idempotent
+    if not (is_divisible or is_shared_in_zone(state, query, now_ms)) or query.is_fragment:
         return shards, []
-    assigned = assign_shards(state.gatherers, query.route.shards, gatherers)
+    if not gatherers or len(query.request.body) > REQUEST_BODY_MAX_BYTES:
+        return shards, []
+    services = query.route.shards or (query.shards[0].service,)
+    assigned = assign_shards(state.gatherers, services, gatherers)
     by_service = {shard.service: shard for shard in shards}
     local: list[Shard] = []
     fragments = []
@@ -110,6 +114,8 @@
 
 
 def _possible_runs(state: DispatchState, route: Route, shard: Shard) -> int:
+    if not route.idempotent:
+        return 1
     endpoints = state.directory.by_service.get(shard.service, NO_ENDPOINTS)
     return 1 if len(endpoints) <= route.max_attempts else route.max_attempts
 
@@ -139,6 +145,10 @@
     if query.customer is not None:
         fragment_request["customer"] = query.customer.name
         fragment_request["priority"] = effective_priority(route, query.customer)
+        fragment_request["route_priority"] = route.priority
+    if not route.shards:
+        fragment_request["is_plain"] = True
+        fragment_request["is_idempotent"] = route.idempotent
     return fragment_request
 
 
@@ -166,6 +176,8 @@
 
 def is_fragment_overdue(query: Query, shard: Shard, now_ms: float) -> bool:
     """Return whether a shard's fragment should have been answered, so that a leg may be sent."""
+    if not query.route.shards:
+        return False
     is_late = now_ms >= query.early_answer_at_ms + OVERDUE_MS
     return shard.fragment is not None and shard.fragment.is_sent and not shard.legs and is_late
 
@@ -210,20 +222,33 @@
     proofs = dict(answer["parts"])
     may_have_run, withheld = set(answer["may_have_run"]), set(answer["withheld"])
     body = bytes.fromhex(answer["records"])
+    query.retry_after_ms = max(query.retry_after_ms, answer.get("retry_after_ms", 0.0))
+    reply = _reply_of(answer)
     for shard in fragment.shards:
         proof = proofs.get(shard.service)
         if proof is None:
             if shard.service not in may_have_run:
                 _uncount_runs(shard)
-            shard.is_withheld_by_gatherer = shard.service in withheld
+            # The gatherer of a plain request keeps the order, so that no leg is sent past it.
+            shard.is_withheld_by_gatherer = shard.service in withheld or not query.route.shards
+            shard.failure_reply = reply
             continue
         if shard.part is None:
             query.parts += 1
-        shard.part = Reply(200, [], body, True)
+        shard.part = reply or Reply(200, [], body, True)
         shard.proof = proof.encode("latin-1")
         body = b""
 
 
+def _reply_of(answer: FragmentAnswer) -> Reply | None:
+    """Return the reply of an endpoint to a plain request, None if there is none."""
+    if "reply" not in answer:
+        return None
+    status, fields, body = answer["reply"]
+    headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in fields]
+    return Reply(status, headers, body.encode("latin-1"), True)
+
+
 def _uncount_runs(shard: Shard) -> None:
     shard.possible_runs -= shard.fragment_runs
     shard.sent_legs -= 1 if shard.fragment_runs else 0
@@ -247,13 +272,13 @@
         fragment["route"],
         "",
         "",
-        True,
+        fragment.get("is_idempotent", True),
         fragment["expires_in_ms"],
         fragment["latency_target_ms"],
         fragment["max_attempts"],
         fragment.get("priority", 0),
         (),
-        shards,
+        () if fragment.get("is_plain") else shards,
         fragment["top_count"],
         0.0,
     )
@@ -275,6 +300,7 @@
         latency = state.latencies[route.name] = create_latency(route)
     query = Query(caller_request, head, route, shards, latency, respond)
     query.is_fragment = True
+    query.route_priority = fragment.get("route_priority", route.priority)
     query.customer = customer_of_fragment(state.catalog, fragment.get("customer"), route.priority)
     query.version = fragment["version"]
     query.needed_parts = fragment["needed"]
@@ -301,4 +327,13 @@
         ],
         "ended": sorted(query.ended_endpoint_ids),
     }
+    if query.retry_after_ms:
+        answer["retry_after_ms"] = query.retry_after_ms
+    reply = query.shards[0].part or query.shards[0].failure_reply
+    if not query.route.shards and reply is not None:
+        answer["reply"] = (
+            reply.status,
+            [(name.decode("latin-1"), value.decode("latin-1")) for name, value in reply.headers],
+            reply.body.decode("latin-1"),
+        )
     return Answer(200, [], encode_fragment_answer(answer))
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -10,6 +10,7 @@
 from wisteriarock.http.front import Answer, CallerRequest
 from wisteriarock.http.models import Exchange, Headers, Reply
 from wisteriarock.limits.endpoint_limit import EndpointLimit
+from wisteriarock.overload.models import Stay
 
 
 class RequestHead(NamedTuple):
@@ -219,6 +220,8 @@
         Whether a gatherer sent no leg for this reason.
     is_held : bool
         Whether no leg is sent until a canary of the query has survived.
+    is_waiting : bool
+        Whether no leg is sent until there is room for the query.
     shed_count : int
         Number of legs that endpoints refused to run.
     retry_at_ms : float
@@ -230,6 +233,7 @@
         "fragment",
         "fragment_runs",
         "is_held",
+        "is_waiting",
         "is_withheld",
         "is_withheld_by_gatherer",
         "legs",
@@ -255,6 +259,7 @@
         self.proof = b""
         self.failure_reply: Reply | None = None
         self.is_held = False
+        self.is_waiting = False
         self.is_withheld = False
         self.is_withheld_by_gatherer = False
         self.shed_count = 0
@@ -298,6 +303,12 @@
         Endpoints that closed the connection under a leg without a reply.
     ended_elsewhere : int
         Number of such endpoints that gatherers reported.
+    retry_after_ms : float
+        Time after which the caller may come back if the query was refused for lack of room, else 0.
+    route_priority : int
+        Priority of the route alone.
+    stay : Stay or None
+        Places in a room under overload; None if the query has none and waits for none.
     survivors : int
         Number of runs that an endpoint has survived.
     is_suspected : bool
@@ -334,9 +345,12 @@
         "request_id",
         "respond",
         "retries",
+        "retry_after_ms",
         "route",
+        "route_priority",
         "shards",
         "started_at_ms",
+        "stay",
         "survivors",
         "template",
         "timers",
@@ -355,6 +369,7 @@
         self.request = request
         self.request_id = head.request_id
         self.route = route
+        self.route_priority = route.priority
         self.customer: Customer | None = None
         self.shards = [Shard(service) for service in services]
         self.latency = latency
@@ -374,6 +389,8 @@
         self.half_time_ms: float | None = None
         self.hedge_timer: Timer | None = None
         self.hedges_at_ms: float | None = None
+        self.stay: Stay | None = None
+        self.retry_after_ms = 0.0
         self.fragments: list[Fragment] = []
         self.is_fragment = False
         self.is_cancelled = False
--- /dev/null
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/room.py
@@ -0,0 +1,207 @@
+"""Wiring of the order of service under overload: rooms of queries, and their refusal.
+
+A gatherer holds the legs of fan-outs to what it can process. While a service of plain routes is
+short of slots, the requests of a zone go through one gatherer, which keeps the order among them.
+"""
+
+from collections.abc import Callable
+
+from wisteriarock.gathering.const import LEG_COST_MS
+from wisteriarock.overload.const import PLACES_PER_SLOT, PROCESSOR_TARGET_SHARE, SHORTAGE_MS
+from wisteriarock.overload.decide import (
+    enter,
+    expire,
+    is_short,
+    leave,
+    mark_short,
+    may_send_extra,
+    rank_of,
+    record_legs,
+    start_waiting,
+    withdraw,
+)
+from wisteriarock.overload.models import Refusal, Room, Stay, Work
+
+from .budget import get_level, has_budget
+from .models import Query, Shard
+from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
+
+# Weight of a customer without a limit while no customer has one.
+_DEFAULT_WEIGHT = 1.0
+
+
+def wait_for_room(
+    state: DispatchState,
+    query: Query,
+    shards: list[Shard],
+    start: Callable[[], None],
+    refuse: Callable[[], None],
+) -> None:
+    """Start the legs of a query when there is room for them.
+
+    Parameters
+    ----------
+    start, refuse : callable
+        One of them is called once, at once or later, unless the query ends before.
+    """
+    now_ms = loop_time_ms(state)
+    room = _room_of(state, query, now_ms) if shards else None
+    if room is None or query.stay is not None:
+        start()
+        return
+
+    def start_legs() -> None:
+        stay.started_at_ms = loop_time_ms(state)
+        for shard in shards:
+            shard.is_waiting = False
+        start()
+
+    def refuse_legs(refusal: Refusal) -> None:
+        query.stay = None
+        query.retry_after_ms = refusal.retry_after_ms
+        for shard in shards:
+            shard.is_waiting = False
+            shard.is_withheld = shard.is_withheld_by_gatherer = True
+        state.counters.count("overload_refusals", room.name, refusal.reason.value)
+        state.log.record(
+            "overload_refused",
+            request=query.request_id,
+            customer=customer,
+            room=room.name if query.route.shards else query.shards[0].service,
+            reason=refusal.reason.value,
+            waiting=room.waiting_count,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+        refuse()
+
+    customer = query.customer.name if query.customer else ""
+    work = Work(
+        customer,
+        rank_of(query.customer.priority if query.customer else None, query.route_priority),
+        _weight_of(state, query),
+        float(len(shards)),
+        query.expires_at_ms - query.latency.expected_ms,
+        start_legs,
+        refuse_legs,
+    )
+    stay = query.stay = Stay(room, work)
+    outcome = enter(room, work, now_ms)
+    if isinstance(outcome, Refusal):
+        refuse_legs(outcome)
+    elif outcome:
+        start_legs()
+    else:
+        _wait(state, query, shards, stay)
+
+
+def _wait(state: DispatchState, query: Query, shards: list[Shard], stay: Stay) -> None:
+    for shard in shards:
+        shard.is_waiting = True
+    at_s = stay.work.start_by_ms / 1000
+    query.timers.append(state.loop.call_at(at_s, lambda: expire(stay.room, stay.work)))
+    state.counters.count("overload_waits", stay.room.name)
+    state.log.detail(
+        "overload_waits",
+        request=query.request_id,
+        customer=stay.work.customer,
+        room=stay.room.name,
+        waiting=stay.room.waiting_count,
+        used=stay.room.used,
+    )
+
+
+def leave_room(state: DispatchState, query: Query) -> None:
+    """Give back the places of a query that ends, or withdraw it from its queue."""
+    stay = query.stay
+    if stay is None:
+        return
+    query.stay = None
+    if stay.started_at_ms is None:
+        withdraw(stay.room, stay.work)
+        return
+    now_ms = loop_time_ms(state)
+    leave(stay.room, stay.work.places, now_ms - stay.started_at_ms)
+    state.counters.observe("room", stay.room.name, now_ms - stay.started_at_ms)
+    if stay.room.waiting_count:
+        state.loop.call_soon(lambda: start_waiting(stay.room, loop_time_ms(state)))
+
+
+def _room_of(state: DispatchState, query: Query, now_ms: float) -> Room | None:
+    """Return the room of a query; None if there are no customers or room is not short."""
+    configuration = state.catalog.configuration
+    if configuration is None or not configuration.customers:
+        return None
+    overload = state.overload
+    if query.route.shards:
+        if overload.version != configuration.version:
+            overload.version = configuration.version
+            targets_ms = [each.latency_target_ms for each in configuration.routes if each.shards]
+            legs_per_core = min(targets_ms, default=0.0) * PROCESSOR_TARGET_SHARE / LEG_COST_MS
+            overload.processor.places = state.capacity_cores * legs_per_core
+        return overload.processor
+    service = query.shards[0].service
+    if not is_short(overload, service, now_ms):
+        return None
+    room = overload.services.get(service)
+    if room is None:
+        room = overload.services[service] = Room("service", 1.0, query.latency.expected_ms, now_ms)
+    room.places = _places_of(state, service)
+    return room
+
+
+def _places_of(state: DispatchState, service: str) -> float:
+    """Return the share of one zone in the places of a service."""
+    endpoints = [
+        each
+        for each in state.directory.by_service.get(service, NO_ENDPOINTS)
+        if not each.is_unreachable
+    ]
+    zones = len({each.zone for each in endpoints} | {state.zone})
+    return max(1.0, PLACES_PER_SLOT * sum(each.slots for each in endpoints) / zones)
+
+
+def _weight_of(state: DispatchState, query: Query) -> float:
+    """Return the allotment of a query's customer; a customer without one counts as average."""
+    if query.customer is not None and query.customer.rate_per_s:
+        return query.customer.rate_per_s
+    rates = [each.rate_per_s for each in state.catalog.customers.values() if each.rate_per_s]
+    return sum(rates) / len(rates) if rates else _DEFAULT_WEIGHT
+
+
+def is_shared_in_zone(state: DispatchState, query: Query, now_ms: float) -> bool:
+    """Return whether a plain request goes through the gatherer that keeps the order."""
+    configuration = state.catalog.configuration
+    if configuration is None or not configuration.customers or query.route.shards:
+        return False
+    return is_short(state.overload, query.shards[0].service, now_ms)
+
+
+def record_shortage(state: DispatchState, query: Query) -> None:
+    """Record a sign that the service of a plain request is short of room."""
+    configuration = state.catalog.configuration
+    if configuration is None or not configuration.customers or query.route.shards:
+        return
+    service, now_ms = query.shards[0].service, loop_time_ms(state)
+    if not is_short(state.overload, service, now_ms):
+        state.counters.count("overload_shortages")
+        state.log.record("service_short", service=service)
+    mark_short(state.overload, service, now_ms + SHORTAGE_MS)
+
+
+def count_legs(state: DispatchState, query: Query, count: int, now_ms: float) -> None:
+    """Count legs towards the customer that they serve."""
+    if query.customer is not None and count:
+        record_legs(state.overload, query.customer.name, _weight_of(state, query), count, now_ms)
+
+
+def has_extra_budget(state: DispatchState, query: Query, service: str, now_ms: float) -> bool:
+    """Return whether an extra leg may be sent for the customer of a query."""
+    if not has_budget(state.budget, service, now_ms):
+        return False
+    if query.customer is None:
+        return True
+    level, burst = get_level(state.budget, service)
+    if may_send_extra(state.overload, query.customer.name, level, burst, now_ms):
+        return True
+    state.counters.count("extra_legs_given_way")
+    return False
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -13,6 +13,7 @@
 from wisteriarock.limits.cold_limit import ColdBound
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
+from wisteriarock.overload.models import OverloadState
 from wisteriarock.quarantine.models import Notice, Quarantine
 
 from .budget import ExtraLegBudget
@@ -36,6 +37,8 @@
         Moving average of the delay of early answers behind their time.
     gatherers : GathererDirectory
         Gatherers of the local zone.
+    overload : OverloadState
+        Rooms of the work under way, and the work that waits for them.
     quarantine : Quarantine
         Routes and requests under which endpoints have ended lately.
     on_misdirected, on_leaving : callable
@@ -109,6 +112,7 @@
         self.abandoned: dict[Leg, float] = {}
         self.active: set[Query] = set()
         self.gatherers = GathererDirectory()
+        self.overload = OverloadState()
         self.quarantine = Quarantine()
         self.on_deadly: Callable[[Notice], None] = lambda notice: None
         self.is_load_even = False
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from wisteriarock.customers.diagnostics import customers_diagnostics
+from wisteriarock.overload.diagnostics import dump_overload, overload_gauges
 
 if TYPE_CHECKING:
     from .instance import Instance
@@ -50,6 +51,7 @@
         "budget": {
             service: round(bucket.tokens, 2) for service, bucket in instance.budget.buckets.items()
         },
+        "overload": dump_overload(instance.dispatch.overload, now_ms),
         "endpoints": {
             endpoint.endpoint_id: {
                 "service": endpoint.service,
@@ -112,4 +114,5 @@
         "evacuations_known": ("Zones that are to be evacuated", float(len(evacuations))),
         "evacuations_obeyed": ("Zones whose endpoints get no more requests", float(obeyed)),
         "endpoints_evacuated": ("Endpoints withdrawn as their zone is evacuated", float(evacuated)),
+        **overload_gauges(instance.dispatch.overload),
     }
--- a/packages/wisteriarock/src/wisteriarock/gathering/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/decide.py
@@ -276,6 +276,10 @@
         if "customer" in data:
             request["customer"] = str(data["customer"])
             request["priority"] = int(data["priority"])
+            request["route_priority"] = int(data.get("route_priority", request["priority"]))
+        if data.get("is_plain") is True:
+            request["is_plain"] = True
+            request["is_idempotent"] = data["is_idempotent"] is True
         return request
     except (ValueError, KeyError, TypeError, OverflowError):
         return None
@@ -291,12 +295,20 @@
     try:
         data = parse_json(body)
         bytes.fromhex(data["records"])
-        return {
+        answer: FragmentAnswer = {
             "parts": [(str(shard), str(proof)) for shard, proof in data["parts"]],
             "records": str(data["records"]),
             "may_have_run": [str(shard) for shard in data["may_have_run"]],
             "withheld": [str(shard) for shard in data.get("withheld", ())],
             "ended": [str(endpoint) for endpoint in data.get("ended", ())],
         }
+        if "reply" in data:
+            status, fields, body_text = data["reply"]
+            headers = [(str(name), str(value)) for name, value in fields]
+            str([*headers, body_text]).encode("latin-1")
+            answer["reply"] = (int(status), headers, str(body_text))
+        if "retry_after_ms" in data:
+            answer["retry_after_ms"] = float(data["retry_after_ms"])
+        return answer
     except (ValueError, KeyError, TypeError, OverflowError):
         return None
--- a/packages/wisteriarock/src/wisteriarock/gathering/models.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/models.py
@@ -42,6 +42,12 @@
         Name of the customer; absent if the request has none.
     priority : int
         Priority of the request with regard to its customer; absent with `customer`.
+    route_priority : int
+        Priority of the route alone; absent with `customer`.
+    is_plain : bool
+        Whether the only shard is the service of a plain route; absent if not.
+    is_idempotent : bool
+        Whether a plain request may run more than once; present with `is_plain`.
     """
 
     route: str
@@ -60,6 +66,9 @@
     expires_in_ms: float
     customer: NotRequired[str]
     priority: NotRequired[int]
+    route_priority: NotRequired[int]
+    is_plain: NotRequired[bool]
+    is_idempotent: NotRequired[bool]
 
 
 class FragmentAnswer(TypedDict):
@@ -78,6 +87,10 @@
         were used up.
     ended : list of str
         Endpoints that ended under a leg.
+    reply : tuple
+        Status, headers and body of the endpoint's reply to a plain request; absent without one.
+    retry_after_ms : float
+        Time after which the caller may come back; present if there was no room for all legs.
     """
 
     parts: list[tuple[str, str]]
@@ -85,6 +98,8 @@
     may_have_run: list[str]
     withheld: list[str]
     ended: list[str]
+    reply: NotRequired[tuple[int, list[tuple[str, str]], str]]
+    retry_after_ms: NotRequired[float]
 
 
 class GathererDirectory:
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -23,6 +23,10 @@
     "fragments": ("Parts of requests answered to other instances", ("route",)),
     "fragment_failures": ("Parts of requests that a gatherer did not answer", ()),
     "legs": ("Legs sent to endpoints", ()),
+    "overload_shortages": ("Times at which a service became short of room", ()),
+    "overload_waits": ("Requests that waited for room", ("room",)),
+    "overload_refusals": ("Requests refused for lack of room", ("room", "reason")),
+    "extra_legs_given_way": ("Extra legs of a flooding customer that gave way", ()),
     "limited_legs": ("Legs sent to endpoints that name a rate limit", ("kind",)),
     "shards_withheld": ("Shards that were not queried as rate limits were used up", ()),
     "hedges": ("Second legs sent because the first took too long", ()),
@@ -51,6 +55,7 @@
 HISTOGRAMS = {
     "answer": ("Time from a request to its answer", "route"),
     "leg": ("Time from a leg to its reply", "route"),
+    "room": ("Time for which work held its places", "room"),
 }
 
 
--- a/packages/wisteriarock/src/wisteriarock/overload/const.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/const.py
@@ -1,8 +1,7 @@
 """Constants of the order of service under overload."""
 
-# Legs that may be under way for each core: their processing takes half of the tightest usual
-# response time, so that work that starts is not held up by the work ahead of it.
-LEGS_PER_CORE = 280.0
+# Share of the tightest latency target that the processing of the legs under way may take.
+PROCESSOR_TARGET_SHARE = 0.5
 # Requests that may be under way for each slot of the endpoints of a service: one that runs, and one
 # that keeps the slot busy while a reply is on its way.
 PLACES_PER_SLOT = 2.0
@@ -24,8 +23,8 @@
 HOLD_WEIGHT = 0.1
 # Share of the budget for extra legs below which it is short.
 EXTRA_RESERVE_SHARE = 0.5
-# Time constant of the counts of legs, and the multiple of its fair share from which on a customer
-# gets no extra legs while their budget is short.
+# Time constant of the counts of legs. A customer with more than this multiple of the legs that the
+# others have for their weight gets no extra legs while their budget is short.
 LEGS_DECAY_MS = 3_000.0
 FLOOD_FACTOR = 2.0
 # Minimum Retry-After of a refused request.
--- a/packages/wisteriarock/src/wisteriarock/overload/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/decide.py
@@ -37,8 +37,8 @@
     Returns
     -------
     bool or Refusal
-        Whether the work starts now; False if it waits until `leave` or `expire` calls one of its
-        functions.
+        Whether the work starts now; False if it waits until `start_waiting` or `expire` calls one
+        of its functions.
     """
     use = _use_of(room, work.customer, now_ms)
     for counts in (use, room.total):
@@ -57,14 +57,17 @@
     position = sum(_order_in_queue(each) <= _order_in_queue(work) for each in use.waiting)
     use.waiting.insert(position, work)
     room.waiting_count += 1
+    if _choose_next(room) is work and _has_room(room, work):
+        _remove(room, work)
+        _take(room, use, work)
+        return True
     return False
 
 
-def leave(room: Room, places: float, held_ms: float, now_ms: float) -> None:
-    """Give back the places of work that has ended, and start what waits for them."""
+def leave(room: Room, places: float, held_ms: float) -> None:
+    """Give back the places of work that has ended; `start_waiting` gives them to others."""
     room.used = max(0.0, room.used - places)
     room.hold_ms += HOLD_WEIGHT * (held_ms - room.hold_ms)
-    start_waiting(room, now_ms)
 
 
 def start_waiting(room: Room, now_ms: float) -> None:
@@ -102,11 +105,15 @@
     """Estimate how long new work would wait for its places.
 
     Ahead of it is the waiting work of better ranks, its customer's own queue, and what the other
-    customers of its rank may start meanwhile, in proportion to their weights.
+    customers of its rank may start meanwhile, in proportion to their weights. A starved customer
+    waits only for its own queue.
     """
+    is_starved = work.customer in room.uses and _is_starved(room, room.uses[work.customer])
     better = own = others = 0.0
     other_weight = 0.0
     for name, use in room.uses.items():
+        if is_starved and name != work.customer:
+            continue
         same_rank = [each for each in use.waiting if each.rank == work.rank]
         better += sum(each.places for each in use.waiting if each.rank < work.rank)
         if name == work.customer:
@@ -156,18 +163,21 @@
 ) -> bool:
     """Return whether an extra leg for a customer may use the budget.
 
-    While the budget is short, a customer that has sent far more legs than its share gives way.
+    While the budget is short, a customer with far more legs for its weight than the others gives
+    way.
     """
     if tokens >= EXTRA_RESERVE_SHARE * burst or customer not in state.legs:
         return True
-    uses = {name: (_legs_now(use, now_ms), use.weight) for name, use in state.legs.items()}
-    active = [(legs, weight) for legs, weight in uses.values() if legs >= 1.0]
-    total_legs = sum(legs for legs, _ in active)
-    total_weight = sum(weight for _, weight in active)
-    legs, weight = uses[customer]
-    if len(active) < 2 or total_weight <= 0:
+    other_legs = other_weight = 0.0
+    for name, use in state.legs.items():
+        legs = _legs_now(use, now_ms)
+        if name != customer and legs >= 1.0:
+            other_legs += legs
+            other_weight += use.weight
+    own = state.legs[customer]
+    if not other_weight:
         return True
-    return legs <= FLOOD_FACTOR * total_legs * weight / total_weight
+    return _legs_now(own, now_ms) <= FLOOD_FACTOR * other_legs * own.weight / other_weight
 
 
 def waiting_work(room: Room) -> Iterator[Work]:
--- a/packages/wisteriarock/src/wisteriarock/overload/models.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/models.py
@@ -1,6 +1,7 @@
 """State of the order of service under overload."""
 
 import enum
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -113,6 +114,23 @@
         self.waiting_count = 0
 
 
+class Stay:
+    """A query in a room, or waiting for one.
+
+    Attributes
+    ----------
+    started_at_ms : float or None
+        Time at which its work started; None while it waits.
+    """
+
+    __slots__ = ("room", "started_at_ms", "work")
+
+    def __init__(self, room: Room, work: Work) -> None:
+        self.room = room
+        self.work = work
+        self.started_at_ms: float | None = None
+
+
 class LegUse:
     """Decaying count of the legs sent for a customer, as of `counted_at_ms`."""
 
@@ -130,7 +148,9 @@
     Attributes
     ----------
     processor : Room
-        Room for the legs that this instance processes.
+        Room for the legs of fan-outs that this instance processes.
+    version : int
+        Version of the configuration from which the size of that room was derived.
     services : dict
         Rooms of the services that are short of slots.
     short_until_ms : dict
@@ -139,10 +159,11 @@
         Legs sent lately, by customer.
     """
 
-    __slots__ = ("legs", "processor", "services", "short_until_ms")
+    __slots__ = ("legs", "processor", "services", "short_until_ms", "version")
 
-    def __init__(self, processor: Room) -> None:
-        self.processor = processor
+    def __init__(self) -> None:
+        self.processor = Room("processor", math.inf, 0.0, 0.0)
+        self.version = 0
         self.services: dict[str, Room] = {}
         self.short_until_ms: dict[str, float] = {}
         self.legs: dict[str, LegUse] = {}
--- a/tests/wisteriarock/dispatch/emulator.py
+++ b/tests/wisteriarock/dispatch/emulator.py
@@ -66,6 +66,10 @@
         """Schedule a callback after a delay."""
         return self.call_at(self.now_s + delay_ms / 1000, callback)
 
+    def call_soon(self, callback: Callable[[], None]) -> Timer:
+        """Schedule a callback as soon as possible."""
+        return self.call_at(self.now_s, callback)
+
     def run_until_ms(self, end_ms: float) -> None:
         """Run all timers up to a time."""
         while self._heap and self._heap[0][0] * 1000 <= end_ms:
