Send new callers away while the work ahead takes longer than their target

The legs of plain fragments carried the time of an early answer that plain requests do not have.

Change: a new caller is refused at once with the time to come back when its work would start too late for its target; a caller that has come back is let in as long as its deadline allows. Work starts only with the time that nine in ten legs take. Shortages are passed on in fragment answers, their time never extended; a request that endpoints turned away is handed to the gatherer, which pays it from the budget for extra legs; each endpoint gets its share of the places of the zone, so that a slow one gets less.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -51,7 +51,7 @@
     missing = len(query.shards) - query.parts
     if query.is_fragment:
         end_query(state, query)
-        answer = create_fragment_answer(query)
+        answer = create_fragment_answer(state, query)
     elif query.route.shards:
         present = [shard for shard in query.shards if shard.part is not None]
         bodies = [shard.part.body for shard in present if shard.part is not None]
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -41,6 +41,7 @@
 )
 from .fragments import (
     apply_fragment_end,
+    create_fragment_answer,
     create_fragment_query,
     is_fragment_overdue,
     plan_fragments,
@@ -58,6 +59,13 @@
 from .models import Fragment, Leg, LegKind, Query, RequestHead, Shard
 from .resumption import check_resumption
 from .room import count_legs, has_extra_budget, record_shortage, wait_for_room
+from .room import (
+    count_legs,
+    has_extra_budget,
+    may_hand_over,
+    record_shortage,
+    wait_for_room,
+)
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
 
@@ -194,10 +202,24 @@
     if query is None:
         respond(Answer(400, [], b"malformed fragment"))
         return _do_nothing
-    record_shortage(state, query)
+    if not _spend_for_sent_legs(state, query):
+        respond(create_fragment_answer(state, query))
+        return _do_nothing
     return _run_query(state, query)
 
 
+def _spend_for_sent_legs(state: DispatchState, query: Query) -> bool:
+    """Take a fragment whose request an endpoint has turned away from the budget for extra legs."""
+    now_ms = loop_time_ms(state)
+    for shard in query.shards:
+        if shard.sent_legs and not (
+            has_extra_budget(state, query, shard.service, now_ms)
+            and try_spend(state.budget, shard.service, now_ms)
+        ):
+            return False
+    return True
+
+
 def _run_query(state: DispatchState, query: Query) -> Callable[[], None]:
     """Set the timers of a query, send its legs and return the function that cancels it."""
     route, latency = query.route, query.latency
@@ -237,7 +259,8 @@
     for shard in shards:
         if query.is_done:
             return
-        credit_request(state.budget, shard.service)
+        if not shard.sent_legs:
+            credit_request(state.budget, shard.service)
         _send_leg(state, query, shard, LegKind.FIRST, now_ms)
     _answer_if_finished(state, query)
 
@@ -397,8 +420,8 @@
         ran=may_have_run,
         age_ms=loop_time_ms(state) - leg.sent_at_ms,
     )
-    if shard.part is None and not shard.legs:
-        _retry_leg(state, query, shard)
+    if shard.part is None and not shard.legs and not _retry_leg(state, query, shard):
+        _hand_over(state, query, shard)
     if not any(each.legs for each in query.shards):
         canary = next_canary(state, query)
         if canary is not None:
@@ -427,6 +450,14 @@
     return True
 
 
+def _hand_over(state: DispatchState, query: Query, shard: Shard) -> None:
+    """Hand a plain request that endpoints turned away to the gatherer that keeps the order."""
+    if may_hand_over(state, query, shard, loop_time_ms(state)):
+        shard.was_handed_over = True
+        for fragment in plan_fragments(state, query, [shard])[1]:
+            _send_fragment(state, fragment)
+
+
 def _schedule_hedges(state: DispatchState, query: Query, at_ms: float) -> None:
     """Check for legs to hedge at a time, unless an earlier check is scheduled."""
     if query.hedges_at_ms is not None and query.hedges_at_ms <= at_ms:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
@@ -106,6 +106,7 @@
     query.legs_expire_at_ms = query.expires_at_ms
     early_ms = max(0.0, route.latency_target_ms - margin_ms)
     waited = caller_waited_ms(query.latency, time_left_ms)
+    query.is_caller_back = waited > 0
     if waited < early_ms:
         min_ms = min(early_ms, EARLY_ANSWER_MIN_HEDGE_DELAYS * query.latency.hedge_delay_ms)
         early_ms = max(early_ms - waited, min_ms)
--- a/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
@@ -33,7 +33,7 @@
 from .identity import customer_of_fragment, effective_priority
 from .merge import merge_records
 from .models import Fragment, Query, RequestHead, Shard
-from .room import is_shared_in_zone
+from .room import is_shared_in_zone, learn_shortages, shortages
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
 OnFragmentEnd = Callable[[Fragment, Reply | ExchangeFailure], None]
@@ -146,9 +146,13 @@
         fragment_request["customer"] = query.customer.name
         fragment_request["priority"] = effective_priority(route, query.customer)
         fragment_request["route_priority"] = route.priority
+        fragment_request["is_caller_back"] = query.is_caller_back
     if not route.shards:
+        service = fragment.shards[0].service
         fragment_request["is_plain"] = True
         fragment_request["is_idempotent"] = route.idempotent
+        fragment_request["was_sent"] = fragment.shards[0].was_handed_over
+        fragment_request["short_for_ms"] = dict(shortages(state, now_ms)).get(service, 0.0)
     return fragment_request
 
 
@@ -193,6 +197,7 @@
     if isinstance(outcome, Reply) and outcome.status == 200:
         answer = decode_fragment_answer(outcome.body)
     if answer is not None:
+        learn_shortages(state, answer.get("short", ()), loop_time_ms(state))
         _apply_answer(query, fragment, answer)
         return True
     refused = isinstance(outcome, Reply) and outcome.status == 503
@@ -302,15 +307,21 @@
     query.is_fragment = True
     query.route_priority = fragment.get("route_priority", route.priority)
     query.customer = customer_of_fragment(state.catalog, fragment.get("customer"), route.priority)
+    query.is_caller_back = fragment.get("is_caller_back", False)
     query.version = fragment["version"]
     query.needed_parts = fragment["needed"]
     query.early_answer_at_ms = now_ms + max(0.0, fragment["answer_in_ms"])
     query.expires_at_ms = now_ms + max(0.0, fragment["expires_in_ms"])
-    query.legs_expire_at_ms = min(query.early_answer_at_ms, query.expires_at_ms)
+    query.legs_expire_at_ms = query.expires_at_ms
+    if route.shards:
+        query.legs_expire_at_ms = min(query.early_answer_at_ms, query.expires_at_ms)
+    else:
+        learn_shortages(state, [(shards[0], fragment.get("short_for_ms", 0.0))], now_ms)
+        query.shards[0].sent_legs = 1 if fragment.get("was_sent") else 0
     return query
 
 
-def create_fragment_answer(query: Query) -> Answer:
+def create_fragment_answer(state: DispatchState, query: Query) -> Answer:
     """Return the answer to the instance that handed over a fragment; its legs have ended."""
     present = [shard for shard in query.shards if shard.part is not None]
     bodies = [shard.part.body for shard in present if shard.part is not None]
@@ -329,6 +340,9 @@
     }
     if query.retry_after_ms:
         answer["retry_after_ms"] = query.retry_after_ms
+    short = shortages(state, loop_time_ms(state))
+    if short:
+        answer["short"] = short
     reply = query.shards[0].part or query.shards[0].failure_reply
     if not query.route.shards and reply is not None:
         answer["reply"] = (
--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -1,6 +1,6 @@
 """Sending and abandoning of legs, and closing of connections that return no reply."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from wisteriarock.balancing.decide import choose_endpoint, observe_abandoned_leg
 from wisteriarock.balancing.models import Endpoint
@@ -14,6 +14,8 @@
 from .limits import acquire, confirm_leg, count_leg, may_send_to, return_unsent_leg
 from .models import Leg, LegKind, Query, Shard
 from .state import NO_ENDPOINTS, DispatchState
+from .room import full_endpoint_ids
+from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
 OnEnd = Callable[[Leg, Reply | ExchangeFailure], None]
 
@@ -75,7 +77,11 @@
         The endpoint, and the limits from which the leg was taken.
     """
     endpoints = state.directory.by_service.get(shard.service, NO_ENDPOINTS)
-    excluded = shard.tried_endpoint_ids
+    unusable: Collection[str] = shard.tried_endpoint_ids
+    full = full_endpoint_ids(state, query, shard)
+    if full:
+        unusable = full | shard.tried_endpoint_ids
+    excluded = unusable
     while True:
         endpoint = choose_endpoint(
             endpoints,
@@ -88,7 +94,7 @@
             is_even=state.is_load_even,
         )
         if endpoint is None:
-            if excluded is not shard.tried_endpoint_ids and not shard.is_withheld:
+            if excluded is not unusable and not shard.is_withheld:
                 shard.is_withheld = True
                 state.counters.count("shards_withheld")
                 state.log.detail("withheld", request=query.request_id, service=shard.service)
@@ -97,6 +103,9 @@
         if limits is not None:
             return endpoint, limits
         excluded = excluded | {endpoint.endpoint_id}
+        if _acquire(state, endpoint, now_ms):
+            return endpoint
+        excluded = {*excluded, endpoint.endpoint_id}
 
 
 def pause_left_ms(state: DispatchState, service: str, now_ms: float) -> float:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -222,6 +222,8 @@
         Whether no leg is sent until a canary of the query has survived.
     is_waiting : bool
         Whether no leg is sent until there is room for the query.
+    was_handed_over : bool
+        Whether the request went to the gatherer that keeps the order under a shortage.
     shed_count : int
         Number of legs that endpoints refused to run.
     retry_at_ms : float
@@ -245,6 +247,7 @@
         "service",
         "shed_count",
         "tried_endpoint_ids",
+        "was_handed_over",
     )
 
     def __init__(self, service: str) -> None:
@@ -262,6 +265,7 @@
         self.is_waiting = False
         self.is_withheld = False
         self.is_withheld_by_gatherer = False
+        self.was_handed_over = False
         self.shed_count = 0
         self.retry_at_ms = 0.0
 
@@ -299,6 +303,8 @@
         Whether the query itself is a fragment that another instance handed over.
     is_cancelled : bool
         Whether the caller has disconnected.
+    is_caller_back : bool
+        Whether the caller has spent time on an earlier attempt of the same request.
     ended_endpoint_ids : set of str
         Endpoints that closed the connection under a leg without a reply.
     ended_elsewhere : int
@@ -328,6 +334,7 @@
         "hedge_timer",
         "hedges",
         "hedges_at_ms",
+        "is_caller_back",
         "is_cancelled",
         "is_deadly",
         "is_done",
@@ -393,6 +400,7 @@
         self.retry_after_ms = 0.0
         self.fragments: list[Fragment] = []
         self.is_fragment = False
+        self.is_caller_back = False
         self.is_cancelled = False
         self.ended_endpoint_ids: set[str] = set()
         self.ended_elsewhere = 0
--- a/packages/wisteriarock/src/wisteriarock/dispatch/room.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/room.py
@@ -4,8 +4,10 @@
 short of slots, the requests of a zone go through one gatherer, which keeps the order among them.
 """
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Iterable
 
+from wisteriarock.balancing.models import Endpoint
 from wisteriarock.gathering.const import LEG_COST_MS
 from wisteriarock.overload.const import PLACES_PER_SLOT, PROCESSOR_TARGET_SHARE, SHORTAGE_MS
 from wisteriarock.overload.decide import (
@@ -75,12 +77,15 @@
         refuse()
 
     customer = query.customer.name if query.customer else ""
+    start_by_ms = query.expires_at_ms - max(query.latency.expected_ms, query.latency.hedge_delay_ms)
+    target_ms = query.started_at_ms + query.route.latency_target_ms - query.latency.expected_ms
     work = Work(
         customer,
         rank_of(query.customer.priority if query.customer else None, query.route_priority),
         _weight_of(state, query),
         float(len(shards)),
-        query.expires_at_ms - query.latency.expected_ms,
+        start_by_ms if query.is_caller_back else target_ms,
+        start_by_ms,
         start_legs,
         refuse_legs,
     )
@@ -99,6 +104,8 @@
         shard.is_waiting = True
     at_s = stay.work.start_by_ms / 1000
     query.timers.append(state.loop.call_at(at_s, lambda: expire(stay.room, stay.work)))
+    if not query.route.shards:
+        record_shortage(state, query)
     state.counters.count("overload_waits", stay.room.name)
     state.log.detail(
         "overload_waits",
@@ -145,19 +152,42 @@
     room = overload.services.get(service)
     if room is None:
         room = overload.services[service] = Room("service", 1.0, query.latency.expected_ms, now_ms)
-    room.places = _places_of(state, service)
+    endpoints = _reachable_endpoints(state, service)
+    zones = _count_zones(state, endpoints)
+    room.places = max(1.0, sum(_places_at(each, zones) for each in endpoints))
     return room
 
 
-def _places_of(state: DispatchState, service: str) -> float:
-    """Return the share of one zone in the places of a service."""
-    endpoints = [
-        each
-        for each in state.directory.by_service.get(service, NO_ENDPOINTS)
-        if not each.is_unreachable
-    ]
-    zones = len({each.zone for each in endpoints} | {state.zone})
-    return max(1.0, PLACES_PER_SLOT * sum(each.slots for each in endpoints) / zones)
+def _reachable_endpoints(state: DispatchState, service: str) -> list[Endpoint]:
+    endpoints = state.directory.by_service.get(service, NO_ENDPOINTS)
+    return [each for each in endpoints if not each.is_unreachable]
+
+
+def _count_zones(state: DispatchState, endpoints: Iterable[Endpoint]) -> int:
+    return len({each.zone for each in endpoints} | {state.zone})
+
+
+def _places_at(endpoint: Endpoint, zones: int) -> int:
+    """Return the share of one zone in the places at an endpoint."""
+    return math.ceil(PLACES_PER_SLOT * endpoint.slots / zones)
+
+
+def full_endpoint_ids(state: DispatchState, query: Query, shard: Shard) -> frozenset[str]:
+    """Return the endpoints at which the zone has its share of places in use, under a shortage.
+
+    It is empty if no other endpoint is left. A slow endpoint holds its places longer, so that it
+    gets less of the work that waits.
+    """
+    if query.stay is None or query.route.shards:
+        return frozenset()
+    endpoints = _reachable_endpoints(state, shard.service)
+    zones = _count_zones(state, endpoints)
+    full = {
+        each.endpoint_id for each in endpoints if len(each.in_flight) >= _places_at(each, zones)
+    }
+    unusable = full | shard.tried_endpoint_ids
+    has_other = any(each.endpoint_id not in unusable for each in endpoints)
+    return frozenset(full) if has_other else frozenset()
 
 
 def _weight_of(state: DispatchState, query: Query) -> float:
@@ -188,6 +218,31 @@
     mark_short(state.overload, service, now_ms + SHORTAGE_MS)
 
 
+def shortages(state: DispatchState, now_ms: float) -> list[tuple[str, float]]:
+    """Return the services that are short of room, each with the time for which they count so."""
+    return [
+        (service, until_ms - now_ms)
+        for service, until_ms in state.overload.short_until_ms.items()
+        if until_ms > now_ms
+    ]
+
+
+def learn_shortages(
+    state: DispatchState, reported: Iterable[tuple[str, float]], now_ms: float
+) -> None:
+    """Apply what another instance says is short of room; the time is passed on, never extended."""
+    for service, for_ms in reported:
+        if service in state.directory.by_service:
+            mark_short(state.overload, service, now_ms + min(for_ms, SHORTAGE_MS))
+
+
+def may_hand_over(state: DispatchState, query: Query, shard: Shard, now_ms: float) -> bool:
+    """Return whether a plain request that endpoints turned away may go to the gatherer instead."""
+    if query.is_fragment or shard.was_handed_over or shard.possible_runs > 0:
+        return False
+    return is_shared_in_zone(state, query, now_ms)
+
+
 def count_legs(state: DispatchState, query: Query, count: int, now_ms: float) -> None:
     """Count legs towards the customer that they serve."""
     if query.customer is not None and count:
--- a/packages/wisteriarock/src/wisteriarock/gathering/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/decide.py
@@ -277,9 +277,12 @@
             request["customer"] = str(data["customer"])
             request["priority"] = int(data["priority"])
             request["route_priority"] = int(data.get("route_priority", request["priority"]))
+            request["is_caller_back"] = data.get("is_caller_back") is True
         if data.get("is_plain") is True:
             request["is_plain"] = True
             request["is_idempotent"] = data["is_idempotent"] is True
+            request["was_sent"] = data["was_sent"] is True
+            request["short_for_ms"] = float(data["short_for_ms"])
         return request
     except (ValueError, KeyError, TypeError, OverflowError):
         return None
@@ -305,8 +308,11 @@
         if "reply" in data:
             status, fields, body_text = data["reply"]
             headers = [(str(name), str(value)) for name, value in fields]
-            str([*headers, body_text]).encode("latin-1")
+            for text in (*(text for header in headers for text in header), body_text):
+                text.encode("latin-1")
             answer["reply"] = (int(status), headers, str(body_text))
+        if "short" in data:
+            answer["short"] = [(str(service), float(for_ms)) for service, for_ms in data["short"]]
         if "retry_after_ms" in data:
             answer["retry_after_ms"] = float(data["retry_after_ms"])
         return answer
--- a/packages/wisteriarock/src/wisteriarock/gathering/models.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/models.py
@@ -44,10 +44,16 @@
         Priority of the request with regard to its customer; absent with `customer`.
     route_priority : int
         Priority of the route alone; absent with `customer`.
+    is_caller_back : bool
+        Whether the caller has spent time on an earlier attempt; absent with `customer`.
     is_plain : bool
         Whether the only shard is the service of a plain route; absent if not.
     is_idempotent : bool
         Whether a plain request may run more than once; present with `is_plain`.
+    was_sent : bool
+        Whether an endpoint has turned a plain request away; present with `is_plain`.
+    short_for_ms : float
+        Time for which the service counts as short of room; present with `is_plain`.
     """
 
     route: str
@@ -67,8 +73,11 @@
     customer: NotRequired[str]
     priority: NotRequired[int]
     route_priority: NotRequired[int]
+    is_caller_back: NotRequired[bool]
     is_plain: NotRequired[bool]
     is_idempotent: NotRequired[bool]
+    was_sent: NotRequired[bool]
+    short_for_ms: NotRequired[float]
 
 
 class FragmentAnswer(TypedDict):
@@ -91,6 +100,9 @@
         Status, headers and body of the endpoint's reply to a plain request; absent without one.
     retry_after_ms : float
         Time after which the caller may come back; present if there was no room for all legs.
+    short : list of tuple
+        Services that are short of room, each with the time for which they count so; absent if
+        there are none.
     """
 
     parts: list[tuple[str, str]]
@@ -100,6 +112,7 @@
     ended: list[str]
     reply: NotRequired[tuple[int, list[tuple[str, str]], str]]
     retry_after_ms: NotRequired[float]
+    short: NotRequired[list[tuple[str, float]]]
 
 
 class GathererDirectory:
--- a/packages/wisteriarock/src/wisteriarock/overload/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/decide.py
@@ -50,6 +50,8 @@
     wait_ms = expected_wait_ms(room, work)
     if now_ms + wait_ms > work.start_by_ms:
         return _refusal(RefusalReason.UNSERVABLE, wait_ms)
+    if now_ms + wait_ms > work.enter_by_ms:
+        return _refusal(RefusalReason.BUSY, wait_ms)
     if len(use.waiting) >= WAITING_PER_CUSTOMER_MAX:
         return _refusal(RefusalReason.QUEUE_FULL, wait_ms)
     if room.waiting_count >= WAITING_MAX and not _displace(room, work):
--- a/packages/wisteriarock/src/wisteriarock/overload/models.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/models.py
@@ -12,6 +12,7 @@
 class RefusalReason(enum.Enum):
     """Reason for which work is refused for lack of room; nothing of it has run."""
 
+    BUSY = "busy"
     UNSERVABLE = "unservable"
     QUEUE_FULL = "queue_full"
     DISPLACED = "displaced"
@@ -36,6 +37,9 @@
         Share of the customer in relation to the others of its rank.
     places : float
         Number of places that the work takes.
+    enter_by_ms : float
+        Time by which the work has to be expected to start, or else its caller is sent away to come
+        back: the caller's answer would be later than the latency target.
     start_by_ms : float
         Time after which the work cannot end before its caller's deadline.
     start, refuse : callable
@@ -46,6 +50,7 @@
     rank: Rank
     weight: float
     places: float
+    enter_by_ms: float
     start_by_ms: float
     start: Callable[[], None]
     refuse: Callable[[Refusal], None]
--- a/tests/wisteriarock/dispatch/test_overload.py
+++ b/tests/wisteriarock/dispatch/test_overload.py
@@ -46,8 +46,16 @@
 class Zone:
     """Entries of a zone, of which each takes few requests, and the gatherer that they share."""
 
-    def __init__(self, route: Route, *customers: Customer) -> None:
-        self.gatherer = Emulator(route, 3, WORK_MS, 4_000.0, name="gatherer", extra=20.0)
+    def __init__(self, route: Route, *customers: Customer, beside: "Zone | None" = None) -> None:
+        self.gatherer = Emulator(
+            route,
+            3,
+            WORK_MS,
+            4_000.0,
+            name="gatherer",
+            extra=20.0,
+            shared=beside.gatherer if beside else None,
+        )
         self.entries = [
             Emulator(route, 3, WORK_MS, 4_000.0, n, 20.0, f"entry-{n}", self.gatherer, ENTRIES)
             for n in range(ENTRIES)
@@ -131,6 +139,36 @@
     assert urgent[len(urgent) // 2] < other[len(other) // 2]
 
 
+def test_a_burst_in_one_zone_leaves_room_for_the_other():
+    """Guards against a burst in one zone that takes the slots from the customers of another.
+
+    What the other zone leaves is used: the burst gets more than its half of the slots.
+    """
+    route, customers = make_single_service_route(), (_customer("flood"), _customer("small"))
+    busy = Zone(route, *customers)
+    quiet = Zone(route, *customers, beside=busy)
+    busy.send("flood", 4 * CAPACITY_PER_S, 0.0, 4_000.0)
+    quiet.send("small", 0.2 * CAPACITY_PER_S, 1_000.0, 4_000.0)
+    busy.gatherer.loop.run_until_ms(12_000.0)
+    small = quiet.took_ms("small")
+    assert len(small) >= 0.97 * 3 * 0.2 * CAPACITY_PER_S
+    assert small[len(small) // 2] <= route.latency_target_ms
+    assert len(busy.took_ms("flood")) >= 0.6 * 4 * CAPACITY_PER_S
+
+
+def test_urgent_fan_outs_go_first_at_a_busy_gatherer():
+    """Guards against urgent fan-outs that wait for the processor behind less urgent ones."""
+    zone = Zone(make_fan_out_route(8), _customer("urgent", priority=0), _customer("other"))
+    zone.gatherer.state.capacity_cores = 0.1
+    for customer in ("other", "urgent"):
+        zone.send(customer, 60.0, 0.0, 1_000.0)
+    zone.gatherer.loop.run_until_ms(8_000.0)
+    urgent, other = zone.took_ms("urgent"), zone.took_ms("other")
+    assert len(urgent) == 60 and urgent[-1] < other[len(other) // 2]
+    assert zone.gatherer.state.counters.total("overload_waits") > 0
+    assert zone.gatherer.state.overload.processor.used == 0
+
+
 def test_requests_that_must_not_run_twice_are_refused_truthfully():
     """Guards against a status 503 for a request that has run, and against a second run.
 
--- a/tests/wisteriarock/overload/test_decide.py
+++ b/tests/wisteriarock/overload/test_decide.py
@@ -43,6 +43,7 @@
         rank: Rank = (1, 1),
         weight: float = 1.0,
         time_left_ms: float = 4_000.0,
+        target_ms: float = math.inf,
         label: str = "",
     ) -> None:
         """Schedule the arrival of work."""
@@ -58,6 +59,7 @@
             rank,
             weight,
             1.0,
+            at_ms + min(time_left_ms, target_ms),
             at_ms + time_left_ms,
             start,
             lambda refusal: self.refused.append((name, refusal)),
@@ -164,6 +166,25 @@
     assert 180.0 <= refusal.retry_after_ms <= 220.0
 
 
+def test_new_callers_come_back_while_others_are_served_in_time():
+    """Guards against a queue in which everyone is served, but long after the latency target.
+
+    A caller that has come back is let in as long as its deadline allows.
+    """
+    load = Load()
+    for number in range(200):
+        customer = f"customer {number % 20}"
+        load.arrive(number * 10.0, customer, target_ms=100.0, label=f"{number * 10}")
+    load.arrive(1_000.1, "back", label="1000.1")
+    load.run()
+    waits_ms = [
+        at_ms - float(name) for at_ms, name in zip(load.started_at_ms, load.started, strict=True)
+    ]
+    assert max(waits_ms) <= 300.0 and len(load.started) >= 100
+    assert {refusal.reason for _, refusal in load.refused} == {RefusalReason.BUSY}
+    assert "1000.1" in load.started
+
+
 def test_retry_after_fits_the_own_queue():
     """Guards against one customer's flood that sends another one away for its own long queue."""
     load = Load()
