--- a/packages/wisteriarock/src/wisteriarock/dispatch/room.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/room.py
@@ -84,6 +84,7 @@
         rank_of(query.customer.priority if query.customer else None, query.route_priority),
         _weight_of(state, query),
         float(len(shards)),
+        max(1.0, query.latency.expected_ms),
         start_by_ms if query.is_caller_back else target_ms,
         start_by_ms,
         start_legs,
@@ -127,7 +128,7 @@
         withdraw(stay.room, stay.work)
         return
     now_ms = loop_time_ms(state)
-    leave(stay.room, stay.work.places, now_ms - stay.started_at_ms)
+    leave(stay.room, stay.work, now_ms - stay.started_at_ms)
     state.counters.observe("room", stay.room.name, now_ms - stay.started_at_ms)
     if stay.room.waiting_count:
         state.loop.call_soon(lambda: start_waiting(stay.room, loop_time_ms(state)))
@@ -151,7 +152,7 @@
         return None
     room = overload.services.get(service)
     if room is None:
-        room = overload.services[service] = Room("service", 1.0, query.latency.expected_ms, now_ms)
+        room = overload.services[service] = Room("service", 1.0, now_ms)
     endpoints = _reachable_endpoints(state, service)
     zones = _count_zones(state, endpoints)
     room.places = max(1.0, sum(_places_at(each, zones) for each in endpoints))
--- a/packages/wisteriarock/src/wisteriarock/overload/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/decide.py
@@ -14,9 +14,10 @@
     CUSTOMERS_MAX,
     EXTRA_RESERVE_SHARE,
     FLOOD_FACTOR,
-    HOLD_WEIGHT,
     LEGS_DECAY_MS,
+    PACE_WEIGHT,
     RETRY_AFTER_MIN_MS,
+    RUNNING_LEFT_SHARE,
     STARVED_ASKED_MIN,
     STARVED_SHARE,
     WAITING_MAX,
@@ -66,10 +67,11 @@
     return False
 
 
-def leave(room: Room, places: float, held_ms: float) -> None:
+def leave(room: Room, work: Work, held_ms: float) -> None:
     """Give back the places of work that has ended; `start_waiting` gives them to others."""
-    room.used = max(0.0, room.used - places)
-    room.hold_ms += HOLD_WEIGHT * (held_ms - room.hold_ms)
+    room.used = max(0.0, room.used - work.places)
+    room.used_ms = max(0.0, room.used_ms - _cost_ms(work))
+    room.pace += PACE_WEIGHT * (held_ms / max(work.hold_ms, 1e-9) - room.pace)
 
 
 def start_waiting(room: Room, now_ms: float) -> None:
@@ -111,22 +113,23 @@
     waits only for its own queue.
     """
     is_starved = work.customer in room.uses and _is_starved(room, room.uses[work.customer])
-    better = own = others = 0.0
+    if not room.waiting_count and _has_room(room, work):
+        return 0.0
+    better_ms = own_ms = others_ms = 0.0
     other_weight = 0.0
     for name, use in room.uses.items():
         if is_starved and name != work.customer:
             continue
         same_rank = [each for each in use.waiting if each.rank == work.rank]
-        better += sum(each.places for each in use.waiting if each.rank < work.rank)
+        better_ms += sum(_cost_ms(each) for each in use.waiting if each.rank < work.rank)
         if name == work.customer:
-            own = sum(each.places for each in same_rank)
+            own_ms = sum(_cost_ms(each) for each in same_rank)
         elif same_rank:
-            others += sum(each.places for each in same_rank)
+            others_ms += sum(_cost_ms(each) for each in same_rank)
             other_weight += same_rank[0].weight
-    meanwhile = min(others, (own + work.places) * other_weight / max(work.weight, 1e-9))
-    free = max(0.0, room.places - room.used)
-    ahead = better + own + meanwhile + work.places - free
-    return max(0.0, ahead) * room.hold_ms / max(room.places, work.places, 1e-9)
+    meanwhile_ms = (own_ms + _cost_ms(work)) * other_weight / max(work.weight, 1e-9)
+    ahead_ms = better_ms + own_ms + min(others_ms, meanwhile_ms) + RUNNING_LEFT_SHARE * room.used_ms
+    return ahead_ms * room.pace / max(room.places, 1e-9)
 
 
 def mark_short(state: OverloadState, service: str, until_ms: float) -> None:
@@ -215,11 +218,16 @@
     return not room.used or room.used + work.places <= room.places
 
 
+def _cost_ms(work: Work) -> float:
+    return work.places * work.hold_ms
+
+
 def _take(room: Room, use: CustomerUse, work: Work) -> None:
     start = max(room.virtual_time, use.virtual_end)
     room.virtual_time = start
-    use.virtual_end = start + work.places / max(work.weight, 1e-9)
+    use.virtual_end = start + _cost_ms(work) / max(work.weight, 1e-9)
     room.used += work.places
+    room.used_ms += _cost_ms(work)
     use.started += 1.0
     room.total.started += 1.0
 
--- a/packages/wisteriarock/src/wisteriarock/overload/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/diagnostics.py
@@ -19,7 +19,7 @@
     return {
         "places": round(room.places, 1),
         "used": round(room.used, 1),
-        "hold_ms": round(room.hold_ms, 1),
+        "pace": round(room.pace, 2),
         "waiting": room.waiting_count,
         "customers": {
             name: {
--- a/packages/wisteriarock/src/wisteriarock/overload/models.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/models.py
@@ -37,6 +37,8 @@
         Share of the customer in relation to the others of its rank.
     places : float
         Number of places that the work takes.
+    hold_ms : float
+        Time for which work of this kind usually holds them.
     enter_by_ms : float
         Time by which the work has to be expected to start, or else its caller is sent away to come
         back: the caller's answer would be later than the latency target.
@@ -50,6 +52,7 @@
     rank: Rank
     weight: float
     places: float
+    hold_ms: float
     enter_by_ms: float
     start_by_ms: float
     start: Callable[[], None]
@@ -64,8 +67,8 @@
     asked, started : float
         Decaying counts of the work that was asked for and started, as of `counted_at_ms`.
     virtual_end : float
-        Virtual time at which the work that has started ends, if every customer of the rank had
-        exactly its weighted share.
+        Virtual time at which the work that has started ends, if every customer had exactly its
+        weighted share of the time of all places.
     waiting : list of Work
         Waiting work, the next one first.
     """
@@ -89,8 +92,10 @@
         Places that may be in use at the same time; a single work that needs more may still start.
     used : float
         Places in use.
-    hold_ms : float
-        Moving average of the time for which work holds its places.
+    used_ms : float
+        Places in use, each multiplied by the time for which its work usually holds it.
+    pace : float
+        Moving average of the time for which work held its places, relative to the usual time.
     virtual_time : float
         Virtual time at which the work that started last began.
     total : CustomerUse
@@ -98,21 +103,23 @@
     """
 
     __slots__ = (
-        "hold_ms",
         "name",
+        "pace",
         "places",
         "total",
         "used",
+        "used_ms",
         "uses",
         "virtual_time",
         "waiting_count",
     )
 
-    def __init__(self, name: str, places: float, hold_ms: float, now_ms: float) -> None:
+    def __init__(self, name: str, places: float, now_ms: float) -> None:
         self.name = name
         self.places = places
         self.used = 0.0
-        self.hold_ms = hold_ms
+        self.used_ms = 0.0
+        self.pace = 1.0
         self.virtual_time = 0.0
         self.total = CustomerUse(now_ms)
         self.uses: dict[str, CustomerUse] = {}
@@ -167,7 +174,7 @@
     __slots__ = ("legs", "processor", "services", "short_until_ms", "version")
 
     def __init__(self) -> None:
-        self.processor = Room("processor", math.inf, 0.0, 0.0)
+        self.processor = Room("processor", math.inf, 0.0)
         self.version = 0
         self.services: dict[str, Room] = {}
         self.short_until_ms: dict[str, float] = {}
--- a/tests/wisteriarock/overload/test_decide.py
+++ b/tests/wisteriarock/overload/test_decide.py
@@ -28,7 +28,7 @@
     """A room under load: work arrives at set times and holds its places for a fixed time."""
 
     def __init__(self, places: float = 1.0) -> None:
-        self.room = Room("service", places, HOLD_MS, 0.0)
+        self.room = Room("service", places, 0.0)
         self.now_ms = 0.0
         self.started: list[str] = []
         self.started_at_ms: list[float] = []
@@ -44,6 +44,7 @@
         weight: float = 1.0,
         time_left_ms: float = 4_000.0,
         target_ms: float = math.inf,
+        hold_ms: float = HOLD_MS,
         label: str = "",
     ) -> None:
         """Schedule the arrival of work."""
@@ -52,13 +53,14 @@
         def start() -> None:
             self.started.append(name)
             self.started_at_ms.append(self.now_ms)
-            self._schedule(self.now_ms + HOLD_MS, "end", work)
+            self._schedule(self.now_ms + hold_ms, "end", work)
 
         work = Work(
             customer,
             rank,
             weight,
             1.0,
+            hold_ms,
             at_ms + min(time_left_ms, target_ms),
             at_ms + time_left_ms,
             start,
@@ -74,7 +76,7 @@
         while self._events and self._events[0][0] <= until_ms:
             self.now_ms, _, kind, work = heapq.heappop(self._events)
             if kind == "end":
-                leave(self.room, work.places, HOLD_MS)
+                leave(self.room, work, work.hold_ms)
                 start_waiting(self.room, self.now_ms)
                 continue
             outcome = enter(self.room, work, self.now_ms)
@@ -95,6 +97,17 @@
     assert 2.5 <= counts["large"] / counts["small"] <= 3.5, counts
 
 
+def test_short_work_and_long_work_share_one_slot_by_time():
+    """Guards against a customer with long work that takes the time of one with short work."""
+    load = Load()
+    for number in range(400):
+        load.arrive(number * 10.0, "long", time_left_ms=300.0, hold_ms=25.0)
+        load.arrive(number * 10.0 + 0.1, "short", time_left_ms=300.0, hold_ms=10.0)
+    load.run(4_000.0)
+    counts = {name: load.started[20:].count(name) for name in ("long", "short")}
+    assert 2.0 <= counts["short"] / counts["long"] <= 3.0, counts
+
+
 def test_what_one_customer_leaves_is_used_by_the_other():
     """Guards against a share that is kept free for a customer that does not ask for it."""
     load = Load()
