--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -145,6 +145,8 @@
         state.counters.observe("answer", name, now_ms - query.started_at_ms)
     if not query.is_fragment and answer.status == 200 and query.parts < len(query.shards):
         state.counters.count("missing_parts", name, by=len(query.shards) - query.parts)
+    if query.customer is not None:
+        details["customer"] = query.customer.name
     write = state.log.detail if 200 <= answer.status < 300 else state.log.record
     write(
         "fragment_answered" if query.is_fragment else "answered",
