Order requests on public routes by their route, and estimate the first place that frees

Cause: a fragment named the priority of its route only with a customer, so that requests on public routes had the first rank at a gatherer; a wait for the first of several places was estimated at half the time of the work that holds them, although they free one after the other. Change: both are sent whenever the configuration names customers; work that runs counts with the share of the places that is needed.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/fragments.py
@@ -145,6 +145,7 @@
     if query.customer is not None:
         fragment_request["customer"] = query.customer.name
         fragment_request["priority"] = effective_priority(route, query.customer)
+    if state.catalog.customers:
         fragment_request["route_priority"] = route.priority
         fragment_request["is_caller_back"] = query.is_caller_back
     if not route.shards:
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -115,4 +115,5 @@
         "evacuations_obeyed": ("Zones whose endpoints get no more requests", float(obeyed)),
         "endpoints_evacuated": ("Endpoints withdrawn as their zone is evacuated", float(evacuated)),
         **overload_gauges(instance.dispatch.overload),
+        **overload_gauges(instance.dispatch.overload, now_s * 1000),
     }
--- a/packages/wisteriarock/src/wisteriarock/gathering/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/decide.py
@@ -276,8 +276,9 @@
         if "customer" in data:
             request["customer"] = str(data["customer"])
             request["priority"] = int(data["priority"])
-            request["route_priority"] = int(data.get("route_priority", request["priority"]))
-            request["is_caller_back"] = data.get("is_caller_back") is True
+        if "route_priority" in data:
+            request["route_priority"] = int(data["route_priority"])
+            request["is_caller_back"] = data["is_caller_back"] is True
         if data.get("is_plain") is True:
             request["is_plain"] = True
             request["is_idempotent"] = data["is_idempotent"] is True
--- a/packages/wisteriarock/src/wisteriarock/gathering/models.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/models.py
@@ -43,9 +43,9 @@
     priority : int
         Priority of the request with regard to its customer; absent with `customer`.
     route_priority : int
-        Priority of the route alone; absent with `customer`.
+        Priority of the route alone; absent if the configuration names no customers.
     is_caller_back : bool
-        Whether the caller has spent time on an earlier attempt; absent with `customer`.
+        Whether the caller has spent time on an earlier attempt; present with `route_priority`.
     is_plain : bool
         Whether the only shard is the service of a plain route; absent if not.
     is_idempotent : bool
--- a/packages/wisteriarock/src/wisteriarock/overload/const.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/const.py
@@ -21,8 +21,6 @@
 STARVED_ASKED_MIN = 4.0
 # Weight of a new sample in the pace of a room.
 PACE_WEIGHT = 0.1
-# Share of its time that running work still needs on average.
-RUNNING_LEFT_SHARE = 0.5
 # Share of the budget for extra legs below which it is short.
 EXTRA_RESERVE_SHARE = 0.5
 # Time constant of the counts of legs. A customer with more than this multiple of the legs that the
--- a/packages/wisteriarock/src/wisteriarock/overload/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/decide.py
@@ -17,7 +17,6 @@
     LEGS_DECAY_MS,
     PACE_WEIGHT,
     RETRY_AFTER_MIN_MS,
-    RUNNING_LEFT_SHARE,
     STARVED_ASKED_MIN,
     STARVED_SHARE,
     WAITING_MAX,
@@ -128,7 +127,9 @@
             others_ms += sum(_cost_ms(each) for each in same_rank)
             other_weight += same_rank[0].weight
     meanwhile_ms = (own_ms + _cost_ms(work)) * other_weight / max(work.weight, 1e-9)
-    ahead_ms = better_ms + own_ms + min(others_ms, meanwhile_ms) + RUNNING_LEFT_SHARE * room.used_ms
+    # Work that runs gives its places back one after the other.
+    running_ms = min(1.0, work.places / room.used) * room.used_ms if room.used else 0.0
+    ahead_ms = better_ms + own_ms + min(others_ms, meanwhile_ms) + running_ms
     return ahead_ms * room.pace / max(room.places, 1e-9)
 
 
--- a/packages/wisteriarock/src/wisteriarock/overload/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/diagnostics.py
@@ -33,11 +33,12 @@
     }
 
 
-def overload_gauges(state: OverloadState) -> dict[str, tuple[str, float]]:
+def overload_gauges(state: OverloadState, now_ms: float) -> dict[str, tuple[str, float]]:
     """Return the help text and the value of each gauge, by name."""
     rooms = [state.processor, *state.services.values()]
     waiting = sum(room.waiting_count for room in rooms)
+    short = sum(until_ms > now_ms for until_ms in state.short_until_ms.values())
     return {
         "overload_waiting": ("Requests that wait for room", float(waiting)),
-        "services_short": ("Services short of room", float(len(state.short_until_ms))),
+        "services_short": ("Services short of room", float(short)),
     }
--- a/tests/wisteriarock/gathering/test_decide.py
+++ b/tests/wisteriarock/gathering/test_decide.py
@@ -8,6 +8,7 @@
     decode_fragment_answer,
     decode_fragment_request,
     decode_gatherers,
+    encode_fragment_answer,
     encode_gatherers,
     find_fan_out_shape,
     needed_parts_of_fragment,
@@ -16,7 +17,12 @@
     share_budget,
     usable_gatherers,
 )
-from wisteriarock.gathering.models import FanOutShape, Gatherer, GathererDirectory
+from wisteriarock.gathering.models import (
+    FanOutShape,
+    FragmentAnswer,
+    Gatherer,
+    GathererDirectory,
+)
 
 from tests.common import function_suite
 from tests.wisteriarock.samples import make_configuration, make_fan_out_route
@@ -123,6 +129,24 @@
     assert find_fan_out_shape(catalog) == FanOutShape(20, 26)
 
 
+def test_the_reply_to_a_plain_request_is_passed_on_whole():
+    """Guards against a status, header or byte of an endpoint's reply that is lost on the way."""
+    answer: FragmentAnswer = {
+        "parts": [("invoicing", "p")],
+        "records": "",
+        "may_have_run": [],
+        "withheld": [],
+        "ended": [],
+        "reply": (201, [("Name", "v\xff")], bytes(range(256)).decode("latin-1")),
+        "retry_after_ms": 250.0,
+        "short": [("invoicing", 2_000.0)],
+    }
+    body = encode_fragment_answer(answer)
+    assert decode_fragment_answer(body) == answer
+    # Not a byte for each character.
+    assert decode_fragment_answer(body.replace(b"\\u00ff", b"\\u0100")) is None
+
+
 def test_malformed_messages_are_rejected():
     """Guards against a message of a peer that stops an instance."""
     for body in (b"", b"[]", b"{}", b'{"records": 1}', b'{"records": "zz", "parts": []}'):
