--- a/packages/wisteriarock/src/wisteriarock/dispatch/room.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/room.py
@@ -69,6 +69,7 @@
             "overload_refused",
             request=query.request_id,
             customer=customer,
+            rank=".".join(map(str, work.rank)),
             room=room.name if query.route.shards else query.shards[0].service,
             reason=refusal.reason.value,
             waiting=room.waiting_count,
