Answer a fan-out at once when there is no room for too many of its shards

Cause: an instance waited for the fragment of the other gatherer although its answer could not succeed. Change: it answers as soon as fewer shards than needed can come. Result: test_a_fan_out_without_room_at_one_gatherer_is_answered_at_once had no answer after 10 ms before.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -62,6 +62,7 @@
 from .room import (
     count_legs,
     has_extra_budget,
+    lacks_room,
     may_hand_over,
     record_shortage,
     wait_for_room,
@@ -523,6 +524,9 @@
     if query.is_early_answer_due and query.parts >= query.needed_parts:
         answer_success(state, query, "partial")
         return
+    if lacks_room(query):
+        answer_failure(state, query, "no room")
+        return
     for shard in query.shards:
         is_outstanding = shard.legs or shard.fragment or shard.is_held or shard.is_waiting
         if shard.part is None and (is_outstanding or _will_retry_later(state, query, shard)):
@@ -530,7 +534,7 @@
     if query.parts >= query.needed_parts and query.route.shards:
         answer_success(state, query, "partial")
         return
-    answer_failure(state, query, "no room" if query.retry_after_ms else "every leg failed")
+    answer_failure(state, query, "every leg failed")
 
 
 def _will_retry_later(state: DispatchState, query: Query, shard: Shard) -> bool:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/room.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/room.py
@@ -220,6 +220,14 @@
     mark_short(state.overload, service, now_ms + SHORTAGE_MS)
 
 
+def lacks_room(query: Query) -> bool:
+    """Return whether a query cannot succeed any more, as there is no room for some of its legs."""
+    if not query.retry_after_ms:
+        return False
+    withheld = sum(each.part is None and each.is_withheld_by_gatherer for each in query.shards)
+    return len(query.shards) - withheld < query.needed_parts
+
+
 def shortages(state: DispatchState, now_ms: float) -> list[tuple[str, float]]:
     """Return the services that are short of room, each with the time for which they count so."""
     return [
--- a/tests/wisteriarock/dispatch/test_overload.py
+++ b/tests/wisteriarock/dispatch/test_overload.py
@@ -169,6 +169,28 @@
     assert zone.gatherer.state.overload.processor.used == 0
 
 
+def test_a_fan_out_without_room_at_one_gatherer_is_answered_at_once():
+    """Guards against a caller that waits for parts although too many of them cannot come."""
+    entry = Emulator(make_fan_out_route(40, min_coverage=0.9), extra=400.0)
+    for number in range(2):
+        name = f"gatherer-{number}"
+        gatherer = Emulator(entry.route, name=name, shared=entry, extra=400.0)
+        entry.gatherer_pools[name] = PeerPool(gatherer)
+        _name_customers(gatherer, (_customer("buyer"),))
+    _name_customers(entry, (_customer("buyer"),))
+    busy = entry.gatherer_pools["gatherer-0"].gatherer.state.overload.processor
+    busy.used, busy.used_ms = 1e6, 1e12
+    chosen = tuple(Gatherer(name, "10.0.0.1", 7_380, 1.0) for name in entry.gatherer_pools)
+    replace_gatherers(entry.state.gatherers, chosen)
+    request = CallerRequest(b"GET", b"r0", [(b"key", b"buyer")], b"", 0.0, False)
+    answers: list[Answer] = []
+    handle_request(entry.state, request, answers.append)
+    entry.loop.run_until_ms(10.0)
+    assert [answer.status for answer in answers] == [502]
+    entry.loop.run_until_ms(2_000.0)
+    assert not entry.state.active and entry.extra_leg_share() == 0.0
+
+
 def test_requests_that_must_not_run_twice_are_refused_truthfully():
     """Guards against a status 503 for a request that has run, and against a second run.
 
