--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -58,7 +58,6 @@
 from .limits import return_unsent_leg
 from .models import Fragment, Leg, LegKind, Query, RequestHead, Shard
 from .resumption import check_resumption
-from .room import count_legs, has_extra_budget, record_shortage, wait_for_room
 from .room import (
     count_legs,
     has_extra_budget,
--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -13,9 +13,8 @@
 from .decide import record_latency
 from .limits import acquire, confirm_leg, count_leg, may_send_to, return_unsent_leg
 from .models import Leg, LegKind, Query, Shard
-from .state import NO_ENDPOINTS, DispatchState
 from .room import full_endpoint_ids
-from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
+from .state import NO_ENDPOINTS, DispatchState
 
 OnEnd = Callable[[Leg, Reply | ExchangeFailure], None]
 
@@ -102,9 +101,6 @@
         limits = acquire(state, endpoint, now_ms)
         if limits is not None:
             return endpoint, limits
-        excluded = excluded | {endpoint.endpoint_id}
-        if _acquire(state, endpoint, now_ms):
-            return endpoint
         excluded = {*excluded, endpoint.endpoint_id}
 
 
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -114,6 +114,5 @@
         "evacuations_known": ("Zones that are to be evacuated", float(len(evacuations))),
         "evacuations_obeyed": ("Zones whose endpoints get no more requests", float(obeyed)),
         "endpoints_evacuated": ("Endpoints withdrawn as their zone is evacuated", float(evacuated)),
-        **overload_gauges(instance.dispatch.overload),
         **overload_gauges(instance.dispatch.overload, now_s * 1000),
     }
