--- a/packages/wisteriarock/src/wisteriarock/overload/const.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/const.py
@@ -22,7 +22,7 @@
 # Weight of a new sample in the pace of a room.
 PACE_WEIGHT = 0.1
 # Share of the budget for extra legs below which it is short.
-EXTRA_RESERVE_SHARE = 0.5
+EXTRA_RESERVE_SHARE = 0.25
 # Time constant of the counts of legs. A customer with more than this multiple of the legs that the
 # others have for their weight gets no extra legs while their budget is short.
 LEGS_DECAY_MS = 3_000.0
