--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -41,6 +41,7 @@
 )
 from .fragments import (
     apply_fragment_end,
+    create_fragment_answer,
     create_fragment_query,
     is_fragment_overdue,
     plan_fragments,
@@ -57,6 +58,14 @@
 from .limits import return_unsent_leg
 from .models import Fragment, Leg, LegKind, Query, RequestHead, Shard
 from .resumption import check_resumption
+from .room import (
+    count_legs,
+    has_extra_budget,
+    lacks_room,
+    may_hand_over,
+    record_shortage,
+    wait_for_room,
+)
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
 
@@ -193,9 +202,24 @@
     if query is None:
         respond(Answer(400, [], b"malformed fragment"))
         return _do_nothing
+    if not _spend_for_sent_legs(state, query):
+        respond(create_fragment_answer(state, query))
+        return _do_nothing
     return _run_query(state, query)
 
 
+def _spend_for_sent_legs(state: DispatchState, query: Query) -> bool:
+    """Take a fragment whose request an endpoint has turned away from the budget for extra legs."""
+    now_ms = loop_time_ms(state)
+    for shard in query.shards:
+        if shard.sent_legs and not (
+            has_extra_budget(state, query, shard.service, now_ms)
+            and try_spend(state.budget, shard.service, now_ms)
+        ):
+            return False
+    return True
+
+
 def _run_query(state: DispatchState, query: Query) -> Callable[[], None]:
     """Set the timers of a query, send its legs and return the function that cancels it."""
     route, latency = query.route, query.latency
@@ -219,16 +243,24 @@
     local_shards, fragments = plan_fragments(state, query, shards)
     for fragment in fragments:
         _send_fragment(state, fragment)
-    _send_first_legs(state, query, local_shards)
+    wait_for_room(
+        state,
+        query,
+        local_shards,
+        lambda: _send_first_legs(state, query, local_shards),
+        lambda: _answer_if_finished(state, query),
+    )
 
 
 def _send_first_legs(state: DispatchState, query: Query, shards: list[Shard]) -> None:
     now_ms = loop_time_ms(state)
     query.own_legs += len(shards)
+    count_legs(state, query, len(shards), now_ms)
     for shard in shards:
         if query.is_done:
             return
-        credit_request(state.budget, shard.service)
+        if not shard.sent_legs:
+            credit_request(state.budget, shard.service)
         _send_leg(state, query, shard, LegKind.FIRST, now_ms)
     _answer_if_finished(state, query)
 
@@ -336,6 +368,7 @@
         state.on_misdirected(endpoint)
     if head.was_not_run:
         record_shed(shard, now_ms)
+        record_shortage(state, query)
     # A success that failed a check is no failure of the endpoint, and is not forwarded as one.
     if may_have_run and not leg.is_abandoned and not 200 <= outcome.status < 300:
         shard.failure_reply = outcome
@@ -387,8 +420,8 @@
         ran=may_have_run,
         age_ms=loop_time_ms(state) - leg.sent_at_ms,
     )
-    if shard.part is None and not shard.legs:
-        _retry_leg(state, query, shard)
+    if shard.part is None and not shard.legs and not _retry_leg(state, query, shard):
+        _hand_over(state, query, shard)
     if not any(each.legs for each in query.shards):
         canary = next_canary(state, query)
         if canary is not None:
@@ -403,7 +436,7 @@
         return False
     now_ms = loop_time_ms(state)
     is_extra = shard.sent_legs > 0
-    if is_extra and not has_budget(state.budget, shard.service, now_ms):
+    if is_extra and not has_extra_budget(state, query, shard.service, now_ms):
         state.log.detail("budget_exhausted", request=query.request_id, service=shard.service)
         return False
     kind = LegKind.RETRY if is_extra else LegKind.FIRST
@@ -411,11 +444,20 @@
         return False
     if is_extra:
         try_spend(state.budget, shard.service, now_ms)
+        count_legs(state, query, 1, now_ms)
     query.retries += 1
     state.counters.count("retries")
     return True
 
 
+def _hand_over(state: DispatchState, query: Query, shard: Shard) -> None:
+    """Hand a plain request that endpoints turned away to the gatherer that keeps the order."""
+    if may_hand_over(state, query, shard, loop_time_ms(state)):
+        shard.was_handed_over = True
+        for fragment in plan_fragments(state, query, [shard])[1]:
+            _send_fragment(state, fragment)
+
+
 def _schedule_hedges(state: DispatchState, query: Query, at_ms: float) -> None:
     """Check for legs to hedge at a time, unless an earlier check is scheduled."""
     if query.hedges_at_ms is not None and query.hedges_at_ms <= at_ms:
@@ -436,6 +478,9 @@
     for shard in query.shards:
         if shard.part is not None or shard.is_held:
             continue
+        if shard.is_waiting:
+            may_send_more = True
+            continue
         if shard.fragment is not None and not is_fragment_overdue(query, shard, now_ms):
             may_send_more = True
             continue
@@ -446,10 +491,13 @@
             if now_ms >= shard.retry_at_ms:
                 shard.tried_endpoint_ids.clear()
                 _retry_leg(state, query, shard)
-        elif is_hedge_due(query, shard, now_ms) and has_budget(state.budget, shard.service, now_ms):
+        elif is_hedge_due(query, shard, now_ms) and has_extra_budget(
+            state, query, shard.service, now_ms
+        ):
             if not _send_leg(state, query, shard, LegKind.HEDGE, now_ms):
                 continue
             try_spend(state.budget, shard.service, now_ms)
+            count_legs(state, query, 1, now_ms)
             query.hedges += 1
             state.counters.count("hedges")
             slow_leg = shard.legs[0]
@@ -475,8 +523,11 @@
     if query.is_early_answer_due and query.parts >= query.needed_parts:
         answer_success(state, query, "partial")
         return
+    if lacks_room(query):
+        answer_failure(state, query, "no room")
+        return
     for shard in query.shards:
-        is_outstanding = shard.legs or shard.fragment is not None or shard.is_held
+        is_outstanding = shard.legs or shard.fragment or shard.is_held or shard.is_waiting
         if shard.part is None and (is_outstanding or _will_retry_later(state, query, shard)):
             return
     if query.parts >= query.needed_parts and query.route.shards:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -10,6 +10,7 @@
 from wisteriarock.http.front import Answer, CallerRequest
 from wisteriarock.http.models import Exchange, Headers, Reply
 from wisteriarock.limits.endpoint_limit import EndpointLimit
+from wisteriarock.overload.models import Stay
 
 
 class RequestHead(NamedTuple):
@@ -219,6 +220,10 @@
         Whether a gatherer sent no leg for this reason.
     is_held : bool
         Whether no leg is sent until a canary of the query has survived.
+    is_waiting : bool
+        Whether no leg is sent until there is room for the query.
+    was_handed_over : bool
+        Whether the request went to the gatherer that keeps the order under a shortage.
     shed_count : int
         Number of legs that endpoints refused to run.
     retry_at_ms : float
@@ -230,6 +235,7 @@
         "fragment",
         "fragment_runs",
         "is_held",
+        "is_waiting",
         "is_withheld",
         "is_withheld_by_gatherer",
         "legs",
@@ -241,6 +247,7 @@
         "service",
         "shed_count",
         "tried_endpoint_ids",
+        "was_handed_over",
     )
 
     def __init__(self, service: str) -> None:
@@ -255,8 +262,10 @@
         self.proof = b""
         self.failure_reply: Reply | None = None
         self.is_held = False
+        self.is_waiting = False
         self.is_withheld = False
         self.is_withheld_by_gatherer = False
+        self.was_handed_over = False
         self.shed_count = 0
         self.retry_at_ms = 0.0
 
@@ -294,10 +303,18 @@
         Whether the query itself is a fragment that another instance handed over.
     is_cancelled : bool
         Whether the caller has disconnected.
+    is_caller_back : bool
+        Whether the caller has spent time on an earlier attempt of the same request.
     ended_endpoint_ids : set of str
         Endpoints that closed the connection under a leg without a reply.
     ended_elsewhere : int
         Number of such endpoints that gatherers reported.
+    retry_after_ms : float
+        Time after which the caller may come back if the query was refused for lack of room, else 0.
+    route_priority : int
+        Priority of the route alone.
+    stay : Stay or None
+        Places in a room under overload; None if the query has none and waits for none.
     survivors : int
         Number of runs that an endpoint has survived.
     is_suspected : bool
@@ -317,6 +334,7 @@
         "hedge_timer",
         "hedges",
         "hedges_at_ms",
+        "is_caller_back",
         "is_cancelled",
         "is_deadly",
         "is_done",
@@ -334,9 +352,12 @@
         "request_id",
         "respond",
         "retries",
+        "retry_after_ms",
         "route",
+        "route_priority",
         "shards",
         "started_at_ms",
+        "stay",
         "survivors",
         "template",
         "timers",
@@ -355,6 +376,7 @@
         self.request = request
         self.request_id = head.request_id
         self.route = route
+        self.route_priority = route.priority
         self.customer: Customer | None = None
         self.shards = [Shard(service) for service in services]
         self.latency = latency
@@ -374,8 +396,11 @@
         self.half_time_ms: float | None = None
         self.hedge_timer: Timer | None = None
         self.hedges_at_ms: float | None = None
+        self.stay: Stay | None = None
+        self.retry_after_ms = 0.0
         self.fragments: list[Fragment] = []
         self.is_fragment = False
+        self.is_caller_back = False
         self.is_cancelled = False
         self.ended_endpoint_ids: set[str] = set()
         self.ended_elsewhere = 0
