Renew only the orders of customers that a report names

Cause: each report renewed the orders of all customers in use and counted all members of the relay, which grows with the product of both: 5,000 customers and 322 members would take more than the processor that control may have.

Change: a report renews the orders of its own customers, the regular pass those under an order; customers whose bucket is full and that have sent nothing for 10 s are forgotten; members are counted at most each 100 ms.

--- a/packages/wisteriarock/src/wisteriarock/customers/const.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/const.py
@@ -46,6 +46,10 @@
 PEER_TIMEOUT_MS = 750.0
 # Age of the last message of a member above which it counts as silent.
 MEMBER_TIMEOUT_MS = 2_500.0
+# Time for which the number of members is not counted again.
+MEMBERS_REUSE_MS = 100.0
+# Time without a request, after its bucket has filled, from which a relay forgets a customer.
+IDLE_MS = 10_000.0
 # Time for which a new relay counts the instances that its predecessor knew.
 SETTLE_MS = 2_000.0
 # Relative change of a share of admission that is worth a message.
--- a/packages/wisteriarock/src/wisteriarock/customers/models.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/models.py
@@ -161,6 +161,8 @@
         Totals by customer, of those that have sent requests lately.
     members : dict
         Zone, and time of the last message, of each instance that reports to this relay.
+    member_counts, counted_at_ms
+        Number of members by zone, and the time at which they were counted.
     peers : dict
         Number of members of each other relay by zone, with the time of that information.
     outboxes : dict
@@ -179,6 +181,8 @@
         self.tolerance = tolerance
         self.customers: dict[str, CustomerTotal] = {}
         self.members: dict[str, tuple[str, float]] = {}
+        self.member_counts: dict[str, int] = {}
+        self.counted_at_ms = float("-inf")
         self.peers: dict[str, tuple[dict[str, int], float]] = {}
         self.outboxes: dict[str, Outbox] = {}
         self.orders: dict[str, Order] = {}
--- a/packages/wisteriarock/src/wisteriarock/customers/totals.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/totals.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from wisteriarock.catalog.models import Customer
 
@@ -17,7 +17,9 @@
     EXCESS_HEARD_SHARE_MIN,
     EXCHANGE_IDLE_INTERVAL_MS,
     EXCHANGE_INTERVAL_MS,
+    IDLE_MS,
     MEMBER_TIMEOUT_MS,
+    MEMBERS_REUSE_MS,
     ORDER_CHANGE_MIN,
     ORDER_INTERVAL_MS,
     PEER_TIMEOUT_MS,
@@ -33,13 +35,16 @@
 
 def count_members(totals: Totals, now_ms: float) -> dict[str, int]:
     """Return the number of instances that report to this relay, itself included, by zone."""
+    if now_ms - totals.counted_at_ms < MEMBERS_REUSE_MS:
+        return totals.member_counts
     for name in [
         name for name, (_, at_ms) in totals.members.items() if now_ms - at_ms > MEMBER_TIMEOUT_MS
     ]:
         del totals.members[name]
     counts = Counter(zone for name, (zone, _) in totals.members.items() if name != totals.name)
     counts[totals.zone] += 1
-    return dict(counts)
+    totals.member_counts, totals.counted_at_ms = dict(counts), now_ms
+    return totals.member_counts
 
 
 def heard_share(totals: Totals, zone_sizes: Mapping[str, int], now_ms: float) -> float:
@@ -141,15 +146,30 @@
     return Order(max(0.0, allowed_per_s / total.asked_per_s), limit_wait_ms(wait_ms))
 
 
-def update_orders(
-    totals: Totals, customers: Mapping[str, Customer], share: float, now_ms: float
-) -> bool:
-    """Renew the orders; return whether they have changed enough to be passed on."""
-    orders: dict[str, Order] = {}
+def forget_idle(totals: Totals, customers: Mapping[str, Customer], now_ms: float) -> None:
+    """Forget customers without a limit, and those that have sent nothing for long."""
     for name, total in list(totals.customers.items()):
         customer = customers.get(name)
-        if customer is None or customer.rate_per_s <= 0:
-            del totals.customers[name]
+        if customer is not None and customer.rate_per_s > 0:
+            idle_ms = IDLE_MS + 1000 * customer.burst / customer.rate_per_s
+            if now_ms - total.updated_at_ms <= idle_ms:
+                continue
+        del totals.customers[name]
+
+
+def update_orders(
+    totals: Totals,
+    customers: Mapping[str, Customer],
+    names: Collection[str],
+    share: float,
+    now_ms: float,
+) -> bool:
+    """Renew the orders of some customers; return whether they are to be passed on."""
+    orders = dict(totals.orders)
+    for name in names:
+        orders.pop(name, None)
+        customer, total = customers.get(name), totals.customers.get(name)
+        if customer is None or total is None or customer.rate_per_s <= 0:
             continue
         rate_per_s, debt = _limit(totals, customer, share, now_ms)
         _advance(total, customer, rate_per_s, share, now_ms)
--- a/packages/wisteriarock/src/wisteriarock/feed/allotments.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/allotments.py
@@ -1,7 +1,7 @@
 """Messages on allotments: reports of instances, orders of relays, totals between relays."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from urllib.parse import parse_qsl, quote, urlsplit
 
 from wisteriarock.catalog.models import Customer
@@ -27,6 +27,7 @@
 )
 from wisteriarock.customers.models import LocalAllotments, OrdersAnswer, Report, Tolerance, Totals
 from wisteriarock.customers.totals import (
+    forget_idle,
     heard_share,
     keep_outboxes,
     make_answer,
@@ -135,13 +136,15 @@
     share = _share(exchange, totals)
     record_report(totals, report, exchange.customers(), share, now_ms)
     if report.counts:
-        _renew_orders(exchange, totals, share)
+        _renew_orders(exchange, totals, report.counts, share)
     return make_answer(totals, now_ms)
 
 
-def _renew_orders(exchange: AllotmentExchange, totals: Totals, share: float) -> None:
+def _renew_orders(
+    exchange: AllotmentExchange, totals: Totals, names: Collection[str], share: float
+) -> None:
     now_ms = loop_time_ms(exchange.feed)
-    if update_orders(totals, exchange.customers(), share, now_ms):
+    if update_orders(totals, exchange.customers(), names, share, now_ms):
         apply_answer(exchange.local, make_answer(totals, now_ms), now_ms)
         watchers, exchange.watchers = exchange.watchers, []
         for wake in watchers:
@@ -214,8 +217,9 @@
             if relay.instance != feed.instance
         }
         keep_outboxes(totals, set(relays))
-        _renew_orders(exchange, totals, _share(exchange, totals))
         now_ms = loop_time_ms(feed)
+        forget_idle(totals, exchange.customers(), now_ms)
+        _renew_orders(exchange, totals, list(totals.orders), _share(exchange, totals))
         apply_answer(exchange.local, make_answer(totals, now_ms), now_ms)
         for name, relay in relays.items():
             if name not in sending or sending[name].done():
--- a/tests/wisteriarock/customers/emulator.py
+++ b/tests/wisteriarock/customers/emulator.py
@@ -1,7 +1,7 @@
 """Instances and relays of a few zones on virtual time, without sockets."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from wisteriarock.catalog.models import Customer
 from wisteriarock.customers.const import (
@@ -20,6 +20,7 @@
 )
 from wisteriarock.customers.models import LocalAllotments, Report, Tolerance, Totals
 from wisteriarock.customers.totals import (
+    forget_idle,
     heard_share,
     keep_outboxes,
     make_answer,
@@ -133,12 +134,13 @@
         share = self._share(relay)
         customers = {self.customer.name: self.customer}
         record_report(relay.totals, report, customers, share, self.now_ms)
-        self._renew(relay, share)
+        self._renew(relay, report.counts, share)
 
-    def _renew(self, relay: Node, share: float) -> None:
+    def _renew(self, relay: Node, names: Collection[str], share: float) -> None:
         totals = relay.totals
         assert totals is not None
-        if update_orders(totals, {self.customer.name: self.customer}, share, self.now_ms):
+        customers = {self.customer.name: self.customer}
+        if update_orders(totals, customers, names, share, self.now_ms):
             for node in self.nodes:
                 if node.is_up and self._relay_for(node) is relay:
                     self.messages += 1
@@ -171,7 +173,8 @@
             return
         others = {each.name: each for each in self.relays.values() if each is not relay}
         keep_outboxes(totals, set(others))
-        self._renew(relay, self._share(relay))
+        forget_idle(totals, {self.customer.name: self.customer}, self.now_ms)
+        self._renew(relay, list(totals.orders), self._share(relay))
         for name, other in others.items():
             since_ms = totals.outboxes[name].since_ms
             report = take_totals(totals, name, self.now_ms)
--- a/tests/wisteriarock/customers/test_allotments.py
+++ b/tests/wisteriarock/customers/test_allotments.py
@@ -13,7 +13,15 @@
     encode_answer,
     encode_report,
 )
-from wisteriarock.customers.models import Counts, LocalAllotments, Order, OrdersAnswer, Report
+from wisteriarock.customers.models import (
+    Counts,
+    LocalAllotments,
+    Order,
+    OrdersAnswer,
+    Report,
+    Totals,
+)
+from wisteriarock.customers.totals import forget_idle, record_report
 
 from tests.common import function_suite
 from tests.wisteriarock.customers.emulator import TOLERANCE, Emulator
@@ -132,6 +140,17 @@
     assert not local.usage and not local.pending and rng.getstate() == state
 
 
+def test_idle_customer_is_forgotten_only_after_its_bucket_has_filled():
+    """Guards against a burst given twice, and against totals of thousands of calm customers."""
+    totals = Totals("front-1", "z", TOLERANCE, -1e6)
+    customers = {"school": Customer("school", frozenset(), None, 1.0, 100.0)}
+    record_report(totals, Report("front-2", "z", {}, {"school": Counts(90, 90)}), customers, 1.0, 0)
+    forget_idle(totals, customers, 100_000.0)
+    assert totals.customers["school"].tokens == 10.0
+    forget_idle(totals, customers, 111_000.0)
+    assert not totals.customers
+
+
 def test_instance_without_relay_keeps_to_its_share():
     """Guards against instances that admit everything as long as no relay has told them anything."""
     rng = make_rng()
