Drop the random share for old reports from the estimate

Change: no doubt; one report weighs little in the usual load.

Ruled out: a queue that drains more slowly at a slow pace, by which a false report kept an endpoint unused for a minute.

--- a/packages/wisteriarock/src/wisteriarock/balancing/const.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/const.py
@@ -40,11 +40,9 @@
 ZONE_PROBES_MAX = 3
 # Minimum share of unreachable endpoints in a zone that an isolated instance reports as lost.
 LOST_ZONE_UNREACHABLE_SHARE = 0.5
-# Random share of the expected latency if the estimate knows the load or the speed of endpoints, and
-# what is added to it, up or down, for a report that is so old that it says nothing: all instances
-# may have seen the same idle endpoint.
+# Random share of the expected latency if the estimate knows the load or the speed of endpoints: the
+# news of each instance is of another age, which spreads the choices as well.
 EVEN_JITTER_SHARE = 0.1
-DOUBT_JITTER_SHARE = 0.2
 # Endpoints of a service that are compared for a leg, drawn at random from a larger service, so that
 # many instances do not agree on the best one. It also bounds the time that a choice takes.
 EVEN_CANDIDATES_MAX = 8
--- a/packages/wisteriarock/src/wisteriarock/balancing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/decide.py
@@ -10,7 +10,6 @@
     COLD_FACTOR,
     CONNECT_PENALTY_MS,
     CROSS_ZONE_PENALTY_MS,
-    DOUBT_JITTER_SHARE,
     ERROR_PENALTY_FACTOR,
     EVEN_CANDIDATES_MAX,
     EVEN_JITTER_SHARE,
@@ -31,7 +30,6 @@
     expected_pace,
     learn_speed,
     record_report,
-    report_weight,
     trouble_ratio,
     unexplained_ratio,
 )
@@ -64,11 +62,10 @@
     """
     weight = math.exp((endpoint.observed_at_ms - now_ms) / OBSERVATION_DECAY_MS)
     ratio = 1.0 + (endpoint.slow_ratio - 1.0) * weight
-    jitter_share, jitter_offset = JITTER_SHARE, 0.0
+    jitter_share = JITTER_SHARE
     if is_even or endpoint.load is not None:
         ratio = endpoint.speed_ratio * expected_pace(endpoint, now_ms) * trouble_ratio(ratio)
-        doubt_share = DOUBT_JITTER_SHARE * (1.0 - report_weight(endpoint, expected_ms, now_ms))
-        jitter_share, jitter_offset = EVEN_JITTER_SHARE + doubt_share, doubt_share / 2
+        jitter_share = EVEN_JITTER_SHARE
     if endpoint.cold_until_ms > now_ms:
         ratio *= COLD_FACTOR
     cost = expected_ms * ratio * (1.0 + expected_load(endpoint, expected_ms, now_ms))
@@ -79,7 +76,7 @@
     silent_ms = silence_ms(endpoint, now_ms)
     if silent_ms > STALL_MIN_MS and silent_ms > STALL_LATENCY_FACTOR * expected_ms * ratio:
         cost += expected_ms * STALL_PENALTY_FACTOR
-    return cost + expected_ms * jitter_share * rng.random() - expected_ms * jitter_offset
+    return cost + expected_ms * jitter_share * rng.random()
 
 
 def choose_endpoint(
--- a/packages/wisteriarock/src/wisteriarock/balancing/load.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/load.py
@@ -58,32 +58,22 @@
 def expected_load(endpoint: Endpoint, expected_ms: float, now_ms: float) -> float:
     """Estimate the requests at an endpoint, per slot.
 
-    Legs of this instance that are still unanswered count in full.
+    The reported ones end with time, a longer queue later than a short one. Legs of this instance
+    that are still unanswered count in full.
     """
     own = len(endpoint.in_flight)
     report = endpoint.load
     if report is None:
         return own / endpoint.slots
     age_ms = now_ms - endpoint.load_at_ms
+    reported = report.running + report.waiting
+    queued_per_slot = max(0, reported - report.slots) / report.slots
+    decay_ms = max(1.0, expected_ms * (1.0 + QUEUE_DECAY_FACTOR * queued_per_slot))
     usual = USUAL_LOAD_SHARE * endpoint.usual_load * math.exp(-age_ms / USUAL_LOAD_DECAY_MS)
-    weight = report_weight(endpoint, expected_ms, now_ms)
-    remaining = usual + (report.running + report.waiting - usual) * weight
+    remaining = usual + (reported - usual) * math.exp(-age_ms / decay_ms)
     return max(remaining + _count_sent_since(endpoint, endpoint.load_at_ms), own) / report.slots
 
 
-def report_weight(endpoint: Endpoint, expected_ms: float, now_ms: float) -> float:
-    """Return how much the last report still says about the load, 1 if it has none.
-
-    The reported requests end with time, a longer queue later than a short one.
-    """
-    report = endpoint.load
-    if report is None:
-        return 1.0
-    queued_per_slot = max(0, report.running + report.waiting - report.slots) / report.slots
-    decay_ms = max(1.0, expected_ms * (1.0 + QUEUE_DECAY_FACTOR * queued_per_slot))
-    return math.exp((endpoint.load_at_ms - now_ms) / decay_ms)
-
-
 def _count_sent_since(endpoint: Endpoint, since_ms: float) -> int:
     count = 0
     for sent_at_ms in reversed(endpoint.in_flight.values()):
