Show load reports and the spread of load in metrics and the dump

Cause: an operator could not see what the choice of endpoints goes by, nor how uneven their load is.

Change: legs are counted by what the load of their endpoint was estimated from and by its zone, replies by whether they report a load; a gauge gives the busiest endpoint over the mean, as seen; the dump has the last report of each endpoint with its age. The setting even_load is checked.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -285,6 +285,8 @@
         if head.is_leaving and not endpoint.has_said_leaving:
             state.on_leaving(endpoint)
     may_have_run = not (head.was_not_run or head.is_misdirected)
+    if head.load is not None:
+        state.counters.count("load_reports")
     observe_reply(
         endpoint,
         elapsed_ms,
--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from wisteriarock.balancing.decide import choose_endpoint, observe_abandoned_leg
+from wisteriarock.balancing.diagnostics import choice_source
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.http.const import PART_MAX_BYTES
 from wisteriarock.http.models import Exchange, ExchangeFailure, Headers, Reply
@@ -60,6 +61,8 @@
     leg.exchange = exchange
     if query.route.shards:
         exchange.reply_max_bytes = PART_MAX_BYTES
+    place = "own" if endpoint.zone == state.zone else "other"
+    state.counters.count("leg_choices", choice_source(endpoint, now_ms), place)
     state.pool_of(endpoint).send(leg.exchange)
     return True
 
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+from wisteriarock.balancing.diagnostics import describe_load, load_spread
+
 if TYPE_CHECKING:
     from .instance import Instance
 
@@ -52,6 +54,8 @@
                 "cold_rate_per_s": endpoint.cold_limit.per_s if endpoint.cold_limit else None,
                 "in_flight": len(endpoint.in_flight),
                 "slow_ratio": round(endpoint.slow_ratio, 2),
+                "speed_ratio": round(endpoint.speed_ratio, 2),
+                "load": describe_load(endpoint, now_ms),
                 "error_rate": round(endpoint.error_rate, 2),
                 "rate_limit_per_s": endpoint.rate_limit.per_s if endpoint.rate_limit else None,
             }
@@ -91,6 +95,10 @@
         "endpoints": ("Endpoints known", float(len(endpoints))),
         "endpoints_unreachable": ("Endpoints that cannot be reached", float(unreachable)),
         "endpoints_limited": ("Endpoints that name a rate limit", float(limited)),
+        "load_spread_ratio": (
+            "Load of the busiest endpoint of a service over the mean, as seen, over all services",
+            load_spread(instance.directory.by_service.values(), now_s * 1000),
+        ),
         "endpoints_cold": ("Endpoints that have started lately", float(cold)),
         "endpoints_cold_limited": (
             "Endpoints whose service limits requests to cold ones",
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -24,6 +24,11 @@
     "fragment_failures": ("Parts of requests that a gatherer did not answer", ()),
     "legs": ("Legs sent to endpoints", ()),
     "limited_legs": ("Legs sent to endpoints that name a rate limit", ("kind",)),
+    "leg_choices": (
+        "Legs by what the load of their endpoint was estimated from, and by its zone",
+        ("source", "zone"),
+    ),
+    "load_reports": ("Replies that reported the load of their endpoint", ()),
     "shards_withheld": ("Shards that were not queried as rate limits were used up", ()),
     "hedges": ("Second legs sent because the first took too long", ()),
     "retries": ("Legs sent after one failed", ()),
--- a/tests/wisteriarock/balancing/test_load.py
+++ b/tests/wisteriarock/balancing/test_load.py
@@ -19,6 +19,7 @@
     observe_reply,
     silence_ms,
 )
+from wisteriarock.balancing.diagnostics import choice_source, describe_load, load_spread
 from wisteriarock.balancing.load import expected_load, expected_pace
 from wisteriarock.balancing.models import Endpoint, LoadReport
 
@@ -130,4 +131,21 @@
     assert _count_choices([huge, other], 60_000.0)["huge"] == 200
 
 
+def test_metrics_show_the_spread_of_load():
+    """Guards against metrics that take an old report, or no report, for an idle endpoint."""
+    busy, idle, silent = make_endpoint("busy"), make_endpoint("idle"), make_endpoint("silent")
+    assert load_spread([[busy, idle]], 0.0) == 1.0
+    _report(busy, LoadReport(3, 0, 2), 0.0)
+    _report(idle, IDLE, 0.0)
+    silent.in_flight = {1: 0.0}
+    assert load_spread([[busy, idle], [silent]], 10.0) == 2.0
+    assert abs(load_spread([[busy, idle, silent]], 10.0) - 2.0) < 1e-9
+    assert load_spread([[busy, idle]], 60_000.0) == 1.0
+    sources = [choice_source(each, 60_000.0) for each in (busy, silent)]
+    assert sources == ["old_report", "observation"] and choice_source(idle, 1.0) == "report"
+    described = describe_load(busy, 40.0)
+    assert described is not None and described["running"] == 2 and described["age_ms"] == 40
+    assert describe_load(silent, 0.0) is None
+
+
 load_tests = function_suite(globals())
--- a/tests/wisteriarock/front/test_settings.py
+++ b/tests/wisteriarock/front/test_settings.py
@@ -28,6 +28,9 @@
     text = "{\n  // a comment\n" + json.dumps(GOOD)[1:]
     settings = parse_settings(text)
     assert isinstance(settings, FrontSettings)
+    assert not settings.even_load
+    even = parse_settings(json.dumps({**GOOD, "even_load": True}))
+    assert isinstance(even, FrontSettings) and even.even_load
     assert settings.store == ("10.0.0.9", 8102) and settings.extra_fixed == 56.0
 
 
@@ -38,6 +41,8 @@
         ("peer_address", None),
         ("store_address", "10.0.0.9:0"),
         ("metrics_address", 9464),
+        ("even_load", "yes"),
+        ("even_load", 1),
         ("drain_grace_s", "six"),
         ("drain_grace_s", "6000"),
         ("drain_grace_s", 10**400),
