--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -28,6 +28,11 @@
     "overload_refusals": ("Requests refused for lack of room", ("room", "reason")),
     "extra_legs_given_way": ("Extra legs of a flooding customer that gave way", ()),
     "limited_legs": ("Legs sent to endpoints that name a rate limit", ("kind",)),
+    "leg_choices": (
+        "Legs by what the load of their endpoint was estimated from, and by its zone",
+        ("source", "zone"),
+    ),
+    "load_reports": ("Replies that reported the load of their endpoint", ()),
     "shards_withheld": ("Shards that were not queried as rate limits were used up", ()),
     "hedges": ("Second legs sent because the first took too long", ()),
     "retries": ("Legs sent after one failed", ()),
