--- a/packages/wisteriarock/src/wisteriarock/dispatch/room.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/room.py
@@ -64,32 +64,22 @@
         for shard in shards:
             shard.is_waiting = False
             shard.is_withheld = shard.is_withheld_by_gatherer = True
-        state.counters.count("overload_refusals", room.name, refusal.reason.value)
-        state.log.record(
-            "overload_refused",
-            request=query.request_id,
-            customer=customer,
-            rank=".".join(map(str, work.rank)),
-            room=room.name if query.route.shards else query.shards[0].service,
-            reason=refusal.reason.value,
-            waiting=room.waiting_count,
-            retry_after_ms=refusal.retry_after_ms,
-        )
+        _record_refusal(state, query, stay, refusal)
         refuse()
 
-    customer = query.customer.name if query.customer else ""
-    start_by_ms = query.expires_at_ms - max(query.latency.expected_ms, query.latency.hedge_delay_ms)
-    target_ms = query.started_at_ms + query.route.latency_target_ms - query.latency.expected_ms
+    latency = query.latency
+    start_by_ms = query.expires_at_ms - max(latency.expected_ms, latency.hedge_delay_ms)
+    target_ms = query.started_at_ms + query.route.latency_target_ms - latency.expected_ms
     work = Work(
-        customer,
-        rank_of(query.customer.priority if query.customer else None, query.route_priority),
-        _weight_of(state, query),
-        float(len(shards)),
-        max(1.0, query.latency.expected_ms),
-        start_by_ms if query.is_caller_back else target_ms,
-        start_by_ms,
-        start_legs,
-        refuse_legs,
+        customer=query.customer.name if query.customer else "",
+        rank=rank_of(query.customer.priority if query.customer else None, query.route_priority),
+        weight=_weight_of(state, query),
+        places=float(len(shards)),
+        hold_ms=max(1.0, latency.expected_ms),
+        enter_by_ms=start_by_ms if query.is_caller_back else target_ms,
+        start_by_ms=start_by_ms,
+        start=start_legs,
+        refuse=refuse_legs,
     )
     stay = query.stay = Stay(room, work)
     outcome = enter(room, work, now_ms)
@@ -101,6 +91,21 @@
         _wait(state, query, shards, stay)
 
 
+def _record_refusal(state: DispatchState, query: Query, stay: Stay, refusal: Refusal) -> None:
+    room = stay.room
+    state.counters.count("overload_refusals", room.name, refusal.reason.value)
+    state.log.record(
+        "overload_refused",
+        request=query.request_id,
+        customer=stay.work.customer,
+        rank=".".join(map(str, stay.work.rank)),
+        room=room.name if query.route.shards else query.shards[0].service,
+        reason=refusal.reason.value,
+        waiting=room.waiting_count,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
 def _wait(state: DispatchState, query: Query, shards: list[Shard], stay: Stay) -> None:
     for shard in shards:
         shard.is_waiting = True
