Derive the average allotment once for each version of the configuration

Cause: the weight of a customer without an allotment was computed from all customers with each request. Change: it is kept with the version.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/room.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/room.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from wisteriarock.balancing.models import Endpoint
+from wisteriarock.catalog.models import Configuration
 from wisteriarock.gathering.const import LEG_COST_MS
 from wisteriarock.overload.const import PLACES_PER_SLOT, PROCESSOR_TARGET_SHARE, SHORTAGE_MS
 from wisteriarock.overload.decide import (
@@ -28,7 +29,7 @@
 from .models import Query, Shard
 from .state import NO_ENDPOINTS, DispatchState, loop_time_ms
 
-# Weight of a customer without a limit while no customer has one.
+# Weight of all customers while none has a limit.
 _DEFAULT_WEIGHT = 1.0
 
 
@@ -146,12 +147,9 @@
     if configuration is None or not configuration.customers:
         return None
     overload = state.overload
+    if overload.version != configuration.version:
+        _follow_configuration(state, configuration)
     if query.route.shards:
-        if overload.version != configuration.version:
-            overload.version = configuration.version
-            targets_ms = [each.latency_target_ms for each in configuration.routes if each.shards]
-            legs_per_core = min(targets_ms, default=0.0) * PROCESSOR_TARGET_SHARE / LEG_COST_MS
-            overload.processor.places = state.capacity_cores * legs_per_core
         return overload.processor
     service = query.shards[0].service
     if not is_short(overload, service, now_ms):
@@ -165,6 +163,17 @@
     return room
 
 
+def _follow_configuration(state: DispatchState, configuration: Configuration) -> None:
+    """Derive the size of the room for fan-outs and the average allotment from a new version."""
+    overload = state.overload
+    overload.version = configuration.version
+    targets_ms = [each.latency_target_ms for each in configuration.routes if each.shards]
+    legs_per_core = min(targets_ms, default=0.0) * PROCESSOR_TARGET_SHARE / LEG_COST_MS
+    overload.processor.places = state.capacity_cores * legs_per_core
+    rates = [each.rate_per_s for each in configuration.customers if each.rate_per_s]
+    overload.average_weight = sum(rates) / len(rates) if rates else _DEFAULT_WEIGHT
+
+
 def _reachable_endpoints(state: DispatchState, service: str) -> list[Endpoint]:
     endpoints = state.directory.by_service.get(service, NO_ENDPOINTS)
     return [each for each in endpoints if not each.is_unreachable]
@@ -201,8 +210,7 @@
     """Return the allotment of a query's customer; a customer without one counts as average."""
     if query.customer is not None and query.customer.rate_per_s:
         return query.customer.rate_per_s
-    rates = [each.rate_per_s for each in state.catalog.customers.values() if each.rate_per_s]
-    return sum(rates) / len(rates) if rates else _DEFAULT_WEIGHT
+    return state.overload.average_weight
 
 
 def is_shared_in_zone(state: DispatchState, query: Query, now_ms: float) -> bool:
--- a/packages/wisteriarock/src/wisteriarock/overload/models.py
+++ b/packages/wisteriarock/src/wisteriarock/overload/models.py
@@ -161,8 +161,10 @@
     ----------
     processor : Room
         Room for the legs of fan-outs that this instance processes.
+    average_weight : float
+        Average allotment of the customers that have one.
     version : int
-        Version of the configuration from which the size of that room was derived.
+        Version of the configuration from which this and the size of that room were derived.
     services : dict
         Rooms of the services that are short of slots.
     short_until_ms : dict
@@ -171,11 +173,12 @@
         Legs sent lately, by customer.
     """
 
-    __slots__ = ("legs", "processor", "services", "short_until_ms", "version")
+    __slots__ = ("average_weight", "legs", "processor", "services", "short_until_ms", "version")
 
     def __init__(self) -> None:
         self.processor = Room("processor", math.inf, 0.0)
         self.version = 0
+        self.average_weight = 1.0
         self.services: dict[str, Room] = {}
         self.short_until_ms: dict[str, float] = {}
         self.legs: dict[str, LegUse] = {}
