--- a/packages/wisteriarock/src/wisteriarock/balancing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/decide.py
@@ -29,6 +29,7 @@
     expected_load,
     expected_pace,
     learn_speed,
+    observation_weight,
     record_report,
     trouble_ratio,
     unexplained_ratio,
@@ -145,17 +146,20 @@
     """Record a reply and its load report; an error does not count towards the latency."""
     if report is not None:
         record_report(endpoint, report, now_ms, counts_replied=has_run)
+    gap_ms = now_ms - endpoint.observed_at_ms
     _decay_observations(endpoint, now_ms)
     endpoint.last_reply_at_ms = now_ms
     mark_reachable(endpoint)
     endpoint.error_rate += OBSERVATION_WEIGHT * ((1.0 if is_error else 0.0) - endpoint.error_rate)
     if not is_error and expected_ms > 0:
         ratio = elapsed_ms / expected_ms
+        weight = OBSERVATION_WEIGHT
         if is_even or endpoint.load is not None:
             ratio = unexplained_ratio(endpoint, elapsed_ms, expected_ms, report)
             if endpoint.cold_until_ms <= now_ms:
                 learn_speed(endpoint, ratio)
-        endpoint.slow_ratio += OBSERVATION_WEIGHT * (ratio - endpoint.slow_ratio)
+            weight = observation_weight(gap_ms)
+        endpoint.slow_ratio += weight * (ratio - endpoint.slow_ratio)
 
 
 def observe_incomplete_reply(endpoint: Endpoint, now_ms: float) -> None:
--- a/packages/wisteriarock/src/wisteriarock/balancing/load.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/load.py
@@ -7,6 +7,7 @@
     FIRST_PACE_WEIGHT,
     LOAD_WEIGHT,
     OBSERVATION_DECAY_MS,
+    OBSERVATION_WEIGHT,
     PACE_DECAY_MS,
     PACE_FAULT_RATIO,
     PACE_MAX,
@@ -121,6 +122,11 @@
     return min(elapsed_ms / (expected_ms * explained), UNEXPLAINED_MAX)
 
 
+def observation_weight(gap_ms: float) -> float:
+    """Return the weight of a latency in the average, which is larger after a time without any."""
+    return 1.0 - (1.0 - OBSERVATION_WEIGHT) * math.exp(-gap_ms / OBSERVATION_DECAY_MS)
+
+
 def learn_speed(endpoint: Endpoint, ratio: float) -> None:
     """Learn the lasting speed of an endpoint from an unexplained ratio."""
     sample = endpoint.speed_ratio * min(max(ratio, 1.0 / SPEED_SAMPLE_MAX), SPEED_SAMPLE_MAX)
