--- a/packages/wisteriarock/src/wisteriarock/customers/const.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/const.py
@@ -4,12 +4,12 @@
 KEY_DIGEST_BYTES = 16
 # Age of the news of the store above which an unknown key may be one that has just been added.
 KEY_NEWS_AGE_MAX_MS = 5_000.0
-# Largest number of log lines on odd customers for each configuration.
-LOGGED_ODD_CUSTOMERS_MAX = 10
+# Largest number of log lines on the customers of one configuration, or one change of orders.
+LOGGED_CUSTOMERS_MAX = 10
 # Shares of the tolerated excess that a relay adds to the allotment of a window and that it lets a
 # customer run into debt, and that instances without contact to a relay may use together. The rest
 # covers the delay of reports and orders.
-RELAY_RATE_EXCESS_SHARE = 0.45
+RELAY_RATE_EXCESS_SHARE = 0.2
 RELAY_DEBT_SHARE = 0.15
 # Share of all instances that a relay has to hear of for the former.
 EXCESS_HEARD_SHARE_MIN = 0.9
--- a/packages/wisteriarock/src/wisteriarock/customers/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/diagnostics.py
@@ -6,7 +6,7 @@
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
 
-from .const import DUMPED_CUSTOMERS_MAX, LOGGED_ODD_CUSTOMERS_MAX
+from .const import DUMPED_CUSTOMERS_MAX, LOGGED_CUSTOMERS_MAX
 from .decide import current_order, is_alone
 from .models import LocalAllotments, Totals
 
@@ -19,7 +19,7 @@
         reasons.append(f"customer {name}: a key is also that of another customer")
     if reasons:
         counters.count("odd_customers", by=len(reasons))
-    for reason in reasons[:LOGGED_ODD_CUSTOMERS_MAX]:
+    for reason in reasons[:LOGGED_CUSTOMERS_MAX]:
         log.record("customer_bad", reason=reason)
 
 
@@ -53,3 +53,17 @@
         "order_age_ms": round(now_ms - local.orders_at_ms) if local.orders else None,
         "customers": rows,
     }
+
+
+def log_orders(totals: Totals, share: float, log: EventLog) -> None:
+    """Log the orders of a relay after a change; `heard` is the share of instances it hears of."""
+    for name, order in list(totals.orders.items())[:LOGGED_CUSTOMERS_MAX]:
+        total = totals.customers[name]
+        log.detail(
+            "customer_limited",
+            customer=name,
+            share=order.share,
+            asked_per_s=total.asked_per_s,
+            tokens=total.tokens,
+            heard=share,
+        )
--- a/packages/wisteriarock/src/wisteriarock/feed/allotments.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/allotments.py
@@ -19,6 +19,7 @@
     return_pending,
     take_pending,
 )
+from wisteriarock.customers.diagnostics import log_orders
 from wisteriarock.customers.messages import (
     decode_answer,
     decode_report,
@@ -145,6 +146,7 @@
 ) -> None:
     now_ms = loop_time_ms(exchange.feed)
     if update_orders(totals, exchange.customers(), names, share, now_ms):
+        log_orders(totals, share, exchange.feed.log)
         apply_answer(exchange.local, make_answer(totals, now_ms), now_ms)
         watchers, exchange.watchers = exchange.watchers, []
         for wake in watchers:
