Bound what callers outside the limits make an instance hold

Trailers, pieces of bodies, requests parsed ahead, unread answers, connections and requests under way had no bound in what they cost, at all four listeners; and each exchange with an endpoint was a reference cycle that kept its reply until the next garbage collection.

Change: a connection has one request under way; what follows is kept unparsed and not read above 16 KB, until the answer before it is read. Heads and trailers are bounded while they are parsed, trailers are dropped, a body is one buffer. One account for the process counts what connections hold in what it costs, from limits.memory_mb, and gives up the costliest by size and age; another refuses requests with 503 before they start. limits.max_fds (or the limit of the process) bounds connections; refused, unread and idle ones are closed first. A caller that does not read is closed. Connections read into one buffer. Exchanges drop their callbacks when they end.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -108,7 +108,9 @@
 def end_query(state: DispatchState, query: Query) -> None:
     """Cancel the timers of a query and abandon its legs."""
     query.is_done = True
-    state.active.discard(query)
+    if query in state.active:
+        state.active.discard(query)
+        state.return_legs(len(query.shards))
     now_ms = loop_time_ms(state)
     for timer in query.timers:
         timer.cancel()
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -127,6 +127,10 @@
             limited=sum(_is_reachable(state, service) for service in missing),
         )
         return _do_nothing
+    if not state.reserve_legs(len(services)):
+        reason = "too many requests under way"
+        refuse_request(state, respond, head.request_id, 503, reason, head.time_left_ms)
+        return _do_nothing
     return _run_query(state, query)
 
 
@@ -156,6 +160,9 @@
     if query is None:
         respond(Answer(400, [], b"malformed fragment"))
         return _do_nothing
+    if not state.reserve_legs(len(query.shards)):
+        respond(Answer(503, [], b"too many requests under way"))
+        return _do_nothing
     return _run_query(state, query)
 
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -89,6 +89,8 @@
         self.quarantine = Quarantine()
         self.on_deadly: Callable[[Notice], None] = lambda notice: None
         self.limit_sharers: Callable[[str], float] = lambda service: 1.0
+        self.reserve_legs: Callable[[int], bool] = lambda count: True
+        self.return_legs: Callable[[int], None] = lambda count: None
         self.stops_at_ms: float | None = None
         self.isolated_since_ms: float | None = None
 
--- a/packages/wisteriarock/src/wisteriarock/front/const.py
+++ b/packages/wisteriarock/src/wisteriarock/front/const.py
@@ -27,9 +27,26 @@
 STORE_CHECK_INTERVAL_MS = 500.0
 # Timeout of a check read. The store normally answers in 4 ms.
 STORE_CHECK_TIMEOUT_MS = 300.0
-# Share of the memory limit that incomplete messages of all connections may take. The process itself
-# takes up to 60 MB, and complete messages are held as well.
+# Share of the memory limit that all connections may hold in incomplete messages, requests sent
+# ahead and unread answers, and the share that requests under way may take with their legs. The
+# process itself takes up to 60 MB.
 BUFFER_MEMORY_SHARE = 0.2
+REQUEST_MEMORY_SHARE = 0.2
+# Memory of a leg with its reply, and of an open connection without a request.
+LEG_COST_BYTES = 3 * 1024
+CONNECTION_COST_BYTES = 6 * 1024
+# Share of the memory limit that open connections may take.
+CONNECTION_MEMORY_SHARE = 0.1
+# Descriptors kept for files, and the shares of the others that the connections to each listener may
+# use. The rest serves connections to endpoints and the store.
+FILE_DESCRIPTORS = 200
+CALLER_DESCRIPTOR_SHARE = 0.5
+PEER_DESCRIPTOR_SHARE = 0.15
+READINESS_DESCRIPTOR_SHARE = 0.04
+METRICS_DESCRIPTOR_SHARE = 0.02
+LISTENER_CONNECTIONS_MIN = 8
+# Interval between two log lines about the same limit on callers.
+LIMIT_LOG_INTERVAL_MS = 1_000.0
 # Number of attempts to read a settings file that is incomplete, and the time between them.
 SETTINGS_READ_ATTEMPTS = 20
 SETTINGS_READ_INTERVAL_MS = 50.0
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -68,7 +68,14 @@
             "Open connections",
             float(len(instance.caller_listener.connections)),
         ),
-        "buffered_bytes": ("Bytes of incomplete messages", float(instance.buffers.total_bytes)),
+        "buffered_bytes": (
+            "Memory of incomplete messages, requests sent ahead and unread answers",
+            float(instance.buffers.total_bytes),
+        ),
+        "reserved_bytes": (
+            "Memory counted for requests under way",
+            float(instance.buffers.reserved_bytes),
+        ),
         "endpoints": ("Endpoints known", float(len(endpoints))),
         "endpoints_unreachable": ("Endpoints that cannot be reached", float(unreachable)),
         "endpoints_limited": ("Endpoints that name a rate limit", float(limited)),
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -38,8 +38,13 @@
     share_budget,
 )
 from wisteriarock.gathering.models import Gatherer
-from wisteriarock.http.buffers import BufferBudget
-from wisteriarock.http.front import Answer, CallerRequest, ListenerState, Respond
+from wisteriarock.http.front import (
+    Answer,
+    CallerRequest,
+    ListenerState,
+    RequestHandler,
+    Respond,
+)
 from wisteriarock.http.pool import Pool
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
@@ -47,11 +52,16 @@
 from wisteriarock.store.client import StoreClient
 from wisteriarock.store.models import StoreFormat
 
+from .caller_limits import LimitReporter, connections_max, create_budget
 from .const import (
-    BUFFER_MEMORY_SHARE,
+    CALLER_DESCRIPTOR_SHARE,
     CONNECTION_CAP_SHARE,
     CONNECTION_LIMIT_DEFAULT,
     INSTANCES_DEFAULT,
+    LEG_COST_BYTES,
+    METRICS_DESCRIPTOR_SHARE,
+    PEER_DESCRIPTOR_SHARE,
+    READINESS_DESCRIPTOR_SHARE,
 )
 from .diagnostics import dump, gauges
 from .readiness import Phase, ReadinessInput, count_reachable_shards, is_isolated, is_ready
@@ -76,7 +86,8 @@
         self.log = log
         self.counters = Counters()
         self.failures = FailureReporter(log, self.counters)
-        self.buffers = BufferBudget(int(settings.memory_mb * 1_000_000 * BUFFER_MEMORY_SHARE))
+        self.buffers = create_budget(settings, lambda: loop.time() * 1000)
+        self.limit_reporter = LimitReporter(lambda: loop.time() * 1000, log, self.counters)
         self.phase = Phase.STARTING
         self.held_requests = HeldRequests(loop.time() * 1000)
         self.was_ready: bool | None = None
@@ -149,29 +160,46 @@
         self.discovery.has_live_feed = lambda: has_live_feed(self.feed_state, loop.time() * 1000)
         self.discovery.is_relay = lambda: is_relay(self.feed)
         self.discovery.on_history_updated = lambda: on_history_updated(self)
-        self.peer_listener = ListenerState(
-            loop,
+        self.dispatch.reserve_legs = lambda count: self.buffers.reserve(count * LEG_COST_BYTES)
+        self.dispatch.return_legs = lambda count: self.buffers.return_reserved(
+            count * LEG_COST_BYTES
+        )
+        self.peer_listener = create_listener(
+            self,
             lambda request, respond: handle_peer_request(self, request, respond),
-            lambda status, reason: on_bad_request(self, status, reason),
+            PEER_DESCRIPTOR_SHARE,
         )
-        self.caller_listener = ListenerState(
-            loop,
+        self.caller_listener = create_listener(
+            self,
             lambda request, respond: handle_caller_request(self, request, respond),
-            lambda status, reason: on_bad_request(self, status, reason),
-            self.buffers,
+            CALLER_DESCRIPTOR_SHARE,
         )
-        self.ready_listener = ListenerState(
-            loop,
+        self.ready_listener = create_listener(
+            self,
             lambda request, respond: answer_readiness(self, respond),
-            lambda status, reason: on_bad_request(self, status, reason),
+            READINESS_DESCRIPTOR_SHARE,
         )
-        self.metrics_listener = ListenerState(
-            loop,
+        self.metrics_listener = create_listener(
+            self,
             lambda request, respond: answer_metrics(self, request, respond),
-            lambda status, reason: on_bad_request(self, status, reason),
+            METRICS_DESCRIPTOR_SHARE,
         )
 
 
+def create_listener(
+    instance: Instance, handle: RequestHandler, descriptor_share: float
+) -> ListenerState:
+    """Return the state of a listener, which shares the bound on memory with the others."""
+    return ListenerState(
+        instance.loop,
+        handle,
+        lambda status, reason: on_bad_request(instance, status, reason),
+        instance.buffers,
+        connections_max(instance.settings, descriptor_share),
+        instance.limit_reporter.report,
+    )
+
+
 def handle_caller_request(
     instance: Instance, request: CallerRequest, respond: Respond
 ) -> Callable[[], None]:
--- a/packages/wisteriarock/src/wisteriarock/front/listeners.py
+++ b/packages/wisteriarock/src/wisteriarock/front/listeners.py
@@ -1,6 +1,7 @@
 """Listeners of an instance; one whose address is in use is opened as soon as it is free."""
 
 import asyncio
+import socket
 from enum import StrEnum
 
 from wisteriarock.http.front import CallerConnection, ListenerState
@@ -8,6 +9,8 @@
 from .instance import Instance
 
 BACKLOG = 1_024
+# Connections accepted at once. Those above the limits are only closed afterwards.
+ACCEPT_BATCH = 16
 # Delay before another attempt to listen: doubled up to the maximum.
 RETRY_DELAY_MIN_MS = 50.0
 RETRY_DELAY_MAX_MS = 1_000.0
@@ -60,9 +63,7 @@
     ) -> bool:
         instance = self.instance
         try:
-            server = await instance.loop.create_server(
-                lambda: CallerConnection(state), *address, backlog=BACKLOG
-            )
+            server = await _listen(instance, state, address)
         except OSError as error:
             instance.counters.count("listen_failures", name)
             text = f"{address[0]}:{address[1]}"
@@ -96,3 +97,23 @@
         """Close all listeners."""
         for name in ListenerName:
             self.close(name)
+
+
+async def _listen(
+    instance: Instance, state: ListenerState, address: tuple[str, int]
+) -> asyncio.Server:
+    """Open a listener. asyncio uses its backlog for both the queue and the batch of accepts."""
+    listener = socket.create_server(address, family=_family(address[0]))
+    try:
+        server = await instance.loop.create_server(
+            lambda: CallerConnection(state), sock=listener, backlog=ACCEPT_BATCH
+        )
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return server
+
+
+def _family(host: str) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -1,5 +1,6 @@
 """Settings of an instance, read from a JSON file."""
 
+import resource
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -9,6 +10,8 @@
 MEMORY_DEFAULT_MB = 300.0
 MEMORY_MIN_MB = 32.0
 MEMORY_MAX_MB = 1_000_000.0
+DESCRIPTORS_MIN = 256
+DESCRIPTORS_MAX = 100_000_000
 
 
 class FrontSettings(NamedTuple):
@@ -27,6 +30,9 @@
         Share of a core that the instance may use, and the speed of that core relative to others.
     memory_mb : float
         Memory above which the platform ends the process; `memory_mb` of `limits` in the file.
+    max_descriptors : int
+        Number of descriptors that the process may open; `max_fds` of `limits` in the file, or the
+        limit of the process.
     """
 
     instance: str
@@ -43,6 +49,7 @@
     cpu_share: float = 1.0
     cpu_speed: float = 1.0
     memory_mb: float = MEMORY_DEFAULT_MB
+    max_descriptors: int = DESCRIPTORS_MAX
 
 
 class SettingsError(NamedTuple):
@@ -73,6 +80,13 @@
         return None
 
 
+def _descriptor_limit() -> int:
+    """Return the number of descriptors that the process may open."""
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    is_limited = limit != resource.RLIM_INFINITY
+    return max(DESCRIPTORS_MIN, min(limit, DESCRIPTORS_MAX)) if is_limited else DESCRIPTORS_MAX
+
+
 def parse_settings(text: str) -> FrontSettings | SettingsError:
     """Parse settings from a JSON document that may contain comment lines (`//`)."""
     lines = [line for line in text.splitlines() if not line.lstrip().startswith("//")]
@@ -103,13 +117,17 @@
         if number is None or not low <= number <= high:
             return SettingsError(name, repr(value), f"a number from {low} to {high}")
         numbers[name] = number
-    limits = data.get("limits")
-    memory_mb = limits.get("memory_mb") if isinstance(limits, dict) else None
-    number = _parse_number(memory_mb or "", MEMORY_DEFAULT_MB)
-    if number is None or not MEMORY_MIN_MB <= number <= MEMORY_MAX_MB:
-        allowed = f"a number from {MEMORY_MIN_MB} to {MEMORY_MAX_MB}"
-        return SettingsError("limits.memory_mb", repr(memory_mb), allowed)
-    numbers["memory_mb"] = number
+    limits: Any = data.get("limits")
+    limits = limits if isinstance(limits, dict) else {}
+    for name, low, high, default in (
+        ("memory_mb", MEMORY_MIN_MB, MEMORY_MAX_MB, MEMORY_DEFAULT_MB),
+        ("max_fds", DESCRIPTORS_MIN, DESCRIPTORS_MAX, float(_descriptor_limit())),
+    ):
+        number = _parse_number(limits.get(name) or "", default)
+        if number is None or not low <= number <= high:
+            allowed = f"a number from {low} to {high}"
+            return SettingsError(f"limits.{name}", repr(limits.get(name)), allowed)
+        numbers[name] = number
     for name in ("instance", "zone"):
         if not isinstance(data.get(name), str) or not data[name]:
             return SettingsError(name, repr(data.get(name)), "a non-empty string")
@@ -131,6 +149,7 @@
         numbers["cpu_share"],
         numbers["cpu_speed"],
         numbers["memory_mb"],
+        int(numbers["max_fds"]),
     )
 
 
--- a/packages/wisteriarock/src/wisteriarock/http/buffers.py
+++ b/packages/wisteriarock/src/wisteriarock/http/buffers.py
@@ -1,9 +1,9 @@
-"""Bound on the bytes that all connections of a process hold of incomplete messages."""
+"""Bounds on the memory that the connections of a process hold for messages and requests."""
 
+from collections.abc import Callable
 from typing import Protocol
 
-# Smaller messages are not counted, as almost all are.
-COUNTED_MIN_BYTES = 16 * 1024
+from .const import COUNTED_MIN_BYTES
 
 
 class Holder(Protocol):
@@ -14,38 +14,89 @@
 
 
 class BufferBudget:
-    """Bytes held by connection, up to a maximum for all of them.
+    """Memory held by connection for messages, and by requests under way, each up to a maximum.
+
+    What a connection holds can be given up; the memory of a request under way cannot, so that a
+    request is not started above the maximum.
 
     Attributes
     ----------
     evicted_total : int
         Number of messages that were given up.
+    refused_total : int
+        Number of requests that were not started.
+    max_reserved_bytes : int or None
+        Maximum for the requests under way; None for no maximum.
     """
 
-    __slots__ = ("_held_bytes", "evicted_total", "max_bytes", "total_bytes")
+    __slots__ = (
+        "_clock_ms",
+        "_held",
+        "evicted_total",
+        "max_bytes",
+        "max_reserved_bytes",
+        "refused_total",
+        "reserved_bytes",
+        "total_bytes",
+    )
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(
+        self,
+        max_bytes: int,
+        max_reserved_bytes: int | None = None,
+        clock_ms: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self.max_bytes = max_bytes
+        self.max_reserved_bytes = max_reserved_bytes
         self.total_bytes = 0
+        self.reserved_bytes = 0
         self.evicted_total = 0
-        self._held_bytes: dict[Holder, int] = {}
+        self.refused_total = 0
+        self._clock_ms = clock_ms
+        # Size and time of the first count by connection.
+        self._held: dict[Holder, tuple[int, float]] = {}
 
     def hold(self, holder: Holder, size_bytes: int) -> None:
-        """Set the size of the message that a connection receives.
+        """Set the size of the reply that a connection receives; small ones are not counted."""
+        if size_bytes >= COUNTED_MIN_BYTES:
+            self.charge(holder, size_bytes)
+
+    def charge(self, holder: Holder, size_bytes: int) -> None:
+        """Set the memory that a connection holds.
 
-        Above the maximum, the largest message is given up; of equal ones, the one that has been
-        counted the longest.
+        Above the maximum, messages are given up by their size and the time for which they have been
+        held, so that a caller that sends without a pause comes last; of equal ones, the one that
+        has been counted the longest.
         """
-        if size_bytes < COUNTED_MIN_BYTES:
-            return
-        self.total_bytes += size_bytes - self._held_bytes.get(holder, 0)
-        self._held_bytes[holder] = size_bytes
-        while self.total_bytes > self.max_bytes and self._held_bytes:
-            largest = max(self._held_bytes, key=lambda each: self._held_bytes[each])
-            self.release(largest)
+        held_bytes, since_ms = self._held.get(holder) or (0, self._clock_ms())
+        self.total_bytes += size_bytes - held_bytes
+        self._held[holder] = (size_bytes, since_ms)
+        while self.total_bytes > self.max_bytes and self._held:
+            now_ms = self._clock_ms()
+            costliest = max(self._held, key=lambda each: self._cost(each, now_ms))
+            self.release(costliest)
             self.evicted_total += 1
-            largest.evict()
+            costliest.evict()
+
+    def _cost(self, holder: Holder, now_ms: float) -> float:
+        size_bytes, since_ms = self._held[holder]
+        return size_bytes * (1.0 + now_ms - since_ms)
 
     def release(self, holder: Holder) -> None:
         """Remove the message of a connection, which is complete or was given up."""
-        self.total_bytes -= self._held_bytes.pop(holder, 0)
+        held = self._held.pop(holder, None)
+        if held is not None:
+            self.total_bytes -= held[0]
+
+    def reserve(self, size_bytes: int) -> bool:
+        """Count the memory of a request under way; return False if it must not be started."""
+        maximum = self.max_reserved_bytes
+        if maximum is not None and self.reserved_bytes + size_bytes > maximum:
+            self.refused_total += 1
+            return False
+        self.reserved_bytes += size_bytes
+        return True
+
+    def return_reserved(self, size_bytes: int) -> None:
+        """Return the memory of a request that has ended."""
+        self.reserved_bytes -= size_bytes
--- a/packages/wisteriarock/src/wisteriarock/http/const.py
+++ b/packages/wisteriarock/src/wisteriarock/http/const.py
@@ -15,10 +15,24 @@
 IDLE_TIMEOUT_SHARE = 0.7
 # Idle time after which a connection is not reused if the endpoint announces no idle timeout.
 IDLE_LIMIT_DEFAULT_MS = 3_000.0
-# Number of queued pipelined requests above which reading from the connection is paused.
-PIPELINED_REQUESTS_MAX = 4
-# High-water mark of the write buffer of a connection from a caller.
-WRITE_HIGH_WATER_BYTES = 256 * 1024
+# Bytes of further requests above which reading from a connection is paused while one is under way.
+AHEAD_MAX_BYTES = 16 * 1024
+# Maximum size of one read.
+READ_MAX_BYTES = 64 * 1024
+# Bytes of the method, version and separators of a head, which the limit of headers does not count.
+HEAD_OVERHEAD_MAX_BYTES = 1_024
+# Time to read a complete answer, if the caller reads any of it within the idle timeout.
+UNREAD_ANSWER_MAX_MS = 60_000.0
+# Replies and requests of fewer bytes are not counted one by one, as almost all are smaller.
+COUNTED_MIN_BYTES = 16 * 1024
+# Memory of a header beside its bytes: two objects, their pair and its place in the list.
+HEADER_COST_BYTES = 160
+# Memory of a caller's request under way beside its bytes, and the copies that are made of these: as
+# received, as sent to an endpoint, and in a buffer of the connection.
+REQUEST_COST_BYTES = 4 * 1024
+REQUEST_COPIES = 3
+# Part of the connections that is closed at once when there are too many.
+CLOSED_SHARE = 1 / 16
 # Interval at which connections are checked for timeouts.
 TIMEOUT_CHECK_INTERVAL_MS = 250.0
 # Lingering close: time to read and drop further data after a request was rejected, so that the
--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -1,149 +1,100 @@
-"""HTTP/1.1 server: parses requests strictly and answers them in order."""
+"""HTTP/1.1 server: answers the requests of a connection in order, one at a time."""
 
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
-
-import httptools
-
-from wisteriarock.catalog.models import Limits
-
-from .buffers import BufferBudget
-from .const import LINGER_MS, PIPELINED_REQUESTS_MAX, WRITE_HIGH_WATER_BYTES
-from .models import Headers
-
-REASON_PHRASES = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    501: b"Not Implemented",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
-
-class CallerRequest(NamedTuple):
-    """A complete request of a caller."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-    received_at_ms: float
-    is_http_10: bool
-
-
-class Answer(NamedTuple):
-    """A response to a caller."""
-
-    status: int
-    headers: Headers
-    body: bytes
 
+from .answer import encode_answer
+from .const import (
+    AHEAD_MAX_BYTES,
+    HEADER_COST_BYTES,
+    LINGER_MS,
+    REQUEST_COPIES,
+    REQUEST_COST_BYTES,
+    UNREAD_ANSWER_MAX_MS,
+)
+from .listener import CallerLimit, ListenerState, RequestHandler, Respond
+from .models import Answer, CallerRequest
+from .read_buffer import SharedBufferProtocol
+from .request_reader import RejectedRequestError, RequestReader
+
+__all__ = [
+    "Answer",
+    "CallerConnection",
+    "CallerRequest",
+    "ListenerState",
+    "RequestHandler",
+    "Respond",
+    "encode_answer",
+]
+
+
+def request_cost_bytes(request: CallerRequest) -> int:
+    """Return the memory that a request takes while it is under way."""
+    return (
+        REQUEST_COST_BYTES
+        + HEADER_COST_BYTES * len(request.headers)
+        + REQUEST_COPIES * len(request.body)
+    )
 
-Respond = Callable[[Answer], None]
-# Starts to handle a request and returns the function that cancels it.
-RequestHandler = Callable[[CallerRequest, Respond], Callable[[], None]]
 
+class CallerConnection(SharedBufferProtocol):
+    """Protocol of a connection from a caller.
 
-class ListenerState:
-    """State shared by the connections of a listener.
+    While a request is under way, or an answer is not read yet, further bytes are not parsed; above
+    `AHEAD_MAX_BYTES` they are not read.
 
     Attributes
     ----------
-    closes_connections : bool
-        Whether every answer closes its connection.
-    on_bad_request : callable
-        Called with the status and reason of a rejected request.
-    buffers : BufferBudget or None
-        Bound on the bytes of incomplete requests, shared with other listeners and pools.
+    ahead : bytes
+        Received bytes that are not parsed yet, from `ahead_position` on.
+    reserved_bytes : int
+        Memory counted for the request under way.
+    unread_bytes : int
+        Size of the answer that the caller has not read, at the last check.
+    unread_since_ms, progress_at_ms : float
+        Times since which an answer waits to be read, and at which part of it was read.
     """
 
     __slots__ = (
-        "buffers",
-        "closes_connections",
-        "connections",
-        "handle",
-        "limits",
-        "loop",
-        "on_bad_request",
-    )
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        handle: RequestHandler,
-        on_bad_request: Callable[[int, str], None],
-        buffers: BufferBudget | None = None,
-    ) -> None:
-        self.loop = loop
-        self.handle = handle
-        self.on_bad_request = on_bad_request
-        self.buffers = buffers
-        self.limits = Limits()
-        self.closes_connections = False
-        self.connections: set[CallerConnection] = set()
-
-
-def encode_answer(answer: Answer, *, with_close: bool) -> bytes:
-    """Encode an answer; it has a Content-Length header unless the status forbids a body."""
-    reason = REASON_PHRASES.get(answer.status, b"Status")
-    parts = [b"HTTP/1.1 %d %s\r\n" % (answer.status, reason)]
-    parts += [b"%s: %s\r\n" % header for header in answer.headers]
-    if answer.status not in (204, 304):
-        parts.append(b"Content-Length: %d\r\n" % len(answer.body))
-    if with_close:
-        parts.append(b"Connection: close\r\n")
-    parts.append(b"\r\n")
-    parts.append(answer.body)
-    return b"".join(parts)
-
-
-class CallerConnection(asyncio.Protocol):
-    """Protocol of a connection from a caller."""
-
-    __slots__ = (
-        "body",
-        "body_bytes",
+        "ahead",
+        "ahead_position",
         "cancel_request",
-        "header_bytes",
-        "headers",
+        "is_charged",
         "is_closed",
-        "is_http_10",
-        "is_keep_alive",
-        "is_receiving",
+        "is_reading_paused",
+        "is_resumption_due",
+        "is_unread",
         "listener",
         "must_close",
-        "parser",
+        "progress_at_ms",
         "queue",
-        "target",
+        "reader",
+        "reserved_bytes",
         "transport",
+        "unread_bytes",
+        "unread_since_ms",
         "wait_started_at_ms",
     )
 
     def __init__(self, listener: ListenerState) -> None:
         self.listener = listener
-        self.parser = httptools.HttpRequestParser(self)
+        self.reader = RequestReader(listener.loop, self._on_expect, self._on_request)
         self.transport: asyncio.Transport | None = None
         self.queue: deque[tuple[CallerRequest, bool]] = deque()
         self.cancel_request: Callable[[], None] | None = None
-        self.target = b""
-        self.headers: Headers = []
-        self.body: list[bytes] = []
-        self.body_bytes = 0
-        self.header_bytes = 0
-        self.is_receiving = False
-        self.is_http_10 = False
+        self.ahead = b""
+        self.ahead_position = 0
+        self.reserved_bytes = 0
+        self.unread_bytes = 0
+        self.unread_since_ms = 0.0
+        self.progress_at_ms = 0.0
+        self.is_charged = False
         self.is_closed = False
+        self.is_reading_paused = False
+        self.is_resumption_due = False
+        self.is_unread = False
         self.must_close = False
-        self.is_keep_alive = True
         self.wait_started_at_ms = 0.0
 
     # Connection
@@ -152,17 +103,22 @@
         """Store the transport and register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        transport.set_write_buffer_limits(high=0)
         self.wait_started_at_ms = self.listener.loop.time() * 1000
         self.listener.connections.add(self)
+        self.listener.close_least_useful()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the current request of a caller that has disconnected."""
         self.is_closed = True
-        self._release_buffers()
         self.listener.connections.discard(self)
         self.queue.clear()
+        self._drop_input()
+        self.is_unread = False
+        self._count_memory()
+        self.reader.close()
         cancel_request, self.cancel_request = self.cancel_request, None
+        self._return_reserved()
         if cancel_request is not None:
             cancel_request()
 
@@ -171,17 +127,36 @@
         return False
 
     def evict(self) -> None:
-        """Refuse the request that is being received."""
-        self.body = []
-        self._reject(503, "buffers are full")
+        """Release the memory of the connection: refuse what is received, or close it."""
+        self.is_charged = False
+        self.listener.on_limit(CallerLimit.MEMORY)
+        if self.is_unread or self.must_close or self.transport is None:
+            self.abort()
+        elif self.cancel_request is not None:
+            # The answer to the request under way closes the connection.
+            self.must_close = True
+            self._drop_input()
+            self._update_reading()
+        else:
+            self._reject(503, "buffers are full")
 
-    def _release_buffers(self) -> None:
-        if self.listener.buffers is not None:
-            self.listener.buffers.release(self)
+    def abort(self) -> None:
+        """Close the connection without sending what is left."""
+        if self.transport is not None:
+            self.transport.abort()
 
     def is_idle(self) -> bool:
         """Return whether no request is being received or handled."""
-        return self.cancel_request is None and not self.is_receiving and not self.queue
+        has_input = self.reader.is_receiving or self.queue or self.ahead
+        return self.cancel_request is None and not has_input
+
+    def usefulness(self) -> tuple[int, float]:
+        """Return a key that orders connections without a request under way, useless ones first."""
+        if self.must_close:
+            return 0, self.wait_started_at_ms
+        if self.is_unread:
+            return 1, self.unread_since_ms
+        return (2 if self.is_idle() else 3), self.wait_started_at_ms
 
     def close(self) -> None:
         """Close the connection after the buffered data is sent."""
@@ -190,115 +165,185 @@
 
     def check_timeouts(self, now_ms: float) -> None:
         """Close an idle connection, or reject a request that takes too long to arrive."""
-        if self.is_closed or self.cancel_request is not None:
+        if self.is_closed:
+            return
+        if self.is_unread:
+            self._check_unread_answer(now_ms)
+            return
+        if self.cancel_request is not None:
             return
         waited_ms = now_ms - self.wait_started_at_ms
         if self.must_close:
             if waited_ms > LINGER_MS:
                 self.close()
             return
-        if self.is_receiving:
-            if waited_ms > self.listener.limits.header_timeout_ms and not self.body_bytes:
+        if self.reader.is_receiving:
+            limits = self.listener.limits
+            if waited_ms > limits.header_timeout_ms and not self.reader.body_bytes:
                 self._reject(408, "request headers took too long")
-            elif waited_ms > self.listener.limits.idle_timeout_ms:
+            elif waited_ms > limits.idle_timeout_ms:
                 self._reject(408, "request body took too long")
         elif waited_ms > self.listener.limits.idle_timeout_ms:
             self.close()
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received data."""
-        if self.must_close:
+    def _check_unread_answer(self, now_ms: float) -> None:
+        """Close the connection of a caller that does not read its answer."""
+        assert self.transport is not None
+        size_bytes = self.transport.get_write_buffer_size()
+        if size_bytes != self.unread_bytes:
+            self.unread_bytes = size_bytes
+            self.progress_at_ms = now_ms
+            self._count_memory()
+        if (
+            now_ms - self.progress_at_ms > self.listener.limits.idle_timeout_ms
+            or now_ms - self.unread_since_ms > UNREAD_ANSWER_MAX_MS
+        ):
+            self.listener.on_limit(CallerLimit.UNREAD_ANSWER)
+            self.abort()
+
+    # Flow control
+
+    def pause_writing(self) -> None:
+        """Start no further request until the caller has read its answer."""
+        assert self.transport is not None
+        self.is_unread = True
+        self.unread_bytes = self.transport.get_write_buffer_size()
+        self.unread_since_ms = self.progress_at_ms = self.listener.loop.time() * 1000
+        self._count_memory()
+
+    def resume_writing(self) -> None:
+        """Go on with the requests that the caller has sent ahead."""
+        self.is_unread = False
+        self.unread_bytes = 0
+        self.wait_started_at_ms = self.listener.loop.time() * 1000
+        self._resume_soon()
+
+    def _update_reading(self) -> None:
+        """Pause reading while a caller sends ahead of its answers, and resume it afterwards."""
+        if self.transport is None:
             return
-        if not self.is_receiving and self.cancel_request is None:
-            self.wait_started_at_ms = self.listener.loop.time() * 1000
-            self.is_receiving = True
-            self.header_bytes = 0
-        # Counts bytes up to the end of the headers; parser callbacks reset it.
-        self.header_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "upgrade is not supported")
+        ahead_bytes = len(self.ahead) - self.ahead_position
+        must_pause = ahead_bytes > (0 if self.is_unread else AHEAD_MAX_BYTES)
+        if must_pause != self.is_reading_paused:
+            self.is_reading_paused = must_pause
+            self.transport.pause_reading() if must_pause else self.transport.resume_reading()
+
+    def _count_memory(self) -> None:
+        """Count what the connection holds beside a complete request."""
+        buffers = self.listener.buffers
+        if buffers is None:
             return
-        except httptools.HttpParserError:
-            self._reject(400, "not a proper request")
+        size_bytes = len(self.ahead) + self.unread_bytes
+        if self.reader.is_receiving:
+            size_bytes += self.reader.held_bytes
+        if self.is_closed or not size_bytes:
+            if self.is_charged:
+                self.is_charged = False
+                buffers.release(self)
             return
-        if self.cancel_request is None:
-            self._start_next_request()
-        if self.must_close:
-            return
-        limits = self.listener.limits
-        if self.header_bytes > limits.header_bytes and not self.body and self.is_receiving:
-            self._reject(431, "request headers too large")
-        elif len(self.queue) > PIPELINED_REQUESTS_MAX and self.transport is not None:
-            self.transport.pause_reading()
-
-    # Parser callbacks
-
-    def on_message_begin(self) -> None:
-        """Reset the state for a new request."""
-        self.target = b""
-        self.headers = []
-        self.body = []
-        self.body_bytes = 0
-        self.is_receiving = True
-
-    def on_url(self, url: bytes) -> None:
-        """Append to the request target."""
-        self.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self.headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Check limits and `Expect` before the body is received."""
-        size = len(self.target) + sum(len(name) + len(value) + 4 for name, value in self.headers)
-        if size > self.listener.limits.header_bytes:
-            self._reject(431, "request headers too large")
+        self.is_charged = True
+        buffers.charge(self, size_bytes)
+
+    def _drop_input(self) -> None:
+        self.ahead = b""
+        self.ahead_position = 0
+        self.reader.close()
+
+    # Requests
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received data, or keep it until the request before is answered."""
+        if self.must_close or self.is_closed:
             return
-        self.header_bytes = 0
-        self.is_http_10 = self.parser.get_http_version() == "1.0"
-        self.is_keep_alive = self.parser.should_keep_alive()
-        for name, value in self.headers:
-            key = name.lower()
-            if key == b"content-length" and int(value) > self.listener.limits.body_bytes:
-                self._reject(413, "request body too large")
+        if self._is_busy():
+            self.ahead = self.ahead[self.ahead_position :] + data
+            self.ahead_position = 0
+        else:
+            self._parse(data)
+        self._after_input()
+
+    def _is_busy(self) -> bool:
+        """Return whether received bytes must not be parsed yet."""
+        return bool(self.ahead or self.queue or self.cancel_request or self.is_unread)
+
+    def _after_input(self) -> None:
+        if self.reader.is_receiving or self.ahead or self.is_charged:
+            self._count_memory()
+        if self.ahead or self.is_reading_paused:
+            self._update_reading()
+
+    def _parse(self, data: bytes, position: int = 0) -> None:
+        """Parse up to the end of a request and start it; keep the bytes after it."""
+        if not self.reader.is_receiving:
+            self.wait_started_at_ms = self.listener.loop.time() * 1000
+        size_bytes = len(data)
+        while position < size_bytes and not self.queue:
+            end = self.reader.find_end(data, position)
+            try:
+                self.reader.feed(data[position:end], self.listener.limits)
+            except RejectedRequestError as rejection:
+                self._reject(rejection.status, str(rejection))
                 return
-            if key == b"expect" and self.transport is not None and self.cancel_request is None:
-                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, data: bytes) -> None:
-        """Append a piece of the body."""
-        self.header_bytes = 0
-        self.body_bytes += len(data)
-        if self.body_bytes > self.listener.limits.body_bytes:
-            self._reject(413, "request body too large")
-            return
-        self.body.append(data)
-        if self.listener.buffers is not None:
-            self.listener.buffers.hold(self, self.body_bytes)
+            position = end
+        if position < size_bytes:
+            self.ahead, self.ahead_position = data, position
+        self._start_next_request()
 
-    def on_message_complete(self) -> None:
+    def _on_expect(self) -> None:
+        if self.transport is not None and not self.queue:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _on_request(self, request: CallerRequest, is_keep_alive: bool) -> None:
         """Queue the request; it is handled after the previous one is answered."""
-        self._release_buffers()
-        self.is_receiving = False
-        self.header_bytes = 0
-        if self.must_close:
+        self.queue.append((request, is_keep_alive))
+
+    def _resume_soon(self) -> None:
+        if (self.queue or self.ahead) and not self.is_resumption_due:
+            self.is_resumption_due = True
+            self.listener.loop.call_soon(self._resume)
+        self._after_input()
+
+    def _resume(self) -> None:
+        """Go on with the bytes that were received during the request before."""
+        self.is_resumption_due = False
+        if self.cancel_request is not None or self.is_unread or self.must_close or self.is_closed:
             return
-        request = CallerRequest(
-            self.parser.get_method(),
-            self.target,
-            self.headers,
-            b"".join(self.body),
-            self.listener.loop.time() * 1000,
-            self.is_http_10,
-        )
-        self.body = []
-        self.queue.append((request, self.is_keep_alive))
+        if self.queue:
+            self._start_next_request()
+        elif self.ahead:
+            data, position = self.ahead, self.ahead_position
+            self.ahead, self.ahead_position = b"", 0
+            self._parse(data, position)
+        self._after_input()
 
     # Answers
 
+    def _start_next_request(self) -> None:
+        """Start the next queued request if none is in progress."""
+        if (
+            not self.queue
+            or self.cancel_request is not None
+            or self.is_unread
+            or self.is_closed
+            or self.must_close
+        ):
+            return
+        request, is_keep_alive = self.queue.popleft()
+        buffers = self.listener.buffers
+        if buffers is not None:
+            cost_bytes = request_cost_bytes(request)
+            if not buffers.reserve(cost_bytes):
+                self.listener.on_limit(CallerLimit.REQUESTS)
+                self._answer(Answer(503, [], b"too many requests under way"), is_keep_alive)
+                return
+            self.reserved_bytes = cost_bytes
+        self._start_request(request, is_keep_alive)
+
+    def _return_reserved(self) -> None:
+        if self.reserved_bytes and self.listener.buffers is not None:
+            self.listener.buffers.return_reserved(self.reserved_bytes)
+            self.reserved_bytes = 0
+
     def _start_request(self, request: CallerRequest, is_keep_alive: bool) -> None:
         is_answered = False
 
@@ -307,6 +352,7 @@
             if is_answered:
                 return
             is_answered = True
+            self._return_reserved()
             self._answer(answer, is_keep_alive and not request.is_http_10)
 
         self.cancel_request = _do_nothing
@@ -319,26 +365,15 @@
         if self.is_closed or self.transport is None:
             return
         with_close = self.listener.closes_connections or self.must_close or not is_keep_alive
-        self.transport.write(encode_answer(answer, with_close=with_close))
         self.wait_started_at_ms = self.listener.loop.time() * 1000
+        self.transport.write(encode_answer(answer, with_close=with_close))
         if with_close:
             self.must_close = True
             self.queue.clear()
+            self._drop_input()
             self.transport.close()
             return
-        if self.queue:
-            self.transport.resume_reading()
-            self.listener.loop.call_soon(self._start_next_request)
-
-    def _start_next_request(self) -> None:
-        """Start the next queued request if none is in progress."""
-        if (
-            self.queue
-            and self.cancel_request is None
-            and not self.is_closed
-            and not self.must_close
-        ):
-            self._start_request(*self.queue.popleft())
+        self._resume_soon()
 
     def _reject(self, status: int, reason: str) -> None:
         """Answer a bad request with an error, and close the connection."""
@@ -348,15 +383,16 @@
         self._start_next_request()
         self.must_close = True
         self.queue.clear()
+        self._drop_input()
         if self.cancel_request is None:
             answer = Answer(status, [], reason.encode())
+            self.wait_started_at_ms = self.listener.loop.time() * 1000
             self.transport.write(encode_answer(answer, with_close=True))
             # Closing with unread bytes would reset the connection and lose the answer.
             if self.transport.can_write_eof():
                 self.transport.write_eof()
-            self.wait_started_at_ms = self.listener.loop.time() * 1000
-            self.is_receiving = False
         # Otherwise an earlier request is still in progress; its answer closes the connection.
+        self._after_input()
 
 
 def _do_nothing() -> None:
--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -13,6 +13,7 @@
     REPLY_OVERHEAD_MAX_BYTES,
 )
 from .models import Exchange, ExchangeFailure, Headers, Reply
+from .read_buffer import SharedBufferProtocol
 
 _FRAMING = (b"content-length", b"transfer-encoding")
 
@@ -29,7 +30,7 @@
     return None
 
 
-class OutgoingConnection(asyncio.Protocol):
+class OutgoingConnection(SharedBufferProtocol):
     """Protocol of one outgoing connection.
 
     A connection is reused only after a complete response that matched its request and was followed
@@ -245,6 +246,7 @@
         if self.buffers is not None:
             self.buffers.release(self)
         self.reply = None
+        self.body = []
         self.size_bytes = 0
         if exchange is None:
             return
@@ -263,13 +265,13 @@
             if announced_ms is not None:
                 self.idle_limit_ms = announced_ms * IDLE_TIMEOUT_SHARE
             self.idle_since_ms = self.loop.time() * 1000
-            exchange.on_end(reply)
+            exchange.end(reply)
             if not self.is_closed:
                 self.on_idle(self)
             return
         if not self.is_closed:
             self.close("not reusable")
-        exchange.on_end(reply)
+        exchange.end(reply)
 
     def _fail_exchange(self, outcome: ExchangeFailure) -> None:
         exchange = self.exchange
@@ -281,4 +283,4 @@
         self.body = []
         self.exchange = None
         exchange.connection = None
-        exchange.on_end(outcome)
+        exchange.end(outcome)
--- a/packages/wisteriarock/src/wisteriarock/http/models.py
+++ b/packages/wisteriarock/src/wisteriarock/http/models.py
@@ -8,6 +8,25 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class CallerRequest(NamedTuple):
+    """A complete request of a caller."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    received_at_ms: float
+    is_http_10: bool
+
+
+class Answer(NamedTuple):
+    """A response to a caller."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 class Reply(NamedTuple):
     """A complete response.
 
@@ -93,3 +112,33 @@
         self.is_reply_named = True
         self.is_cancelled = False
         self.connection: object | None = None
+
+    def end(self, outcome: Reply | ExchangeFailure) -> None:
+        """Pass on the outcome, and drop the callbacks.
+
+        They refer to each other and to the request with its reply, which would stay in memory until
+        the next garbage collection.
+        """
+        on_end = self.on_end
+        self.encode = _encode_nothing
+        self.accepts = _accept_nothing
+        self.on_end = _ignore
+        self.on_sent = _do_nothing
+        self.on_continue = None
+        on_end(outcome)
+
+
+def _encode_nothing() -> bytes | None:
+    return None
+
+
+def _accept_nothing(headers: Headers) -> bool:
+    return False
+
+
+def _ignore(outcome: Reply | ExchangeFailure) -> None:
+    """Ignore an outcome after the first one."""
+
+
+def _do_nothing() -> None:
+    """Do nothing; the exchange has ended."""
--- a/packages/wisteriarock/src/wisteriarock/http/pool.py
+++ b/packages/wisteriarock/src/wisteriarock/http/pool.py
@@ -133,7 +133,7 @@
     def _start(self, connection: OutgoingConnection, exchange: Exchange) -> None:
         data = exchange.encode()
         if data is None:
-            exchange.on_end(ExchangeFailure("not sent", False))
+            exchange.end(ExchangeFailure("not sent", False))
             self._on_idle(connection)
             return
         connection.start(exchange, data)
@@ -179,7 +179,7 @@
         waiting, self.waiting = self.waiting, deque()
         for exchange in waiting:
             if not exchange.is_cancelled:
-                exchange.on_end(ExchangeFailure(reason, False))
+                exchange.end(ExchangeFailure(reason, False))
 
     def _on_idle(self, connection: OutgoingConnection) -> None:
         while self.waiting:
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -19,6 +19,7 @@
     "callers_left": ("Requests whose caller left before the answer", ("route",)),
     "refusals": ("Requests that were not started", ("status",)),
     "bad_requests": ("Input that was no proper request", ("status",)),
+    "callers_limited": ("Callers closed or refused to bound memory and descriptors", ("limit",)),
     "missing_parts": ("Parts left out of answers", ("route",)),
     "fragments": ("Parts of requests answered to other instances", ("route",)),
     "fragment_failures": ("Parts of requests that a gatherer did not answer", ()),
--- a/tests/wisteriaplatform/process_fixtures.py
+++ b/tests/wisteriaplatform/process_fixtures.py
@@ -65,10 +65,17 @@
 
 
 class InstanceProcess(NamedTuple):
-    """A process of an instance with the ports of its listeners, and its endpoints."""
+    """A process of an instance with the ports of its listeners, and its endpoints.
+
+    Attributes
+    ----------
+    ordinary_request : bytes
+        A request within the limits, which is answered with success.
+    """
 
     process: "subprocess.Popen[bytes]"
     ports: dict[str, int]
+    ordinary_request: bytes
     endpoints: dict[str, StubEndpoint]
 
 
@@ -79,7 +86,7 @@
     descriptors: int
 
 
-def _free_ports(names: tuple[str, ...]) -> dict[str, int]:
+def free_ports(names: tuple[str, ...]) -> dict[str, int]:
     with contextlib.ExitStack() as stack:
         sockets = {name: stack.enter_context(socket.socket()) for name in names}
         for each in sockets.values():
@@ -134,13 +141,13 @@
             endpoints[endpoint.endpoint_id] = endpoint
             store.put(f"servers/{endpoint.endpoint_id}", endpoint.make_entry())
     store.put("op/config", _make_configuration(silent, limits))
-    ports = _free_ports(_LISTENERS)
+    ports = free_ports(_LISTENERS)
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "settings.json"
         path.write_text(json.dumps(_make_settings(ports, store.port)), encoding="utf-8")
         process = _start_process(path)
         try:
-            running = InstanceProcess(process, ports, endpoints)
+            running = InstanceProcess(process, ports, request_bytes("/lookup/x"), endpoints)
             await answer_ordinary_request(running)
             yield running
         finally:
@@ -156,7 +163,7 @@
     while True:
         assert running.process.poll() is None, "the process has ended"
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            response = await send(running.ports["front"], request_bytes("/lookup/x"))
+            response = await send(running.ports["front"], running.ordinary_request)
             if response.status == 200:
                 return
         await asyncio.sleep(0.05)
--- a/tests/wisteriarock/http/test_buffers.py
+++ b/tests/wisteriarock/http/test_buffers.py
@@ -1,6 +1,7 @@
 """Tests of the bound on the bytes of incomplete messages."""
 
-from wisteriarock.http.buffers import COUNTED_MIN_BYTES, BufferBudget
+from wisteriarock.http.buffers import BufferBudget
+from wisteriarock.http.const import COUNTED_MIN_BYTES
 
 from tests.common import function_suite
 
