--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -154,8 +154,13 @@
             limited=sum(_is_reachable(state, service) for service in missing),
         )
         return _do_nothing
+    if not state.reserve_legs(len(services)):
+        reason = "too many requests under way"
+        refuse_request(state, respond, head.request_id, 503, reason, head.time_left_ms)
+        return _do_nothing
     wait_ms = None if customer is None else state.admit_customer(customer)
     if wait_ms is not None:
+        state.return_legs(len(services))
         _refuse_over_allotment(state, query, wait_ms)
         return _do_nothing
     return _run_query(state, query)
@@ -202,7 +207,11 @@
     if query is None:
         respond(Answer(400, [], b"malformed fragment"))
         return _do_nothing
+    if not state.reserve_legs(len(query.shards)):
+        respond(Answer(503, [], b"too many requests under way"))
+        return _do_nothing
     if not _spend_for_sent_legs(state, query):
+        state.return_legs(len(query.shards))
         respond(create_fragment_answer(state, query))
         return _do_nothing
     return _run_query(state, query)
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -126,6 +126,8 @@
         self.uptime_ms: Callable[[], float] = lambda: loop.time() * 1000
         self.alive_at_ms = math.inf
         self.admit_customer: Callable[[Customer], float | None] = lambda customer: None
+        self.reserve_legs: Callable[[int], bool] = lambda count: True
+        self.return_legs: Callable[[int], None] = lambda count: None
         self.stops_at_ms: float | None = None
         self.isolated_since_ms: float | None = None
 
