--- a/packages/wisteriarock/src/wisteriarock/balancing/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/diagnostics.py
@@ -37,8 +37,9 @@
     ratios = []
     for endpoints in services:
         loads = [_seen_load(each, now_ms) for each in endpoints]
-        if len(loads) > 1 and sum(loads):
-            ratios.append(max(loads) * len(loads) / sum(loads))
+        total = sum(loads)
+        if len(loads) > 1 and total:
+            ratios.append(max(loads) * len(loads) / total)
     return sum(ratios) / len(ratios) if ratios else 1.0
 
 
