--- a/tests/wisteriaplatform/test_evacuation.py
+++ b/tests/wisteriaplatform/test_evacuation.py
@@ -116,6 +116,9 @@
         running.store.put(KEY, {})
         await wait_until(lambda: directory.by_id["invoicing.1"].is_evacuated)
         assert not pool["invoicing.1"].waiting
+        # What was written to a connection before arrives first.
+        for _ in range(20):
+            await asyncio.sleep(0.005)
         reached = len(evacuated.requests)
         await asyncio.gather(*sends)
         assert len(evacuated.requests) == reached
