--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -447,7 +447,7 @@
         return False
     now_ms = loop_time_ms(state)
     is_extra = shard.sent_legs > 0
-    if is_extra and not has_extra_budget(state, query, shard.service, now_ms):
+    if is_extra and not has_budget(state.budget, shard.service, now_ms):
         state.log.detail("budget_exhausted", request=query.request_id, service=shard.service)
         return False
     kind = LegKind.RETRY if is_extra else LegKind.FIRST
--- a/packages/wisteriarock/src/wisteriarock/dispatch/room.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/room.py
@@ -273,7 +273,10 @@
 
 
 def has_extra_budget(state: DispatchState, query: Query, service: str, now_ms: float) -> bool:
-    """Return whether an extra leg may be sent for the customer of a query."""
+    """Return whether a hedge may be sent for the customer of a query.
+
+    Retries do not give way: without one, the part is missing and the query may fail.
+    """
     if not has_budget(state.budget, service, now_ms):
         return False
     if query.customer is None:
