--- a/tests/wisteriarock/customers/test_allotments.py
+++ b/tests/wisteriarock/customers/test_allotments.py
@@ -21,7 +21,7 @@
     Report,
     Totals,
 )
-from wisteriarock.customers.totals import forget_idle, record_report
+from wisteriarock.customers.totals import count_members, forget_idle, record_report
 
 from tests.common import function_suite
 from tests.wisteriarock.customers.emulator import TOLERANCE, Emulator
@@ -136,6 +136,19 @@
             _play(_hot, split)
 
 
+def test_instance_that_changes_its_relay_counts_once():
+    """Guards against members that an old and a new relay count at the same time."""
+    emulator = Emulator(ZONES, _customer(), _usual)
+    emulator.at(2_000, lambda: emulator.split(0.35))
+    emulator.at(6_000, lambda: emulator.restart(emulator.relays[1]))
+    for _ in range(100):
+        emulator.run(100.0)
+        relays = [node.totals for node in emulator.nodes if node.totals is not None]
+        counted = [sum(count_members(each, emulator.now_ms).values()) for each in relays]
+        assert sum(counted) <= len(emulator.nodes) + len(relays), counted
+    assert sum(counted) >= len(emulator.nodes) - 1
+
+
 def test_allotment_is_cut_to_a_tenth():
     """Guards against a lower allotment that binds later than one window after it is in force."""
     emulator = Emulator(ZONES, _customer(), _usual)
