Let an instance start with its full share of each allotment

A share began with 0.6 of what it may hold, although nothing was taken from the allotment while the processes were down.

Change: a share starts full.

--- a/packages/wisteriarock/src/wisteriarock/customers/const.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/const.py
@@ -17,8 +17,8 @@
 # Share of the rate of the allotment at which they go on; the rest of a window's allotment is added
 # to the burst, as most of their customers send them less than one request in a window.
 ALONE_RATE_SHARE = 0.5
-# Part of its share that an instance has when it starts. Its predecessor may just have used it.
-START_SHARE = 0.6
+# Part of its share that an instance has when it starts.
+START_SHARE = 1.0
 # Time within which a customer is led back to its allowed debt.
 CORRECTION_S = 0.4
 # Time constant of the rate at which a customer asks.
