Answer fan-outs by the round trip of their caller, where the settings ask for it

Cause: a fan-out is answered with the parts received 22 ms before its latency target, which fits callers 3 ms away on a new connection.

Change: with answer_by_round_trip the margin is two round trips of the caller's connection, as the kernel has measured them, and 10 ms, but never longer than before. The setting is off by default.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -122,7 +122,7 @@
     query.customer = customer
     query.needed_parts = needed_parts(route)
     query.version = state.catalog.configuration.version if state.catalog.configuration else 0
-    margin_ms = answer_margin_ms(state.capacity_cores, state.timer_delay_ms)
+    margin_ms = answer_margin_ms(state.capacity_cores, state.timer_delay_ms, request.round_trip_ms)
     set_query_times(query, head.time_left_ms, margin_ms)
     quarantined_ms = quarantine_ms(state, query)
     if quarantined_ms:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
@@ -8,8 +8,10 @@
 from .const import (
     ANSWER_COST_MS,
     ANSWER_MARGIN_MS,
+    ANSWER_SLACK_MS,
     BALANCER_REMOVAL_MS,
     CALLER_RETRY_MIN_WAIT_MS,
+    CALLER_ROUND_TRIPS,
     DEADLINE_MARGIN_MS,
     EARLY_ANSWER_MIN_HEDGE_DELAYS,
     EXPECTED_TARGETS,
@@ -73,7 +75,9 @@
     return waited if waited >= CALLER_RETRY_MIN_WAIT_MS else 0.0
 
 
-def answer_margin_ms(capacity_cores: float, timer_delay_ms: float) -> float:
+def answer_margin_ms(
+    capacity_cores: float, timer_delay_ms: float, round_trip_ms: float | None = None
+) -> float:
     """Return the time before the latency target at which a fan-out is answered.
 
     Parameters
@@ -82,9 +86,15 @@
         Processing capacity of this instance.
     timer_delay_ms : float
         Average delay of early answers behind their time, when the processor is busy.
+    round_trip_ms : float or None
+        Round trip of the caller's connection; None if it is not known.
     """
     slow_ms = ANSWER_COST_MS * max(0.0, 1.0 / capacity_cores - 1.0)
-    return ANSWER_MARGIN_MS + slow_ms + timer_delay_ms
+    margin_ms = ANSWER_MARGIN_MS
+    if round_trip_ms is not None:
+        transit_ms = CALLER_ROUND_TRIPS * round_trip_ms + ANSWER_SLACK_MS
+        margin_ms = min(margin_ms, transit_ms)
+    return margin_ms + slow_ms + timer_delay_ms
 
 
 def average_timer_delay_ms(average_ms: float, delay_ms: float) -> float:
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -204,6 +204,7 @@
             lambda request, respond: handle_caller_request(self, request, respond),
             CALLER_DESCRIPTOR_SHARE,
         )
+        self.caller_listener.reads_round_trips = settings.answer_by_round_trip
         self.ready_listener = create_listener(
             self,
             lambda request, respond: answer_readiness(self, respond),
--- a/packages/wisteriarock/src/wisteriarock/front/settings.py
+++ b/packages/wisteriarock/src/wisteriarock/front/settings.py
@@ -28,6 +28,8 @@
         Address that serves metrics and the state dump.
     cpu_share, cpu_speed : float
         Share of a core that the instance may use, and the speed of that core relative to others.
+    answer_by_round_trip : bool
+        Whether a fan-out is answered by the round trip of its caller's connection.
     even_load : bool
         Whether endpoints are chosen by lasting speed and load also where they report none.
     quota_window_s, quota_overshoot, quota_slack : float
@@ -63,6 +65,7 @@
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
     even_load: bool = False
+    answer_by_round_trip: bool = False
     quota_window_s: float = 5.0
     quota_overshoot: float = 0.0
     quota_slack: float = 0.0
@@ -154,9 +157,12 @@
     for name in ("instance", "zone"):
         if not isinstance(data.get(name), str) or not data[name]:
             return SettingsError(name, repr(data.get(name)), "a non-empty string")
-    even_load = data.get("even_load", False)
-    if not isinstance(even_load, bool):
-        return SettingsError("even_load", repr(even_load), "true or false")
+    switches: dict[str, bool] = {}
+    for name in ("even_load", "answer_by_round_trip"):
+        switch = data.get(name, False)
+        if not isinstance(switch, bool):
+            return SettingsError(name, repr(switch), "true or false")
+        switches[name] = switch
     metrics = data.get("metrics_address")
     if metrics is not None and parse_address(metrics) is None:
         return SettingsError("metrics_address", repr(metrics), "HOST:PORT")
@@ -178,7 +184,8 @@
         numbers["evacuation_ms"],
         numbers["cold_overshoot"],
         numbers["cold_slack"],
-        even_load,
+        switches["even_load"],
+        switches["answer_by_round_trip"],
         numbers["quota_window_s"],
         numbers["quota_overshoot"],
         numbers["quota_slack"],
--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -17,6 +17,7 @@
 from .models import Answer, CallerRequest
 from .read_buffer import SharedBufferProtocol
 from .request_reader import RejectedRequestError, RequestReader
+from .round_trip import read_round_trip_ms
 
 __all__ = [
     "Answer",
@@ -295,6 +296,8 @@
 
     def _on_request(self, request: CallerRequest, is_keep_alive: bool) -> None:
         """Queue the request; it is handled after the previous one is answered."""
+        if self.listener.reads_round_trips and self.transport is not None:
+            request = request._replace(round_trip_ms=read_round_trip_ms(self.transport))
         self.queue.append((request, is_keep_alive))
 
     def _resume_soon(self) -> None:
--- a/packages/wisteriarock/src/wisteriarock/http/listener.py
+++ b/packages/wisteriarock/src/wisteriarock/http/listener.py
@@ -43,6 +43,8 @@
         Bound on the memory of messages and requests, shared with other listeners and pools.
     max_connections : int or None
         Number of connections above which the least useful ones are closed; None for no limit.
+    reads_round_trips : bool
+        Whether each request states the round trip of its connection.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "max_connections",
         "on_bad_request",
         "on_limit",
+        "reads_round_trips",
     )
 
     def __init__(
@@ -74,6 +77,7 @@
         self.max_connections = max_connections
         self.limits = Limits()
         self.closes_connections = False
+        self.reads_round_trips = False
         self.connections: set[CallerConnection] = set()
 
     def close_least_useful(self) -> None:
--- a/packages/wisteriarock/src/wisteriarock/http/models.py
+++ b/packages/wisteriarock/src/wisteriarock/http/models.py
@@ -9,7 +9,13 @@
 
 
 class CallerRequest(NamedTuple):
-    """A complete request of a caller."""
+    """A complete request of a caller.
+
+    Attributes
+    ----------
+    round_trip_ms : float or None
+        Round trip of the caller's connection; None if it is not known or not read.
+    """
 
     method: bytes
     target: bytes
@@ -17,6 +23,7 @@
     body: bytes
     received_at_ms: float
     is_http_10: bool
+    round_trip_ms: float | None = None
 
 
 class Answer(NamedTuple):
--- a/tests/wisteriarock/dispatch/test_parts.py
+++ b/tests/wisteriarock/dispatch/test_parts.py
@@ -155,6 +155,16 @@
     assert retry_after_ms(rng, 1_500.0, 0.0) == 500.0
 
 
+def test_near_callers_are_answered_later():
+    """Guards against leaving parts out for a caller that is near and still has time."""
+    assert answer_margin_ms(1.0, 0.0, None) == ANSWER_MARGIN_MS
+    assert answer_margin_ms(1.0, 0.0, 2.0) == 14.0
+    # A request, its answer and a new connection take two round trips, however near the caller is.
+    assert answer_margin_ms(1.0, 0.0, 0.05) > 10.0
+    # A longer round trip than the usual one does not make answers earlier than before.
+    assert answer_margin_ms(1.0, 0.0, 300.0) == ANSWER_MARGIN_MS
+
+
 def test_slow_instances_answer_earlier():
     """Guards against early answers that a slow or busy processor sends after the target."""
     assert answer_margin_ms(1.0, 0.0) == answer_margin_ms(2.15, 0.0) == ANSWER_MARGIN_MS
--- a/tests/wisteriarock/front/test_settings.py
+++ b/tests/wisteriarock/front/test_settings.py
@@ -43,6 +43,7 @@
         ("metrics_address", 9464),
         ("even_load", "yes"),
         ("even_load", 1),
+        ("answer_by_round_trip", "no"),
         ("drain_grace_s", "six"),
         ("drain_grace_s", "6000"),
         ("drain_grace_s", 10**400),
