Answer settings with half a surrogate pair with an error that names the field

Change: convert returns invalid_field, the bundle's checks do likewise; both texts are fixed examples of the fuzz tests. Also: the counter cold_legs is exposed.

--- a/packages/wisteriarock/src/wisteriarock/bundle/checks.py
+++ b/packages/wisteriarock/src/wisteriarock/bundle/checks.py
@@ -77,7 +77,7 @@
         return
     try:
         msgspec.convert(value, expected_type)
-    except msgspec.ValidationError as error:
+    except (msgspec.ValidationError, UnicodeEncodeError) as error:
         # Not printed: the field may hold the credential itself instead of its digest.
         is_secret = path.endswith(".credential_sha256")
         yield ContentError(
--- a/packages/wisteriarock/src/wisteriarock/codec/decode.py
+++ b/packages/wisteriarock/src/wisteriarock/codec/decode.py
@@ -81,6 +81,9 @@
         match = _PATH_SUFFIX.search(message)
         path = match["path"] if match else "$"
         return Failure(DecodeError("invalid_field", _PATH_SUFFIX.sub("", message) + ".", path))
+    except UnicodeEncodeError:
+        # Half a surrogate pair, which JSON can spell and UTF-8 cannot.
+        return Failure(DecodeError("invalid_field", "Text that cannot be encoded.", "$"))
     if _contains_typed_dict(cast(Hashable, expected_type)) and (
         unknown_path := _find_unknown_field(value, expected_type, "$")
     ):
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -29,6 +29,7 @@
     "overload_refusals": ("Requests refused for lack of room", ("room", "reason")),
     "extra_legs_given_way": ("Extra legs of a flooding customer that gave way", ()),
     "limited_legs": ("Legs sent to endpoints that name a rate limit", ("kind",)),
+    "cold_legs": ("Legs sent to cold endpoints of a service with a rate for them", ("kind",)),
     "leg_choices": (
         "Legs by what the load of their endpoint was estimated from, and by its zone",
         ("source", "zone"),
--- a/tests/wisteriarock/codec/test_fuzz.py
+++ b/tests/wisteriarock/codec/test_fuzz.py
@@ -59,6 +59,7 @@
 @given(st.sampled_from(TYPES), _bodies)
 @example(QueryBody, b"[" * 50_000)
 @example(Heartbeat, b'{"a":' * 15_000)
+@example(QueryBody, b'"mill \\ud83d"')
 def test_bodies(expected_type: type, body: bytes):
     """Guards against a body that raises in place of a typed error."""
     assert isinstance(decode(body, expected_type, MAX_BYTES), Success | Failure)
@@ -76,6 +77,7 @@
 
 @fuzz
 @given(_objects | _values)
+@example("mill \ud83d")
 def test_settings(raw: object):
     """Guards against settings that raise in place of an error that names the field."""
     assert isinstance(check_settings(raw), Success | Failure)
