Bound what callers outside the limits make wisteriarockd hold

Cause: uvicorn bounds neither heads, trailers, requests sent ahead, silent connections nor the sum of bodies, and accepts up to 2,048 connections at once.

Change: its protocol class is an extension point; ours parses one request at a time, bounds heads and trailers, counts received bytes of all connections (max_buffered_mb, 256 by default), closes callers that neither send nor read within caller_timeout_ms (60 s by default), and closes idle connections above a share of the descriptors. The reporter of limits, metric and log line are shared.

--- a/packages/wisteriarock/src/wisteriarock/app.py
+++ b/packages/wisteriarock/src/wisteriarock/app.py
@@ -17,11 +17,13 @@
 from wisteriarock.admission.decide import smooth_lag
 from wisteriarock.api.internal import InternalHandlers, create_internal_app
 from wisteriarock.api.openapi import build_openapi
+from wisteriarock.api.protocol import connections_max, create_protocol
 from wisteriarock.api.public import PublicHandlers, create_public_app
 from wisteriarock.blackboard.models import Blackboard
 from wisteriarock.bundle.controller import BundleController, create_bundle_controller
 from wisteriarock.bundle.models import ActiveBundle
 from wisteriarock.endpoints.controller import EndpointsController, create_endpoints_controller
+from wisteriarock.http.buffers import BufferBudget
 from wisteriarock.lifecycle.decide import (
     TRIGGER_BECOME_READY,
     TRIGGER_DRAIN,
@@ -35,6 +37,7 @@
     create_membership,
 )
 from wisteriarock.membership.models import Phase
+from wisteriarock.observability.limit_reporter import LimitReporter
 from wisteriarock.observability.logs import log_event
 from wisteriarock.observability.metrics import Metrics, create_metrics
 from wisteriarock.peers.client import PeerClient, create_peer_client
@@ -49,6 +52,7 @@
 from .const import (
     DRAIN_ACCEPT_MS,
     EVENT_BROKEN_INVARIANT,
+    EVENT_CALLERS_LIMITED,
     EVENT_PHASE,
     EVENT_START,
     EVENT_STOP,
@@ -226,7 +230,21 @@
     )
     internal = bypass_for_legs(control, peer_app.legs)
     grace_s = settings.tunables.drain_grace_ms / 1000
-    return create_server(public, settings.public_tls, grace_s), create_server(internal, None, 1.0)
+    budget = BufferBudget(int(settings.tunables.max_buffered_mb * 1_000_000), clock_ms=monotonic_ms)
+    timeout_s = settings.tunables.caller_timeout_ms / 1000
+    # Each server has a class of its own, as its connections are counted apart.
+    reporter = LimitReporter(
+        monotonic_ms,
+        lambda limit: metrics.callers_limited.labels(limit).inc(),
+        lambda limit, count: log_event(EVENT_CALLERS_LIMITED, limit=limit, count=count),
+    )
+    public_protocol, internal_protocol = (
+        create_protocol(budget, connections_max(), timeout_s, reporter.report) for _ in range(2)
+    )
+    return (
+        create_server(public, settings.public_tls, grace_s, public_protocol),
+        create_server(internal, None, 1.0, internal_protocol),
+    )
 
 
 async def _become_ready(controllers: Controllers, board: Blackboard, lifecycle: Lifecycle) -> None:
--- a/packages/wisteriarock/src/wisteriarock/const.py
+++ b/packages/wisteriarock/src/wisteriarock/const.py
@@ -8,6 +8,7 @@
 EVENT_STOP = "stop"
 EVENT_UNHANDLED = "unhandled_error"
 EVENT_BROKEN_INVARIANT = "broken_invariant"
+EVENT_CALLERS_LIMITED = "callers_limited"
 # The load balancer may still send requests for this time after the instance stopped being ready.
 DRAIN_ACCEPT_MS = 2_000.0
 READINESS_INTERVAL_MS = 50.0
--- a/packages/wisteriarock/src/wisteriarock/front/const.py
+++ b/packages/wisteriarock/src/wisteriarock/front/const.py
@@ -45,8 +45,6 @@
 READINESS_DESCRIPTOR_SHARE = 0.04
 METRICS_DESCRIPTOR_SHARE = 0.02
 LISTENER_CONNECTIONS_MIN = 8
-# Interval between two log lines about the same limit on callers.
-LIMIT_LOG_INTERVAL_MS = 1_000.0
 # Number of attempts to read a settings file that is incomplete, and the time between them.
 SETTINGS_READ_ATTEMPTS = 20
 SETTINGS_READ_INTERVAL_MS = 50.0
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -55,10 +55,11 @@
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
 from wisteriarock.observability.failures import FailureReporter
+from wisteriarock.observability.limit_reporter import LimitReporter
 from wisteriarock.store.client import StoreClient
 from wisteriarock.store.models import StoreFormat
 
-from .caller_limits import LimitReporter, connections_max, create_budget
+from .caller_limits import connections_max, create_budget
 from .cold import (
     ColdSharers,
     cold_limit_sharers,
@@ -101,7 +102,11 @@
         self.counters = Counters()
         self.failures = FailureReporter(log, self.counters)
         self.buffers = create_budget(settings, lambda: loop.time() * 1000)
-        self.limit_reporter = LimitReporter(lambda: loop.time() * 1000, log, self.counters)
+        self.limit_reporter = LimitReporter(
+            lambda: loop.time() * 1000,
+            lambda limit: self.counters.count("callers_limited", limit),
+            lambda limit, count: log.record("callers_limited", limit=limit, count=count),
+        )
         self.phase = Phase.STARTING
         self.held_requests = HeldRequests(loop.time() * 1000)
         self.was_ready: bool | None = None
--- a/packages/wisteriarock/src/wisteriarock/observability/metrics.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/metrics.py
@@ -43,6 +43,7 @@
     connection_events: Counter
     queued_legs: Gauge
     peer_bytes: Counter
+    callers_limited: Counter
     platform_calls: Counter
     bundle_revision: Gauge
     members: Gauge
@@ -114,6 +115,12 @@
             "Legs that wait for a slot of an endpoint held here",
             registry=registry,
         ),
+        callers_limited=Counter(
+            "wisteriarock_callers_limited",
+            "Connections closed to bound memory and descriptors, by limit",
+            ["limit"],
+            registry=registry,
+        ),
         peer_bytes=Counter(
             "wisteriarock_peer_bytes",
             "Bytes exchanged with peers, by purpose (control, legs) and direction",
--- a/packages/wisteriarock/src/wisteriarock/servers.py
+++ b/packages/wisteriarock/src/wisteriarock/servers.py
@@ -1,5 +1,6 @@
 """HTTP servers of an entry instance."""
 
+import asyncio
 import socket
 from collections.abc import Generator
 from contextlib import contextmanager
@@ -10,6 +11,7 @@
 from wisteriarock.settings.models import TlsSetting
 
 LISTEN_BACKLOG = 2_048
+ACCEPT_BATCH = 16
 # Longer than the time for which callers and peers keep idle connections, so that the server never
 # closes a connection on which a request has already been sent.
 KEEP_ALIVE_TIMEOUT_S = 120
@@ -18,6 +20,15 @@
 class Server(uvicorn.Server):
     """A uvicorn server without signal handlers; the process handles signals for both servers."""
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Listen with a long queue, and accept few connections at once.
+
+        asyncio uses one number for both, and connections above a limit are closed only afterwards.
+        """
+        await super().startup(sockets)
+        for listener in sockets or ():
+            listener.listen(LISTEN_BACKLOG)
+
     @contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
         """Install no signal handlers."""
@@ -35,7 +46,12 @@
     return listener
 
 
-def create_server(app: Any, tls: TlsSetting | None, grace_s: float) -> Server:
+def create_server(
+    app: Any,
+    tls: TlsSetting | None,
+    grace_s: float,
+    protocol: type[asyncio.Protocol] | None = None,
+) -> Server:
     """Return a server for an ASGI application.
 
     Parameters
@@ -46,11 +62,14 @@
         Certificate and key; None for plain HTTP.
     grace_s : float
         Maximum time to wait for running requests on shutdown, in seconds.
+    protocol : type or None
+        HTTP protocol of the connections; None for that of uvicorn.
     """
     config = uvicorn.Config(
         app,
         loop="asyncio",
-        http="httptools",
+        http=protocol or "httptools",
+        backlog=ACCEPT_BATCH,
         ws="none",
         lifespan="off",
         access_log=False,
--- a/packages/wisteriarock/src/wisteriarock/settings/const.py
+++ b/packages/wisteriarock/src/wisteriarock/settings/const.py
@@ -41,6 +41,9 @@
     # would only miss their deadlines.
     "max_queries": Range(1, 100_000, 128),
     "max_queued_per_endpoint": Range(1, 10_000, 64),
+    # Twice what 128 requests of a peer with the largest body take.
+    "max_buffered_mb": Range(1, 100_000, 256),
+    "caller_timeout_ms": Range(100, 600_000, 60_000),
     "platform_timeout_ms": Range(10, 60_000, 1_000),
     "platform_poll_interval_ms": Range(100, 600_000, 1_000),
     "platform_calls_per_s": Range(0.1, 1_000, 5),
--- a/packages/wisteriarock/src/wisteriarock/settings/models.py
+++ b/packages/wisteriarock/src/wisteriarock/settings/models.py
@@ -69,6 +69,8 @@
     max_tickets: float
     max_queries: float
     max_queued_per_endpoint: float
+    max_buffered_mb: float
+    caller_timeout_ms: float
     platform_timeout_ms: float
     platform_poll_interval_ms: float
     platform_calls_per_s: float
--- a/packages/wisteriarock/src/wisteriarock/settings/reference.py
+++ b/packages/wisteriarock/src/wisteriarock/settings/reference.py
@@ -43,6 +43,10 @@
     "max_tickets": "Maximum number of ticket records in a process",
     "max_queries": "Maximum number of requests in flight in a process",
     "max_queued_per_endpoint": "Maximum number of legs queued for an endpoint",
+    "max_buffered_mb": "Maximum memory of received bytes of all connections; above it the costliest"
+    " connection is closed",
+    "caller_timeout_ms": "Time to send a whole request, and to read some of an answer, after which"
+    " the connection is closed",
     "platform_timeout_ms": "Timeout of a call to the platform",
     "platform_poll_interval_ms": "Interval between polls of the platform's instance list",
     "platform_calls_per_s": "Maximum number of calls to the platform per second",
--- a/tests/wisteriarock/front/test_caller_limits.py
+++ b/tests/wisteriarock/front/test_caller_limits.py
@@ -1,12 +1,7 @@
 """Tests of the limits on what callers may make an instance use."""
 
-import os
-
-from wisteriarock.front.caller_limits import LimitReporter, connections_max
+from wisteriarock.front.caller_limits import connections_max
 from wisteriarock.front.settings import FrontSettings, SettingsError, parse_settings
-from wisteriarock.http.listener import CallerLimit
-from wisteriarock.observability.counters import Counters
-from wisteriarock.observability.event_log import EventLog
 
 from tests.common import function_suite
 
@@ -47,30 +42,4 @@
     assert isinstance(error, SettingsError) and error.path == "limits.max_fds"
 
 
-def test_each_limit_is_logged_once_per_interval():
-    """Guards against a flood of refusals that floods the log as well."""
-    now_ms = 5_000.0
-    reading, writing = os.pipe()
-    try:
-        log, counters = EventLog(writing, lambda: now_ms / 1000), Counters()
-        reporter = LimitReporter(lambda: now_ms, log, counters)
-        for _ in range(500):
-            reporter.report(CallerLimit.MEMORY)
-        reporter.report(CallerLimit.CONNECTIONS)
-        now_ms += 1_000.0
-        reporter.report(CallerLimit.MEMORY)
-        log.flush()
-        lines = os.read(reading, 10_000).decode().splitlines()
-        ends = [line.partition("event=")[2] for line in lines]
-        assert ends == [
-            "callers_limited limit=memory count=1",
-            "callers_limited limit=connections count=1",
-            "callers_limited limit=memory count=500",
-        ]
-        assert counters.total("callers_limited") == 502
-    finally:
-        os.close(reading)
-        os.close(writing)
-
-
 load_tests = function_suite(globals())
--- a/tests/wisteriarock/test_hostile_callers.py
+++ b/tests/wisteriarock/test_hostile_callers.py
@@ -23,6 +23,7 @@
 # An idle process takes 65 MB; a tenth of the limits is to spare.
 MEMORY_LIMIT_MB = 128
 DESCRIPTOR_LIMIT = 600
+TUNABLES = {"max_buffered_mb": 16.0, "caller_timeout_ms": 4_000.0}
 _RUN = (
     "import resource, sys; "
     f"resource.setrlimit(resource.RLIMIT_NOFILE, ({DESCRIPTOR_LIMIT}, {DESCRIPTOR_LIMIT})); "
@@ -33,7 +34,7 @@
 _TRAILERS = (b"X-Trailer: " + b"a" * 1_000 + b"\r\n") * 64
 
 
-def _make_settings(ports: dict[str, int], tunables: dict[str, float]) -> dict[str, object]:
+def _make_settings(ports: dict[str, int]) -> dict[str, object]:
     return {
         "instance": "e1",
         "zone": "north",
@@ -46,7 +47,7 @@
         "operator_token": "token",
         "operator_keys": {},
         "platform_url": "http://127.0.0.1:9",
-        "tunables": tunables,
+        "tunables": TUNABLES,
     }
 
 
@@ -62,19 +63,19 @@
 
 
 @contextlib.asynccontextmanager
-async def _instance_process(**tunables: float) -> AsyncIterator[InstanceProcess]:
+async def _instance_process() -> AsyncIterator[InstanceProcess]:
     ports = free_ports(("front", "internal"))
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "settings.json"
-        path.write_text(json.dumps(_make_settings(ports, tunables)), encoding="utf-8")
+        path.write_text(json.dumps(_make_settings(ports)), encoding="utf-8")
         with _process(path) as process:
             running = InstanceProcess(process, ports, _LIVE, {})
             await answer_ordinary_request(running)
             yield running
 
 
-async def _withstands(crowd: Crowd, **tunables: float) -> None:
-    async with _instance_process(**tunables) as running:
+async def _withstands(crowd: Crowd) -> None:
+    async with _instance_process() as running:
         usage = await play_crowd(running, crowd)
         assert usage.memory_bytes <= MEMORY_LIMIT_MB * 1_000_000 * 9 // 10, usage
         assert usage.descriptors <= DESCRIPTOR_LIMIT * 9 // 10, usage
