--- a/packages/wisteriarock/src/wisteriarock/observability/limit_reporter.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/limit_reporter.py
@@ -7,17 +7,9 @@
 
 
 class LimitReporter:
-    """Counts what callers are refused at the limits, and logs each limit once per interval.
+    """Counts what callers are refused at the limits, and logs each limit once per interval."""
 
-    Attributes
-    ----------
-    count : callable
-        Counts one connection or request that was closed or refused at a limit.
-    write : callable
-        Writes a log line about a limit, and how often it was met since the last line.
-    """
-
-    __slots__ = ("_clock_ms", "_logged_at_ms", "_unlogged", "count", "write")
+    __slots__ = ("_clock_ms", "_count", "_logged_at_ms", "_unlogged", "_write")
 
     def __init__(
         self,
@@ -25,15 +17,16 @@
         count: Callable[[str], None],
         write: Callable[[str, int], None],
     ) -> None:
-        self.count = count
-        self.write = write
         self._clock_ms = clock_ms
+        self._count = count
+        # Takes the limit, and how often it was met since its last line.
+        self._write = write
         self._logged_at_ms: dict[str, float] = {}
         self._unlogged: dict[str, int] = {}
 
     def report(self, limit: str) -> None:
         """Count a connection or a request that was closed or refused at a limit."""
-        self.count(limit)
+        self._count(limit)
         count = self._unlogged.get(limit, 0) + 1
         now_ms = self._clock_ms()
         if now_ms - self._logged_at_ms.get(limit, -LOG_INTERVAL_MS) < LOG_INTERVAL_MS:
@@ -41,4 +34,4 @@
             return
         self._unlogged[limit] = 0
         self._logged_at_ms[limit] = now_ms
-        self.write(limit, count)
+        self._write(limit, count)
