Leave room for the process itself in the accounts of callers' memory

Cause: the accounts were shares of the memory limit whatever the process itself takes.

Change: under a low limit each account has at most 0.4 of what is left of nine tenths of it beside 26 MB. Limits of 93 MB and more are as before.

--- a/packages/wisteriarock/src/wisteriarock/front/caller_limits.py
+++ b/packages/wisteriarock/src/wisteriarock/front/caller_limits.py
@@ -5,21 +5,32 @@
 from wisteriarock.http.buffers import BufferBudget
 
 from .const import (
+    ACCOUNT_FREE_SHARE,
+    ACCOUNT_MIN_BYTES,
     BUFFER_MEMORY_SHARE,
     CONNECTION_COST_BYTES,
     CONNECTION_MEMORY_SHARE,
     FILE_DESCRIPTORS,
     LISTENER_CONNECTIONS_MIN,
+    PROCESS_BYTES,
     REQUEST_MEMORY_SHARE,
+    SPARE_MEMORY_SHARE,
 )
 from .settings import FrontSettings
 
 
 def create_budget(settings: FrontSettings, clock_ms: Callable[[], float]) -> BufferBudget:
-    """Return the bound on the memory that connections and requests may hold."""
+    """Return the bound on the memory that connections and requests may hold.
+
+    A share of the memory limit; less if the limit leaves little beside the process itself.
+    """
     memory_bytes = settings.memory_mb * 1_000_000
+    free_bytes = memory_bytes * (1.0 - SPARE_MEMORY_SHARE) - PROCESS_BYTES
+    most_bytes = max(ACCOUNT_MIN_BYTES, free_bytes * ACCOUNT_FREE_SHARE)
     return BufferBudget(
-        int(memory_bytes * BUFFER_MEMORY_SHARE), int(memory_bytes * REQUEST_MEMORY_SHARE), clock_ms
+        int(min(memory_bytes * BUFFER_MEMORY_SHARE, most_bytes)),
+        int(min(memory_bytes * REQUEST_MEMORY_SHARE, most_bytes)),
+        clock_ms,
     )
 
 
--- a/packages/wisteriarock/src/wisteriarock/front/const.py
+++ b/packages/wisteriarock/src/wisteriarock/front/const.py
@@ -28,10 +28,15 @@
 # Timeout of a check read. The store normally answers in 4 ms.
 STORE_CHECK_TIMEOUT_MS = 300.0
 # Share of the memory limit that all connections may hold in incomplete messages, requests sent
-# ahead and unread answers, and the share that requests under way may take with their legs. The
-# process itself takes up to 60 MB.
+# ahead and unread answers, and the share that requests under way may take with their legs.
 BUFFER_MEMORY_SHARE = 0.2
 REQUEST_MEMORY_SHARE = 0.2
+# Under a low limit, each of these accounts has this share of what is left beside the process itself
+# and a spare share of the limit, but not less than the minimum.
+ACCOUNT_FREE_SHARE = 0.4
+PROCESS_BYTES = 26_000_000
+SPARE_MEMORY_SHARE = 0.1
+ACCOUNT_MIN_BYTES = 1_000_000
 # Memory of a leg with its reply, and of an open connection without a request.
 LEG_COST_BYTES = 3 * 1024
 CONNECTION_COST_BYTES = 6 * 1024
--- a/tests/wisteriarock/front/test_caller_limits.py
+++ b/tests/wisteriarock/front/test_caller_limits.py
@@ -1,6 +1,6 @@
 """Tests of the limits on what callers may make an instance use."""
 
-from wisteriarock.front.caller_limits import connections_max
+from wisteriarock.front.caller_limits import connections_max, create_budget
 from wisteriarock.front.settings import FrontSettings, SettingsError, parse_settings
 
 from tests.common import function_suite
@@ -29,6 +29,14 @@
     assert connections_max(_settings(300.0, 210), 0.5) == 8
 
 
+def test_accounts_leave_room_for_the_process_itself():
+    """Guards against accounts that, with the process at rest, exceed a low memory limit."""
+    budget = create_budget(_settings(40.0, 4_100), lambda: 0.0)
+    assert budget.max_bytes == budget.max_reserved_bytes == 4_000_000
+    budget = create_budget(_settings(200.0, 4_100), lambda: 0.0)
+    assert budget.max_bytes == budget.max_reserved_bytes == 40_000_000
+
+
 def test_descriptor_limit_is_read_from_the_settings():
     """Guards against a limit of the platform that the process does not know of."""
     names = ("front", "ready", "peer", "store")
