Revert "Tell the former relay when an instance turns to another one"

Ruled out: the wait of 2.4 s. What binds there is the division itself: the store turns 28 instances away, and both groups of instances keep to their part until it is back.

--- a/packages/wisteriarock/src/wisteriarock/customers/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/decide.py
@@ -117,20 +117,6 @@
     return max(0.0, state.others_until_ms - now_ms)
 
 
-def confirm_leave(state: LocalAllotments, earlier_until_ms: float, now_ms: float) -> None:
-    """Note that the former relay has stopped counting this instance.
-
-    Relays that it told of its members before hear so with its next totals, or drop them all.
-
-    Parameters
-    ----------
-    earlier_until_ms : float
-        Time until which relays before the former one may count this instance.
-    """
-    until_ms = max(earlier_until_ms, now_ms + PEER_TIMEOUT_MS)
-    state.others_until_ms = min(state.others_until_ms, until_ms)
-
-
 def take_pending(state: LocalAllotments) -> dict[str, Counts]:
     """Return the counts that were not reported yet, to be reported now."""
     counts, state.pending = state.pending, {}
--- a/packages/wisteriarock/src/wisteriarock/customers/totals.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/totals.py
@@ -50,12 +50,6 @@
     return totals.member_counts
 
 
-def forget_member(totals: Totals, name: str) -> None:
-    """Stop counting an instance that has turned to another relay."""
-    totals.members.pop(name, None)
-    totals.counted_at_ms = -math.inf
-
-
 def heard_share(totals: Totals, zone_sizes: Mapping[str, int], now_ms: float) -> float:
     """Return the share of all instances whose requests this relay counts.
 
--- a/packages/wisteriarock/src/wisteriarock/feed/allotments.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/allotments.py
@@ -18,7 +18,6 @@
 from wisteriarock.customers.decide import (
     apply_answer,
     bind,
-    confirm_leave,
     confirm_pending,
     return_pending,
     take_pending,
@@ -33,7 +32,6 @@
 from wisteriarock.customers.models import LocalAllotments, OrdersAnswer, Report, Tolerance, Totals
 from wisteriarock.customers.totals import (
     forget_idle,
-    forget_member,
     heard_share,
     keep_outboxes,
     make_answer,
@@ -55,7 +53,6 @@
 PATH_PREFIX = "/allotments/"
 _REPORT_PATH = PATH_PREFIX + "report"
 _WATCH_PATH = PATH_PREFIX + "watch"
-_LEAVE_PATH = PATH_PREFIX + "leave"
 
 
 class AllotmentExchange:
@@ -77,10 +74,6 @@
         Callbacks that answer members that wait for orders.
     avoided_until_ms : dict
         Time until which a relay that failed is avoided, by instance.
-    bound_address : tuple or None
-        Address of the relay that counts this instance.
-    leaving : set of Task
-        Calls under way that tell former relays.
     """
 
     def __init__(
@@ -98,8 +91,6 @@
         self.has_news = asyncio.Event()
         self.watchers: list[Callable[[], None]] = []
         self.avoided_until_ms: dict[str, float] = {}
-        self.bound_address: tuple[str, int] | None = None
-        self.leaving: set[asyncio.Task[None]] = set()
         self.clients: dict[tuple[str, str], StoreClient] = {}
 
 
@@ -173,16 +164,10 @@
 ) -> Callable[[], None]:
     """Answer a report at once, and a watch when the orders change or its wait ends."""
     totals = current_totals(exchange)
-    parts = urlsplit(request.target.decode("latin-1"))
-    if parts.path == _LEAVE_PATH:
-        # An instance that is no relay any more counts nobody.
-        if totals is not None:
-            forget_member(totals, dict(parse_qsl(parts.query)).get("instance", ""))
-        respond(Answer(200, [], b""))
-        return _do_nothing
     if totals is None:
         respond(Answer(503, [], b"no relay"))
         return _do_nothing
+    parts = urlsplit(request.target.decode("latin-1"))
     if parts.path == _REPORT_PATH:
         report = decode_report(request.body)
         if report is None:
@@ -278,38 +263,6 @@
     return None
 
 
-def _bind(exchange: AllotmentExchange, relay: Relay) -> float:
-    """Turn to a relay; return the time for which other ones may still count this instance."""
-    local, feed = exchange.local, exchange.feed
-    former = exchange.bound_address
-    exchange.bound_address = (relay.host, relay.port)
-    if former is not None and former != exchange.bound_address:
-        work = _leave(exchange, former, relay.instance, local.others_until_ms)
-        task = feed.loop.create_task(work)
-        exchange.leaving.add(task)
-        task.add_done_callback(exchange.leaving.discard)
-    return bind(local, relay.instance, loop_time_ms(feed))
-
-
-async def _leave(
-    exchange: AllotmentExchange, former: tuple[str, int], relay: str, earlier_until_ms: float
-) -> None:
-    """Tell the former relay that this instance has turned to another one."""
-    feed = exchange.feed
-    client = StoreClient(feed.loop, *former, classify_relay_status, Counters())
-    target = f"{_LEAVE_PATH}?instance={quote(feed.instance)}"
-    call = f"GET {target} HTTP/1.1\r\nHost: relay\r\n\r\n".encode()
-    try:
-        async with asyncio.timeout(REPORT_TIMEOUT_MS / 1000):
-            outcome = await client.call(call, REPORT_TIMEOUT_MS)
-    except TimeoutError:
-        return
-    finally:
-        client.close("left")
-    if not isinstance(outcome, StoreError) and exchange.local.bound_to == relay:
-        confirm_leave(exchange.local, earlier_until_ms, loop_time_ms(feed))
-
-
 async def _report(exchange: AllotmentExchange) -> None:
     """Report new counts, at most once in each interval."""
     feed, local = exchange.feed, exchange.local
@@ -328,7 +281,7 @@
             relay = _choose_relay(exchange)
             answer = None
             if relay is not None:
-                report = report._replace(bound_ms=_bind(exchange, relay))
+                report = report._replace(bound_ms=bind(local, relay.instance, reported_at_ms))
                 answer = await _call_report(exchange, relay, "report", report)
         if answer is None:
             return_pending(local, counts)
@@ -349,7 +302,7 @@
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
             continue
         after = f"{quote(local.relay)}-{local.version}"
-        bound_ms = math.ceil(_bind(exchange, relay))
+        bound_ms = math.ceil(bind(local, relay.instance, loop_time_ms(feed)))
         sender = f"instance={quote(feed.instance)}&zone={quote(feed.zone)}&bound={bound_ms}"
         target = f"{_WATCH_PATH}?after={after}&{sender}"
         call = f"GET {target} HTTP/1.1\r\nHost: {relay.instance}\r\n\r\n".encode()
--- a/tests/wisteriarock/customers/emulator.py
+++ b/tests/wisteriarock/customers/emulator.py
@@ -13,7 +13,6 @@
 from wisteriarock.customers.decide import (
     apply_answer,
     bind,
-    confirm_leave,
     confirm_pending,
     return_pending,
     take_pending,
@@ -23,7 +22,6 @@
 from wisteriarock.customers.models import LocalAllotments, Report, Tolerance, Totals
 from wisteriarock.customers.totals import (
     forget_idle,
-    forget_member,
     heard_share,
     keep_outboxes,
     make_answer,
@@ -50,7 +48,6 @@
         self.local = LocalAllotments(TOLERANCE, -1e6)
         self.totals: Totals | None = None
         self.is_up = True
-        self.relay: Node | None = None
         self.reports_at_ms = 0.0
         self.watches_at_ms = 0.0
 
@@ -106,7 +103,6 @@
     def restart(self, node: Node) -> None:
         """Start an instance again, without memory; a relay has a successor after a while."""
         node.local = LocalAllotments(TOLERANCE, self.now_ms + START_MS)
-        node.relay = None
         node.is_up = False
         self.at(self.now_ms + START_MS, lambda: setattr(node, "is_up", True))
         if node.totals is not None:
@@ -150,18 +146,6 @@
                 return relay
         return None
 
-    def _bind(self, node: Node, relay: Node) -> float:
-        """Turn to a relay, and leave the former one if it can be reached."""
-        former, node.relay = node.relay, relay
-        earlier_until_ms = node.local.others_until_ms
-        bound_ms = bind(node.local, relay.name, self.now_ms)
-        if former not in (None, relay) and self._reaches(node, former):
-            self.messages += 1
-            if former.totals is not None:
-                forget_member(former.totals, node.name)
-            confirm_leave(node.local, earlier_until_ms, self.now_ms)
-        return bound_ms
-
     def _take_report(self, relay: Node, report: Report) -> None:
         assert relay.totals is not None
         share = self._share(relay)
@@ -189,7 +173,7 @@
                 return_pending(local, counts)
                 node.reports_at_ms = self.now_ms + RETRY_PAUSE_MS
             else:
-                bound_ms = self._bind(node, relay)
+                bound_ms = bind(local, relay.name, self.now_ms)
                 report = Report(node.name, str(node.zone), {}, counts, bound_ms)
                 self._take_report(relay, report)
                 confirm_pending(local, reported_at_ms)
@@ -199,7 +183,7 @@
             relay = self._relay_for(node)
             node.watches_at_ms = self.now_ms + (WATCH_WAIT_MS if relay else RETRY_PAUSE_MS)
             if relay is not None and relay.totals is not None:
-                bound_ms = self._bind(node, relay)
+                bound_ms = bind(local, relay.name, self.now_ms)
                 self._take_report(relay, Report(node.name, str(node.zone), {}, {}, bound_ms))
                 apply_answer(local, make_answer(relay.totals, self.now_ms), self.now_ms)
 
--- a/tests/wisteriarock/customers/test_allotments.py
+++ b/tests/wisteriarock/customers/test_allotments.py
@@ -5,8 +5,8 @@
 from hypothesis import HealthCheck, given, seed, settings
 from hypothesis import strategies as st
 from wisteriarock.catalog.models import Customer
-from wisteriarock.customers.const import HEARD_MAX_MS, MEMBER_TIMEOUT_MS, PEER_TIMEOUT_MS
-from wisteriarock.customers.decide import bind, confirm_leave, try_admit
+from wisteriarock.customers.const import HEARD_MAX_MS
+from wisteriarock.customers.decide import try_admit
 from wisteriarock.customers.messages import (
     decode_answer,
     decode_report,
@@ -149,22 +149,6 @@
     assert sum(counted) >= len(emulator.nodes) - 1
 
 
-def test_leave_that_is_confirmed_shortens_the_wait_for_that_relay_only():
-    """Guards against an instance counted twice, as it has left only the last of two relays."""
-    local = LocalAllotments(TOLERANCE, 0.0)
-    bind(local, "first", 0.0)
-    bind(local, "second", 1_000.0)
-    earlier_until_ms = local.others_until_ms
-    assert bind(local, "third", 1_100.0) == MEMBER_TIMEOUT_MS + PEER_TIMEOUT_MS - 100.0
-    confirm_leave(local, earlier_until_ms, 1_100.0)
-    assert bind(local, "third", 1_200.0) == MEMBER_TIMEOUT_MS + PEER_TIMEOUT_MS - 1_200.0
-    bind(local, "third", 3_000.0)
-    earlier_until_ms = local.others_until_ms
-    bind(local, "fourth", 3_000.0)
-    confirm_leave(local, earlier_until_ms, 3_000.0)
-    assert bind(local, "fourth", 3_000.0) == PEER_TIMEOUT_MS
-
-
 def test_allotment_is_cut_to_a_tenth():
     """Guards against a lower allotment that binds later than one window after it is in force."""
     emulator = Emulator(ZONES, _customer(), _usual)
