Explain where a request would go, without sending it

An operator who asked why a request went to an endpoint had the dump, in which the figures of the estimate lie apart from the decision. `GET /explain` on the metrics address now gives the route, the customer, and for each service or shard the endpoints in the order of choice, with what each fact adds to the estimate and what excludes an endpoint.

The functions that send a request run on a copy of the dispatch state, without network, timers, log, counters and chance; there is no second version of the decision. The test for memory is parted from its reservation. Rate, size and the endpoints examined are bounded.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -27,7 +27,7 @@
 
     `on_end` is called once with the outcome of the leg.
     """
-    chosen = _choose_within_limit(state, query, shard, now_ms)
+    chosen = choose_within_limit(state, query, shard, now_ms)
     if chosen is None:
         return False
     endpoint, limits = chosen
@@ -68,7 +68,7 @@
     return True
 
 
-def _choose_within_limit(
+def choose_within_limit(
     state: DispatchState, query: Query, shard: Shard, now_ms: float
 ) -> tuple[Endpoint, tuple[EndpointLimit, ...]] | None:
     """Choose the best endpoint not yet tried whose rate limits, if any, allow another leg.
--- a/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/limits.py
@@ -69,6 +69,14 @@
     return [limit for limit in limits if limit is not None]
 
 
+def limit_sharers(
+    state: DispatchState, endpoint: Endpoint, now_ms: float
+) -> list[tuple[EndpointLimit, float | None]]:
+    """Return the limits of an endpoint, each with the number of instances that share it."""
+    limits = _limits_of(state, endpoint, now_ms)
+    return [(limit, _sharers(state, endpoint, limit)) for limit in limits]
+
+
 def may_send_to(state: DispatchState, endpoint: Endpoint, now_ms: float) -> bool:
     """Return whether the limits of an endpoint may allow a leg now."""
     if _is_unlimited(endpoint, now_ms):
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -22,6 +22,7 @@
 from wisteriarock.dispatch.controller import handle_fragment, handle_request
 from wisteriarock.dispatch.models import WireFormat
 from wisteriarock.dispatch.state import DispatchState
+from wisteriarock.explain.const import EXPLAIN_PATH
 from wisteriarock.feed.allotments import PATH_PREFIX as ALLOTMENTS_PATH
 from wisteriarock.feed.allotments import AllotmentExchange, handle_allotment_request
 from wisteriarock.feed.allotments import start as start_allotments
@@ -52,6 +53,7 @@
 )
 from wisteriarock.http.pool import Pool
 from wisteriarock.limits.cold_limit import ColdBound
+from wisteriarock.limits.token_bucket import TokenBucket
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
 from wisteriarock.observability.failures import FailureReporter
@@ -112,6 +114,7 @@
         self.was_ready: bool | None = None
         self.was_isolated = False
         self.has_allotments = False
+        self.explain_limit: TokenBucket | None = None
         self.catalog = Catalog()
         self.directory = Directory()
         self.pools: dict[str, Pool] = {}
@@ -404,11 +407,19 @@
     return pool
 
 
-def pool_of(instance: Instance, endpoint: Endpoint) -> Pool:
-    """Return the connection pool of an endpoint, created at first use."""
+def find_pool(instance: Instance, endpoint: Endpoint) -> Pool | None:
+    """Return the connection pool of an endpoint, None if it has none yet."""
     pool = instance.pools.get(endpoint.endpoint_id)
     if pool is not None and (pool.host, pool.port) == (endpoint.host, endpoint.port):
         return pool
+    return None
+
+
+def pool_of(instance: Instance, endpoint: Endpoint) -> Pool:
+    """Return the connection pool of an endpoint, created at first use."""
+    pool = find_pool(instance, endpoint)
+    if pool is not None:
+        return pool
 
     def on_connect(is_open: bool) -> None:
         if not is_open:
@@ -563,7 +574,7 @@
 def answer_metrics(
     instance: Instance, request: CallerRequest, respond: Respond
 ) -> Callable[[], None]:
-    """Answer a request for the metrics or the state dump."""
+    """Answer a request for the metrics, the state dump or an explanation."""
     if request.target == b"/metrics":
         # Imported at first use: the library needs more memory than the rest of the process.
         from wisteriarock.observability.exposition import render  # noqa: PLC0415
@@ -574,11 +585,32 @@
     elif request.target == b"/dump":
         body = json.dumps(dump(instance), indent=1).encode()
         respond(Answer(200, [(b"Content-Type", b"application/json")], body))
+    elif request.target.partition(b"?")[0] == EXPLAIN_PATH.encode():
+        respond(_explain(instance, request))
     else:
-        respond(Answer(404, [], b"metrics or dump"))
+        respond(Answer(404, [], b"metrics, dump or explain"))
     return _do_nothing
 
 
+def _explain(instance: Instance, request: CallerRequest) -> Answer:
+    # Imported at first use, as few processes are ever asked.
+    from wisteriarock.explain.answer import (  # noqa: PLC0415
+        answer_explain_request,
+        create_explain_limit,
+    )
+    from wisteriarock.explain.dry_run import InstanceView  # noqa: PLC0415
+
+    if instance.explain_limit is None:
+        instance.explain_limit = create_explain_limit(instance.loop.time() * 1000)
+    view = InstanceView(
+        lambda endpoint: find_pool(instance, endpoint),
+        lambda count: instance.buffers.can_reserve(count * LEG_COST_BYTES),
+    )
+    return answer_explain_request(
+        instance.dispatch, view, instance.allotments.local, instance.explain_limit, request
+    )
+
+
 def _collect_totals(instance: Instance) -> None:
     counts = instance.counters.counts
     counts["log_lines_dropped",] = instance.log.dropped_total
--- a/packages/wisteriarock/src/wisteriarock/http/buffers.py
+++ b/packages/wisteriarock/src/wisteriarock/http/buffers.py
@@ -88,10 +88,14 @@
         if held is not None:
             self.total_bytes -= held[0]
 
+    def can_reserve(self, size_bytes: int) -> bool:
+        """Return whether there is memory for another request."""
+        maximum = self.max_reserved_bytes
+        return maximum is None or self.reserved_bytes + size_bytes <= maximum
+
     def reserve(self, size_bytes: int) -> bool:
         """Count the memory of a request under way; return False if it must not be started."""
-        maximum = self.max_reserved_bytes
-        if maximum is not None and self.reserved_bytes + size_bytes > maximum:
+        if not self.can_reserve(size_bytes):
             self.refused_total += 1
             return False
         self.reserved_bytes += size_bytes
--- /dev/null
+++ b/tests/wisteriarock/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of explanations."""
