Add wisteriactl explain and describe it

The command asks one instance by its metrics address and prints a table or JSON. The request of a path is moved out of `status` to `fetch`, as both commands need it.

--- a/packages/wisteriactl/src/wisteriactl/__main__.py
+++ b/packages/wisteriactl/src/wisteriactl/__main__.py
@@ -27,11 +27,12 @@
     ExitCode,
 )
 from .engine import PlatformContext
+from .explain import explain as explain_request
 from .models import Outcome
 from .settings import load_content, load_ctl_settings, load_key
 from .status import create_ops_fetch
 
-HELP = """Change and inspect the signed bundle of wisteriarock.
+HELP = """Change and inspect the signed bundle of wisteriarock; explain where requests go.
 
 Exit codes: 0 success, also if an earlier run already did it; 1 internal error; 2 invalid arguments,
 settings, key or content; 3 conflict with another operator's bundle; 4 not yet known, or not yet in
@@ -333,6 +334,37 @@
     return _run_command("dump", common, lambda session: commands.dump(session, instance))
 
 
+@app.command
+def explain(
+    host: str,
+    path: str,
+    *,
+    at: str,
+    customer: str | None = None,
+    shard: str | None = None,
+    common: CommonOptions = _DEFAULT_OPTIONS,
+) -> int:
+    """Explain where a request would go now, and why, without sending it.
+
+    Asks one process of the users' platform; needs no settings file.
+
+    Parameters
+    ----------
+    host : str
+        Host of the request.
+    path : str
+        Path of the request, with a slash at the start.
+    at : str
+        Metrics address of the instance, HOST:PORT.
+    customer : str
+        Name of the customer that would send the request; never its key.
+    shard : str
+        Shard, or service, whose endpoints are shown; without it, a long list has a line for each.
+    """
+    outcome = asyncio.run(explain_request(at, host, path, customer, shard))
+    return _print_outcome("explain", outcome, common.json)
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the command line and return its exit code.
 
--- a/packages/wisteriactl/src/wisteriactl/status.py
+++ b/packages/wisteriactl/src/wisteriactl/status.py
@@ -4,15 +4,11 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple
 
-from aiosonic import HTTPClient, TCPConnector
-from aiosonic.pools import PoolConfig
-from aiosonic.timeout import Timeouts
 from returns.result import Failure, Result, Success
 from wisteriarock.codec.decode import decode
-from wisteriarock.platform.client import EXCHANGE_ERRORS
-from wisteriarock.wire.connection import BoundedConnection
 
-from .const import MAX_REPLY_BYTES, REQUEST_TIMEOUT_MS, SILENT_AFTER_MS, ExitCode
+from .const import MAX_REPLY_BYTES, SILENT_AFTER_MS, ExitCode
+from .fetch import fetch
 from .models import InstanceAddress, MemberStatus, Outcome, StatusReply
 
 FetchOps = Callable[[InstanceAddress, str], Awaitable[Result[bytes, str]]]
@@ -35,35 +31,16 @@
     token : str
         The operator token; error texts never contain it.
     """
+    headers = {"Authorization": f"Bearer {token}"}
 
-    async def fetch(address: InstanceAddress, path: str) -> Result[bytes, str]:
-        timeout_s = REQUEST_TIMEOUT_MS / 1000
-        host = f"[{address['host']}]" if ":" in address["host"] else address["host"]
-        url = f"http://{host}:{address['port']}{path}"
-        connector = TCPConnector(
-            pool_configs={":default": PoolConfig(size=1)},
-            timeouts=Timeouts(sock_connect=timeout_s, sock_read=None, request_timeout=None),
-            connection_cls=BoundedConnection,
-        )
-        client = HTTPClient(connector=connector)
-        headers = {"Authorization": f"Bearer {token}"}
-        body = bytearray()
-        try:
-            async with asyncio.timeout(timeout_s):
-                async with client.stream("GET", url, headers=headers) as response:
-                    if response.status_code != 200:
-                        return Failure(f"status {response.status_code}")
-                    async for chunk in response.iter_bytes():
-                        body += chunk
-                        if len(body) > MAX_REPLY_BYTES:
-                            return Failure("reply too large")
-        except EXCHANGE_ERRORS as error:
-            return Failure(type(error).__name__)
-        finally:
-            await client.aclose()
-        return Success(bytes(body))
-
-    return fetch
+    async def fetch_path(address: InstanceAddress, path: str) -> Result[bytes, str]:
+        reply = await fetch(address["host"], address["port"], path, headers)
+        if not isinstance(reply, Success):
+            return Failure(reply.failure())
+        status, body = reply.unwrap()
+        return Success(body) if status == 200 else Failure(f"status {status}")
+
+    return fetch_path
 
 
 async def read_statuses(
--- a/packages/wisteriarock/src/wisteriarock/explain/endpoints.py
+++ b/packages/wisteriarock/src/wisteriarock/explain/endpoints.py
@@ -1,5 +1,6 @@
 """What is known of an endpoint, what it adds to the estimate, and what excludes it."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -32,6 +33,13 @@
     )
 
 
+def _figure(value: float, digits: int = 0) -> float | None:
+    """Return a rounded figure, None for one that is not finite."""
+    if not math.isfinite(value):
+        return None
+    return round(value, digits) if digits else round(value)
+
+
 def describe_endpoint(
     state: DispatchState, endpoint: Endpoint, expected_ms: float, now_ms: float
 ) -> dict[str, Any]:
@@ -40,37 +48,37 @@
     return {
         "endpoint": endpoint.endpoint_id,
         "zone": endpoint.zone,
-        "cost_ms": round(estimate_ms(state, endpoint, expected_ms, now_ms), 1),
+        "cost_ms": _figure(estimate_ms(state, endpoint, expected_ms, now_ms), 1),
         "adds_ms": {
             **_additions_ms(state, endpoint, expected_ms, now_ms),
             "connection": 0.0 if has_idle else CONNECT_PENALTY_MS,
         },
         "load_source": choice_source(endpoint, now_ms),
-        "load_per_slot": round(expected_load(endpoint, expected_ms, now_ms), 2),
+        "load_per_slot": _figure(expected_load(endpoint, expected_ms, now_ms), 2),
         "report": describe_load(endpoint, now_ms),
         "in_flight": len(endpoint.in_flight),
         "slots": endpoint.slots,
-        "speed_ratio": round(endpoint.speed_ratio, 2),
-        "slow_ratio": round(endpoint.slow_ratio, 2),
-        "error_rate": round(endpoint.error_rate, 2),
+        "speed_ratio": _figure(endpoint.speed_ratio, 2),
+        "slow_ratio": _figure(endpoint.slow_ratio, 2),
+        "error_rate": _figure(endpoint.error_rate, 2),
         "observed_ms_ago": _age_ms(endpoint.observed_at_ms, now_ms),
         "last_reply_ms_ago": _age_ms(endpoint.last_reply_at_ms, now_ms),
-        "silent_for_ms": round(silence_ms(endpoint, now_ms)),
-        "cold_for_ms": max(0, round(endpoint.cold_until_ms - now_ms)),
-        "pause_left_ms": max(0, round(endpoint.pause.until_ms - now_ms)),
+        "silent_for_ms": _figure(silence_ms(endpoint, now_ms)),
+        "cold_for_ms": _figure(max(0.0, endpoint.cold_until_ms - now_ms)),
+        "pause_left_ms": _figure(max(0.0, endpoint.pause.until_ms - now_ms)),
         "has_idle_connection": has_idle,
         "limits": describe_limits(state, endpoint, now_ms),
     }
 
 
-def _age_ms(at_ms: float, now_ms: float) -> int | None:
+def _age_ms(at_ms: float, now_ms: float) -> float | None:
     """Return the age of an observation, None if there was none since the process started."""
-    return round(now_ms - at_ms) if at_ms else None
+    return _figure(now_ms - at_ms) if at_ms else None
 
 
 def _additions_ms(
     state: DispatchState, endpoint: Endpoint, expected_ms: float, now_ms: float
-) -> dict[str, float]:
+) -> dict[str, float | None]:
     """Return by how much the estimate would be lower without each fact about an endpoint.
 
     Facts multiply, so that the differences do not add up to the estimate.
@@ -90,7 +98,7 @@
     for name, remove in without.items():
         other = copy_endpoint(endpoint)
         remove(other)
-        additions_ms[name] = round(cost_ms - _cost_ms(state, other, expected_ms, now_ms), 1)
+        additions_ms[name] = _figure(cost_ms - _cost_ms(state, other, expected_ms, now_ms), 1)
     return additions_ms
 
 
@@ -140,10 +148,10 @@
         may_send(refilled, sharers, now_ms)
     return {
         "kind": "cold" if limit is endpoint.cold_limit else "rate",
-        "per_s": round(limit.per_s, 2),
-        "sharers": None if sharers is None else round(sharers, 1),
-        "share_left": round(refilled.bucket.tokens, 2),
-        "share_max": round(refilled.bucket.burst, 2),
+        "per_s": _figure(limit.per_s, 2),
+        "sharers": None if sharers is None else _figure(sharers, 1),
+        "share_left": _figure(refilled.bucket.tokens, 2),
+        "share_max": _figure(refilled.bucket.burst, 2),
         "allows": allows,
     }
 
