--- a/packages/wisteriarock/src/wisteriarock/dispatch/const.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/const.py
@@ -5,9 +5,10 @@
 # 14 ms on open connections lowered the score by 0.008 (cdq-search, mean of three days).
 ANSWER_MARGIN_MS = 22.0
 # The same for a caller whose round trip is known, if that is shorter: the round trips of a request
-# on a new connection, and a slack for jitter and merging.
-CALLER_ROUND_TRIPS = 2.0
-ANSWER_SLACK_MS = 12.0
+# on a new connection and another one for jitter, which grows with the distance, and the time for
+# merging.
+CALLER_ROUND_TRIPS = 3.0
+ANSWER_SLACK_MS = 4.0
 # Processor time of an answer, from the request to the write, on one full core. Slower instances
 # answer early by the difference.
 ANSWER_COST_MS = 1.2
