Gather where the legs take up a short latency target

Half of the legs of a quick-fill are back after 10 to 20 ms of its 68 ms, so that slow ones are hedged at 20 to 40 ms and the hedges come too late; each instance learns of 270 endpoints from one leg each, and has 1/27 of the budget for extra legs.

Change: gatherers are also used where the legs of one query take more than 15 % of the shortest latency target of a fan-out.

Test: test_near_instances_with_a_short_target_need_gatherers, failed before.

--- a/packages/wisteriarock/src/wisteriarock/gathering/const.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/const.py
@@ -2,9 +2,11 @@
 
 # Connections to each endpoint below which an instance does not query the endpoints itself.
 DIRECT_CONNECTIONS_MIN = 2.0
-# Processor time of a leg, and the longest time that one instance may spend on the legs of a query.
+# Processor time of a leg, and the longest time that one instance may spend on the legs of a query:
+# an absolute one, and a share of the shortest latency target of the fan-outs.
 LEG_COST_MS = 0.16
 DIRECT_COST_MAX_MS = 15.0
+DIRECT_COST_TARGET_SHARE = 0.15
 # Minimum number of gatherers of a zone, so that the loss of one is noticed by few queries.
 GATHERERS_MIN = 2
 # Processing capacity of the gatherers of a zone: a minimum in cores, and a share of the zone's.
--- a/packages/wisteriarock/src/wisteriarock/gathering/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/decide.py
@@ -14,6 +14,7 @@
     BUDGET_USED_SHARE,
     DIRECT_CONNECTIONS_MIN,
     DIRECT_COST_MAX_MS,
+    DIRECT_COST_TARGET_SHARE,
     GATHERER_BURST_SHARE,
     GATHERER_CORES_MIN,
     GATHERER_CORES_SHARE,
@@ -37,11 +38,12 @@
 
 
 def find_fan_out_shape(catalog: Catalog) -> FanOutShape:
-    """Return the size of the largest fan-out of the configuration in force."""
+    """Return the size of the largest fan-out of the configuration and the shortest target."""
     routes = catalog.configuration.routes if catalog.configuration else ()
     shards = max((route.shards for route in routes), key=len, default=())
     caps = [catalog.services[name].max_connections for name in shards if name in catalog.services]
-    return FanOutShape(len(shards), min(caps, default=0))
+    targets_ms = [route.latency_target_ms for route in routes if route.shards]
+    return FanOutShape(len(shards), min(caps, default=0), min(targets_ms, default=math.inf))
 
 
 def needs_gatherers(shape: FanOutShape, instances: int, capacity_cores: float) -> bool:
@@ -58,7 +60,8 @@
         return False
     cost_ms = shape.legs * LEG_COST_MS / max(capacity_cores, 1e-3)
     has_few_connections = shape.max_connections < DIRECT_CONNECTIONS_MIN * instances
-    return has_few_connections or cost_ms > DIRECT_COST_MAX_MS
+    cost_max_ms = min(DIRECT_COST_MAX_MS, DIRECT_COST_TARGET_SHARE * shape.latency_target_ms)
+    return has_few_connections or cost_ms > cost_max_ms
 
 
 def choose_gatherers(
--- a/packages/wisteriarock/src/wisteriarock/gathering/models.py
+++ b/packages/wisteriarock/src/wisteriarock/gathering/models.py
@@ -1,5 +1,6 @@
 """Data types of gatherers and fragments."""
 
+import math
 from typing import NamedTuple, NotRequired, TypedDict
 
 
@@ -21,10 +22,13 @@
         Number of shards; 0 if there is no fan-out route.
     max_connections : int
         Smallest connection cap of an endpoint of these shards.
+    latency_target_ms : float
+        Shortest latency target of a fan-out route.
     """
 
     legs: int
     max_connections: int
+    latency_target_ms: float = math.inf
 
 
 class FragmentRequest(TypedDict):
--- a/tests/wisteriarock/gathering/test_decide.py
+++ b/tests/wisteriarock/gathering/test_decide.py
@@ -56,6 +56,21 @@
     assert needs_gatherers(FanOutShape(87, 120), 19, 0.12)
 
 
+def test_near_instances_with_a_short_target_need_gatherers():
+    """Guards against legs of one query that take up the time of a caller in a hurry.
+
+    27 instances with one query of 90 legs per second each learn little of 270 endpoints, and their
+    links and processors take a sixth of the shortest target of 68 ms for the legs of one query.
+    """
+    assert needs_gatherers(FanOutShape(90, 56, 68.0), 27, 1.29)
+    zone = _make_zone(*[1.29] * 6, 2.15, 2.15)
+    chosen = choose_gatherers(zone, FanOutShape(90, 56, 68.0), 27)
+    assert [each.capacity_cores for each in chosen] == [2.15, 2.15]
+    # Without a caller in a hurry, each instance queries the endpoints itself.
+    assert not needs_gatherers(FanOutShape(90, 56, 175.0), 27, 1.29)
+    assert not needs_gatherers(FanOutShape(20, 26, 60.0), 9, 1.07)
+
+
 def test_the_most_capable_instances_are_chosen():
     """Guards against fan-outs on slow instances of a zone with unequal ones."""
     zone = _make_zone(*[0.516] * 36, 2.15, 2.15, 2.15)
@@ -126,7 +141,7 @@
     catalog = Catalog()
     assert find_fan_out_shape(catalog) == FanOutShape(0, 0)
     adopt(catalog, make_configuration(1, make_fan_out_route(20)), 0.0)
-    assert find_fan_out_shape(catalog) == FanOutShape(20, 26)
+    assert find_fan_out_shape(catalog) == FanOutShape(20, 26, 200.0)
 
 
 def test_the_reply_to_a_plain_request_is_passed_on_whole():
