Report lost zones before the store is found silent

Cause: the load balancer moves the callers of a cut zone when its last instance is not ready. The first instance that found the other zones silent checked the store for 300 ms and only then reported them; the others began their checks after that, with 400 ms for a connection, and the relay after a check of its own.

Change: unreachable zones are reported as soon as too few shards are reachable, so that all instances check the store at once. A check that is under way serves all who ask, and connecting counts towards its timeout. Replies from a reported zone are looked for when the check has ended, as the report may overtake the last of them.

--- a/packages/wisteriarock/src/wisteriarock/discovery/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/controller.py
@@ -77,6 +77,8 @@
         Whether the last check of the store got no answer.
     store_checked_at_ms : float
         Time at which the last check of the store began.
+    running_check : asyncio.Future or None
+        Whether the store answers the check that is under way; None if there is none.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         self.is_store_silent = False
         self.store_checked_at_ms = 0.0
         self.check_client = create_client()
+        self.running_check: asyncio.Future[bool] | None = None
         self.last_direct_answer_at_ms = 0.0
         self.failure_free_since_ms = 0.0
         self.is_loaded = False
@@ -264,12 +267,27 @@
 async def check_store(state: DiscoveryState, timeout_ms: float) -> bool:
     """Check with a cheap read whether the store answers this instance.
 
+    A check that is under way serves all who ask.
+
     Returns
     -------
     bool
         Whether the read succeeded. A refusal returns False, but shows that the store is reachable,
         and so clears `is_store_silent`.
     """
+    if state.running_check is not None:
+        return await asyncio.shield(state.running_check)
+    state.running_check = running = asyncio.get_running_loop().create_future()
+    is_answered = False
+    try:
+        is_answered = await _read_from_store(state, timeout_ms)
+    finally:
+        state.running_check = None
+        running.set_result(is_answered)
+    return is_answered
+
+
+async def _read_from_store(state: DiscoveryState, timeout_ms: float) -> bool:
     state.store_checked_at_ms = _now_ms(state)
     call = state.format.encode_list(state.format.configuration_key + "/", "", True)
     outcome = await state.check_client.call(call, timeout_ms)
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -35,6 +35,7 @@
     update_instance_count,
     update_readiness,
 )
+from .readiness import zones_to_report
 
 
 def start(instance: Instance) -> None:
@@ -90,17 +91,21 @@
         endpoint.next_probe_at_ms = now_ms + PROBE_INTERVAL_MS
         pool_of(instance, endpoint).probe()
     _check_store(instance, now_ms)
-    _report_isolation(instance)
+    _report_lost_zones(instance)
 
 
 async def verify_lost_zones(instance: Instance, zones: list[str]) -> None:
-    """Mark zones reported as lost, if the store does not answer this instance either."""
-    reply_since_ms = instance.loop.time() * 1000 - ZONE_SILENCE_MS
+    """Mark zones reported as lost, if the store does not answer this instance either.
+
+    A zone that has replied lately is not lost. The report may come before the last replies that
+    were on their way, so that this is asked after the check of the store.
+    """
     if await discovery.check_store(instance.discovery, STORE_CHECK_TIMEOUT_MS):
         return
     if not instance.discovery.is_store_silent:
         return
     endpoints = instance.directory.by_id.values()
+    reply_since_ms = instance.loop.time() * 1000 - ZONE_SILENCE_MS
     for zone in apply_reported_zone_loss(endpoints, zones, reply_since_ms):
         instance.log.record("zone_unreachable", zone=zone, reported=True)
     update_readiness(instance)
@@ -113,15 +118,14 @@
     _spawn(instance, verify_lost_zones(instance, others))
 
 
-def _report_isolation(instance: Instance) -> None:
-    """Report unreachable zones to the local zone when this instance becomes isolated."""
-    is_isolated = instance.dispatch.isolated_since_ms is not None
-    if is_isolated and not instance.was_isolated:
-        endpoints = instance.directory.by_id.values()
-        zones = find_unreachable_zones(endpoints, instance.settings.zone)
-        if zones:
-            _spawn(instance, report_lost_zones(instance.feed, zones))
-    instance.was_isolated = is_isolated
+def _report_lost_zones(instance: Instance) -> None:
+    """Report zones that this instance does not reach to the other instances of its zone."""
+    inputs = readiness_input(instance)
+    unreachable = find_unreachable_zones(instance.directory.by_id.values(), instance.settings.zone)
+    zones = zones_to_report(inputs, unreachable, instance.reported_zones)
+    if set(zones) > set(instance.reported_zones):
+        _spawn(instance, report_lost_zones(instance.feed, list(zones)))
+    instance.reported_zones = zones
 
 
 def _spawn(instance: Instance, work: Coroutine[Any, Any, None]) -> None:
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -110,7 +110,7 @@
         self.phase = Phase.STARTING
         self.held_requests = HeldRequests(loop.time() * 1000)
         self.was_ready: bool | None = None
-        self.was_isolated = False
+        self.reported_zones: tuple[str, ...] = ()
         self.has_allotments = False
         self.catalog = Catalog()
         self.directory = Directory()
--- a/packages/wisteriarock/src/wisteriarock/front/readiness.py
+++ b/packages/wisteriarock/src/wisteriarock/front/readiness.py
@@ -1,6 +1,7 @@
 """Readiness: whether the load balancer should send callers to an instance."""
 
 import enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from wisteriarock.balancing.decide import has_reachable
@@ -69,4 +70,27 @@
 def is_isolated(inputs: ReadinessInput) -> bool:
     """Return whether an instance is cut off from the store and from too many shards."""
     is_store_lost = inputs.is_store_silent or inputs.store_age_ms > ISOLATED_AFTER_MS
-    return is_store_lost and inputs.reachable_shards < inputs.needed_shards
+    return is_store_lost and lacks_shards(inputs)
+
+
+def lacks_shards(inputs: ReadinessInput) -> bool:
+    """Return whether an instance reaches too few shards for some fan-out route."""
+    return inputs.reachable_shards < inputs.needed_shards
+
+
+def zones_to_report(
+    inputs: ReadinessInput, unreachable_zones: Sequence[str], reported_zones: Sequence[str]
+) -> tuple[str, ...]:
+    """Return the zones that this instance should have reported to the others of its zone.
+
+    They are reported before this instance knows whether the store is silent as well: the others
+    check that themselves meanwhile, and callers stay in the zone until the last one has noticed.
+
+    Parameters
+    ----------
+    unreachable_zones, reported_zones : sequence of str
+        Other zones that this instance does not reach, and those that it has reported so far.
+    """
+    if not inputs.is_loaded or not lacks_shards(inputs):
+        return ()
+    return tuple(sorted({*unreachable_zones, *reported_zones}))
--- a/packages/wisteriarock/src/wisteriarock/store/client.py
+++ b/packages/wisteriarock/src/wisteriarock/store/client.py
@@ -69,7 +69,7 @@
         connection = self.connection
         if connection is None or connection.is_closed:
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                async with asyncio.timeout(min(CONNECT_TIMEOUT_MS, timeout_ms) / 1000):
                     connection = await self._connect()
             except TimeoutError:
                 return StoreError(StoreErrorKind.UNREACHABLE, "connect timed out")
--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -4,8 +4,10 @@
 import json
 import math
 import os
+from types import SimpleNamespace
 
 from wisteriarock.balancing.decide import apply_reported_zone_loss
+from wisteriarock.discovery.controller import check_store
 from wisteriarock.feed.controller import stop as stop_feed
 from wisteriarock.feed.following import report_lost_zones
 from wisteriarock.feed.lease import load_relays
@@ -14,6 +16,8 @@
 from wisteriarock.front.housekeeping import verify_lost_zones
 from wisteriarock.front.instance import Instance, update_readiness
 from wisteriarock.http.front import CallerConnection
+from wisteriarock.http.models import Reply
+from wisteriarock.store.models import StoreError
 from wisteriastandins.users.response import read_response
 from wisteriastandins.users.store_server import StoreServer
 
@@ -362,6 +366,42 @@
             assert second.dispatch.isolated_since_ms is not None
 
 
+async def test_cut_zones_are_reported_while_the_store_is_being_checked():
+    """Guards against instances of a cut zone that check the store one after the other."""
+    async with deployment() as running:
+        await wait_until(lambda: is_relay(running.instance.feed))
+        for endpoint in running.endpoints.values():
+            entry = endpoint.make_entry(zone="zone-b", born=2_000)
+            running.store.put(f"servers/{endpoint.endpoint_id}", entry)
+        endpoints = running.instance.directory.by_id
+        await wait_until(lambda: {each.zone for each in endpoints.values()} == {"zone-b"})
+        for endpoint in endpoints.values():
+            endpoint.next_probe_at_ms = math.inf
+        apply_reported_zone_loss(endpoints.values(), ["zone-b"], math.inf)
+        await wait_until(lambda: running.instance.feed_state.lost_zones == ("zone-b",))
+        assert update_readiness(running.instance), "the store answers"
+
+
+async def test_concurrent_checks_of_the_store_are_one():
+    """Guards against a check that starts only when the one before it has timed out."""
+    async with deployment() as running:
+        await wait_until(lambda: update_readiness(running.instance))
+        running.store.mode = "silent"
+        state = running.instance.discovery
+        await wait_until(lambda: state.running_check is None)
+        client, timeouts_ms = state.check_client, []
+
+        async def record_call(data: bytes, timeout_ms: float) -> Reply | StoreError:
+            timeouts_ms.append(timeout_ms)
+            return await client.call(data, timeout_ms)
+
+        state.check_client = SimpleNamespace(call=record_call)
+        answers = await asyncio.gather(*(check_store(state, 50.0) for _ in range(3)))
+        state.check_client = client
+        assert answers == [False] * 3 and state.is_store_silent
+        assert timeouts_ms == [50.0]
+
+
 async def test_reported_zone_loss_is_ignored_while_the_store_answers():
     """Guards against a whole zone becoming not ready because one instance is isolated."""
     async with deployment() as running:
