Part the following of the store by concern

`discovery/controller.py` held the state, the reads from the store, the application of changes and the loop. Each has its module now: `state.py`, `reads.py`, `changes.py` and `controller.py`. The tests of changes follow them to `test_changes.py`; the planted bug of the soak names the new file.

--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -11,7 +11,8 @@
     mark_lost_zones,
 )
 from wisteriarock.balancing.models import Endpoint
-from wisteriarock.discovery import controller as discovery
+from wisteriarock.discovery.changes import drop_lapsed_endpoints, move_evacuated_services
+from wisteriarock.discovery.reads import check_store
 from wisteriarock.dispatch.controller import apply_notice
 from wisteriarock.dispatch.legs import close_abandoned_legs
 from wisteriarock.dispatch.limits import update_cold
@@ -61,8 +62,8 @@
     close_abandoned_legs(instance.dispatch, now_ms)
     release_held_requests(instance)
     expire_quarantine(instance.dispatch.quarantine, now_ms)
-    discovery.drop_lapsed_endpoints(instance.discovery)
-    discovery.move_evacuated_services(instance.discovery)
+    drop_lapsed_endpoints(instance.discovery)
+    move_evacuated_services(instance.discovery)
     endpoints = list(instance.directory.by_id.values())
     for zone in mark_lost_zones(endpoints, now_ms):
         instance.log.record("zone_unreachable", zone=zone)
@@ -96,7 +97,7 @@
 async def verify_lost_zones(instance: Instance, zones: list[str]) -> None:
     """Mark zones reported as lost, if the store does not answer this instance either."""
     reply_since_ms = instance.loop.time() * 1000 - ZONE_SILENCE_MS
-    if await discovery.check_store(instance.discovery, STORE_CHECK_TIMEOUT_MS):
+    if await check_store(instance.discovery, STORE_CHECK_TIMEOUT_MS):
         return
     if not instance.discovery.is_store_silent:
         return
@@ -151,7 +152,7 @@
 
 
 async def _check_and_update(instance: Instance) -> None:
-    await discovery.check_store(instance.discovery, STORE_CHECK_TIMEOUT_MS)
+    await check_store(instance.discovery, STORE_CHECK_TIMEOUT_MS)
     update_readiness(instance)
 
 
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -11,9 +11,11 @@
 from wisteriarock.catalog.models import Catalog, Configuration, Customer
 from wisteriarock.customers.decide import forget_customers, try_admit
 from wisteriarock.customers.models import Tolerance
-from wisteriarock.discovery import controller as discovery
+from wisteriarock.discovery.changes import apply_feed_answer
 from wisteriarock.discovery.decide import mark_leaving, remove_entry
 from wisteriarock.discovery.models import Directory, DirectoryChange
+from wisteriarock.discovery.reads import check_store
+from wisteriarock.discovery.state import DiscoveryState
 from wisteriarock.dispatch.budget import (
     ExtraLegBudget,
     set_gathered_share,
@@ -149,7 +151,7 @@
             rng,
             settings.cpu_share * settings.cpu_speed,
         )
-        self.discovery = discovery.DiscoveryState(
+        self.discovery = DiscoveryState(
             loop,
             store_format,
             lambda: StoreClient(loop, *settings.store, store_format.classify, self.counters),
@@ -178,10 +180,10 @@
             settings.zone,
             settings.instance,
             settings.peer,
-            lambda items, answer: discovery.apply_feed_answer(self.discovery, items, answer),
+            lambda items, answer: apply_feed_answer(self.discovery, items, answer),
             lambda: loop.time() * 1000 - self.discovery.last_direct_answer_at_ms,
             lambda: failure_free_ms(self),
-            lambda timeout_ms: discovery.check_store(self.discovery, timeout_ms),
+            lambda timeout_ms: check_store(self.discovery, timeout_ms),
             log,
             self.counters,
             rng,
--- a/tests/wisteriaplatform/test_keys.py
+++ b/tests/wisteriaplatform/test_keys.py
@@ -5,7 +5,7 @@
 import os
 
 from wisteriarock.customers.const import KEY_NEWS_AGE_MAX_MS
-from wisteriarock.discovery.controller import apply_configuration
+from wisteriarock.discovery.changes import apply_configuration
 from wisteriarock.gathering.decide import replace_gatherers
 from wisteriarock.gathering.models import Gatherer
 from wisteriastandins.users.response import read_response
--- a/tests/wisteriarock/discovery/test_controller.py
+++ b/tests/wisteriarock/discovery/test_changes.py
@@ -4,14 +4,14 @@
 
 from wisteriaplatform.store import STORE_FORMAT
 from wisteriarock.catalog.models import Catalog
-from wisteriarock.discovery.const import LAPSE_GRACE_MS
-from wisteriarock.discovery.controller import (
-    DiscoveryState,
+from wisteriarock.discovery.changes import (
     apply_changes,
     apply_feed_answer,
     drop_lapsed_endpoints,
 )
+from wisteriarock.discovery.const import LAPSE_GRACE_MS
 from wisteriarock.discovery.models import Directory
+from wisteriarock.discovery.state import DiscoveryState
 from wisteriarock.feed.decide import reset_history
 from wisteriarock.feed.models import FeedAnswer, FeedState
 from wisteriarock.observability.counters import Counters
--- a/tests/wisteriarock/discovery/test_evacuation.py
+++ b/tests/wisteriarock/discovery/test_evacuation.py
@@ -1,18 +1,18 @@
 """Tests of evacuations of zones, without a store."""
 
-from wisteriarock.discovery.const import EVACUATION_SPREAD_SHARE, EVACUATION_WAIT_SHARE
-from wisteriarock.discovery.controller import (
+from wisteriarock.discovery.changes import (
     apply_changes,
     apply_feed_answer,
     move_evacuated_services,
 )
+from wisteriarock.discovery.const import EVACUATION_SPREAD_SHARE, EVACUATION_WAIT_SHARE
 from wisteriarock.discovery.decide import apply_entry, changes_since, remove_entry
 from wisteriarock.discovery.evacuation import advance_evacuations, begin_evacuation, end_evacuation
 from wisteriarock.discovery.models import Directory
 from wisteriarock.store.models import Item, Snapshot
 
 from tests.common import function_suite
-from tests.wisteriarock.discovery.test_controller import make_answer, make_state
+from tests.wisteriarock.discovery.test_changes import make_answer, make_state
 from tests.wisteriarock.dispatch.emulator import Emulator
 from tests.wisteriarock.samples import make_entry, make_fan_out_route
 
--- a/tests/wisteriastandins/soak/test_run.py
+++ b/tests/wisteriastandins/soak/test_run.py
@@ -70,7 +70,7 @@
 def test_stale_configuration_is_found():
     """Guards against missing an instance that keeps an older configuration version."""
     result = run_copy(
-        "discovery/controller.py",
+        "discovery/changes.py",
         "    if not adopt(state.catalog, configuration, now_ms):\n",
         "    if state.catalog.configuration or not adopt(state.catalog, configuration, now_ms):\n",
         [Fault(0.5, FaultKind.CONFIGURE, 0, 0.0)],
