Send signals of the soak without collecting the status of the process

Process.send_signal polls the process first. If it has just ended, the poll collects its status, and the child watcher of asyncio finds no child and reports 255. Ruled out: the instance itself, which ends with status 0 on SIGTERM.

Change: the soak sends signals by os.kill.

--- a/packages/standins/src/wisteriastandins/soak/programs.py
+++ b/packages/standins/src/wisteriastandins/soak/programs.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 from .const import (
@@ -105,7 +106,10 @@
             return
         if self.process is not None and self.process.returncode is None:
             self.sent_signals.add(signal_number)
-            self.process.send_signal(signal_number)
+            # Process.send_signal also collects the status of a process that has just ended. The
+            # child watcher then finds none and reports status 255.
+            with suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal_number)
 
     async def wait(self) -> int:
         """Wait until the process has ended; return its exit status."""
--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -7,7 +7,7 @@
 from types import SimpleNamespace
 
 from wisteriarock.balancing.decide import apply_reported_zone_loss
-from wisteriarock.discovery.controller import check_store
+from wisteriarock.discovery.reads import check_store
 from wisteriarock.feed.controller import stop as stop_feed
 from wisteriarock.feed.following import report_lost_zones
 from wisteriarock.feed.lease import load_relays
