--- a/tests/wisteriastandins/soak/test_programs.py
+++ b/tests/wisteriastandins/soak/test_programs.py
@@ -12,7 +12,7 @@
 
 
 async def test_status_of_a_process_that_ends_while_signals_are_sent():
-    """Guards against status 255 for a process that ended just before a signal, reported as found."""
+    """Guards against a false status of a process that ended just before a signal."""
     for _ in range(PROCESSES):
         program = Program(0, Path("unused"), [0, 0, 0, 0], None)
         program.process = await asyncio.create_subprocess_exec("/bin/sh", "-c", "exit 3")
