Let refused and costly callers take turns

Callers without end could keep ordinary ones waiting: in each iteration of the event loop every connection was served a request, or up to 64 KB of its body, however cheap the refusal or small the chunks. Rejected requests also stayed in memory until the next garbage collection, with their bytes: the kept exception refers to its traceback, and the parser's callbacks to the connection.

Connections that were refused at once, that send ahead or that send a body in small chunks now wait in a queue of their listener, which serves four in an iteration; all connections to the ready and metrics addresses do. A head above its limit is refused before it is parsed, bytes after a refusal are bounded by the size of a request, and refused connections are closed before idle ones when descriptors run short. Rejections are logged once a second for each reason, with their number.

test_request_above_the_memory_is_refused_and_not_started waits for iterations of the event loop before its last assertion, which is the same: a request that follows a refusal starts an iteration later.

--- a/packages/wisteriarock/src/wisteriarock/front/const.py
+++ b/packages/wisteriarock/src/wisteriarock/front/const.py
@@ -50,6 +50,8 @@
 READINESS_DESCRIPTOR_SHARE = 0.04
 METRICS_DESCRIPTOR_SHARE = 0.02
 LISTENER_CONNECTIONS_MIN = 8
+# Answers to operators in one iteration of the event loop; a dump takes milliseconds.
+METRICS_TURNS_PER_ITERATION = 1
 # Number of attempts to read a settings file that is incomplete, and the time between them.
 SETTINGS_READ_ATTEMPTS = 20
 SETTINGS_READ_INTERVAL_MS = 50.0
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -75,6 +75,7 @@
     INSTANCES_DEFAULT,
     LEG_COST_BYTES,
     METRICS_DESCRIPTOR_SHARE,
+    METRICS_TURNS_PER_ITERATION,
     PEER_DESCRIPTOR_SHARE,
     READINESS_DESCRIPTOR_SHARE,
 )
@@ -107,6 +108,11 @@
             lambda limit: self.counters.count("callers_limited", limit),
             lambda limit, count: log.record("callers_limited", limit=limit, count=count),
         )
+        self.rejection_reporter = LimitReporter(
+            lambda: loop.time() * 1000,
+            lambda rejection: self.counters.count("bad_requests", rejection.partition(" ")[0]),
+            lambda rejection, count: record_bad_request(log, rejection, count),
+        )
         self.phase = Phase.STARTING
         self.held_requests = HeldRequests(loop.time() * 1000)
         self.was_ready: bool | None = None
@@ -215,11 +221,14 @@
             lambda request, respond: answer_readiness(self, respond),
             READINESS_DESCRIPTOR_SHARE,
         )
+        self.ready_listener.takes_turns = True
         self.metrics_listener = create_listener(
             self,
             lambda request, respond: answer_metrics(self, request, respond),
             METRICS_DESCRIPTOR_SHARE,
         )
+        self.metrics_listener.takes_turns = True
+        self.metrics_listener.turns.per_iteration = METRICS_TURNS_PER_ITERATION
 
 
 def create_listener(
@@ -354,8 +363,13 @@
 
 def on_bad_request(instance: Instance, status: int, reason: str) -> None:
     """Count and log a rejected request."""
-    instance.counters.count("bad_requests", str(status))
-    instance.log.record("bad_request", status=status, reason=reason)
+    instance.rejection_reporter.report(f"{status} {reason}")
+
+
+def record_bad_request(log: EventLog, rejection: str, count: int) -> None:
+    """Log a rejection, given as its status and reason, and how often it was sent."""
+    status, _, reason = rejection.partition(" ")
+    log.record("bad_request", status=int(status), reason=reason, count=count)
 
 
 def connection_limit(instance: Instance, service: str) -> int:
--- a/packages/wisteriarock/src/wisteriarock/http/const.py
+++ b/packages/wisteriarock/src/wisteriarock/http/const.py
@@ -33,6 +33,12 @@
 REQUEST_COPIES = 3
 # Part of the connections that is closed at once when there are too many.
 CLOSED_SHARE = 1 / 16
+# Turns in one iteration of the event loop of connections that were refused, that send ahead or that
+# send bodies in small chunks; the bytes of such a body that are parsed in a turn, and the number of
+# lines in received bytes above which chunks count as small.
+TURNS_PER_ITERATION = 4
+TURN_MAX_BYTES = 2 * 1024
+SMALL_CHUNK_LINES = 256
 # Interval at which connections are checked for timeouts.
 TIMEOUT_CHECK_INTERVAL_MS = 250.0
 # Lingering close: time to read and drop further data after a request was rejected, so that the
--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -11,6 +11,8 @@
     LINGER_MS,
     REQUEST_COPIES,
     REQUEST_COST_BYTES,
+    SMALL_CHUNK_LINES,
+    TURN_MAX_BYTES,
     UNREAD_ANSWER_MAX_MS,
 )
 from .listener import CallerLimit, ListenerState, RequestHandler, Respond
@@ -43,12 +45,17 @@
     """Protocol of a connection from a caller.
 
     While a request is under way, or an answer is not read yet, further bytes are not parsed; above
-    `AHEAD_MAX_BYTES` they are not read.
+    `AHEAD_MAX_BYTES` they are not read. Requests sent ahead, those that follow a refusal and bodies
+    in small chunks wait for their turn in the listener.
 
     Attributes
     ----------
     ahead : bytes
         Received bytes that are not parsed yet, from `ahead_position` on.
+    is_refused : bool
+        Whether the last request was answered with a failure as soon as it was received.
+    lingering_bytes : int
+        Bytes received after a rejected request.
     reserved_bytes : int
         Memory counted for the request under way.
     unread_bytes : int
@@ -64,8 +71,9 @@
         "is_charged",
         "is_closed",
         "is_reading_paused",
-        "is_resumption_due",
+        "is_refused",
         "is_unread",
+        "lingering_bytes",
         "listener",
         "must_close",
         "progress_at_ms",
@@ -93,8 +101,9 @@
         self.is_charged = False
         self.is_closed = False
         self.is_reading_paused = False
-        self.is_resumption_due = False
+        self.is_refused = False
         self.is_unread = False
+        self.lingering_bytes = 0
         self.must_close = False
         self.wait_started_at_ms = 0.0
 
@@ -113,6 +122,7 @@
         """Cancel the current request of a caller that has disconnected."""
         self.is_closed = True
         self.listener.connections.discard(self)
+        self.listener.turns.discard(self)
         self.queue.clear()
         self._drop_input()
         self.is_unread = False
@@ -153,7 +163,7 @@
 
     def usefulness(self) -> tuple[int, float]:
         """Return a key that orders connections without a request under way, useless ones first."""
-        if self.must_close:
+        if self.must_close or self.is_refused:
             return 0, self.wait_started_at_ms
         if self.is_unread:
             return 1, self.unread_since_ms
@@ -255,10 +265,14 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data, or keep it until the request before is answered."""
         if self.must_close or self.is_closed:
+            self._drop_lingering(len(data))
             return
         if self._is_busy():
             self.ahead = self.ahead[self.ahead_position :] + data
             self.ahead_position = 0
+        elif self.is_refused or self.listener.takes_turns:
+            self.ahead = data
+            self.listener.turns.add(self)
         else:
             self._parse(data)
         self._after_input()
@@ -273,13 +287,29 @@
         if self.ahead or self.is_reading_paused:
             self._update_reading()
 
-    def _parse(self, data: bytes, position: int = 0) -> None:
-        """Parse up to the end of a request and start it; keep the bytes after it."""
+    def _drop_lingering(self, size_bytes: int) -> None:
+        """Cut the connection of a caller that sends more after a refusal than a whole request."""
+        self.lingering_bytes += size_bytes
+        limits = self.listener.limits
+        if self.lingering_bytes > limits.header_bytes + limits.body_bytes:
+            self.abort()
+
+    def _parse(self, data: bytes, position: int = 0, turn_bytes: int = 0) -> None:
+        """Parse up to the end of a request and start it; keep the bytes after it.
+
+        Of a body in small chunks, only `turn_bytes` are parsed.
+        """
         if not self.reader.is_receiving:
             self.wait_started_at_ms = self.listener.loop.time() * 1000
         size_bytes = len(data)
+        turn_end = position + turn_bytes
         while position < size_bytes and not self.queue:
             end = self.reader.find_end(data, position)
+            if end > turn_end and self._has_small_chunks(data, position):
+                if position >= turn_end:
+                    self.listener.turns.add(self)
+                    break
+                end = turn_end
             try:
                 self.reader.feed(data[position:end], self.listener.limits)
             except RejectedRequestError as rejection:
@@ -290,6 +320,17 @@
             self.ahead, self.ahead_position = data, position
         self._start_next_request()
 
+    def _has_small_chunks(self, data: bytes, position: int) -> bool:
+        """Return whether the rest of the received bytes is a body whose parsing takes long."""
+        if not self.reader.is_receiving_chunks:
+            return False
+        # Faster than a count while lines are few, as in a body of large chunks.
+        for _ in range(SMALL_CHUNK_LINES):
+            position = data.find(b"\r", position) + 1
+            if not position:
+                return False
+        return True
+
     def _on_expect(self) -> None:
         if self.transport is not None and not self.queue:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -301,14 +342,12 @@
         self.queue.append((request, is_keep_alive))
 
     def _resume_soon(self) -> None:
-        if (self.queue or self.ahead) and not self.is_resumption_due:
-            self.is_resumption_due = True
-            self.listener.loop.call_soon(self._resume)
+        if self.queue or self.ahead:
+            self.listener.turns.add(self)
         self._after_input()
 
-    def _resume(self) -> None:
-        """Go on with the bytes that were received during the request before."""
-        self.is_resumption_due = False
+    def take_turn(self) -> None:
+        """Go on with received bytes that are not parsed yet."""
         if self.cancel_request is not None or self.is_unread or self.must_close or self.is_closed:
             return
         if self.queue:
@@ -316,7 +355,7 @@
         elif self.ahead:
             data, position = self.ahead, self.ahead_position
             self.ahead, self.ahead_position = b"", 0
-            self._parse(data, position)
+            self._parse(data, position, TURN_MAX_BYTES)
         self._after_input()
 
     # Answers
@@ -337,6 +376,7 @@
             cost_bytes = request_cost_bytes(request)
             if not buffers.reserve(cost_bytes):
                 self.listener.on_limit(CallerLimit.REQUESTS)
+                self.is_refused = True
                 self._answer(Answer(503, [], b"too many requests under way"), is_keep_alive)
                 return
             self.reserved_bytes = cost_bytes
@@ -355,6 +395,7 @@
             if is_answered:
                 return
             is_answered = True
+            self.is_refused = answer.status >= 400 and self.cancel_request is _do_nothing
             self._return_reserved()
             self._answer(answer, is_keep_alive and not request.is_http_10)
 
--- a/packages/wisteriarock/src/wisteriarock/http/listener.py
+++ b/packages/wisteriarock/src/wisteriarock/http/listener.py
@@ -10,6 +10,7 @@
 from .buffers import BufferBudget
 from .const import CLOSED_SHARE
 from .models import Answer, CallerRequest
+from .turns import TurnQueue
 
 if TYPE_CHECKING:
     from .front import CallerConnection
@@ -45,6 +46,10 @@
         Number of connections above which the least useful ones are closed; None for no limit.
     reads_round_trips : bool
         Whether each request states the round trip of its connection.
+    takes_turns : bool
+        Whether each request waits for its turn, not only those of refused connections.
+    turns : TurnQueue
+        Connections that wait for their turn.
     """
 
     __slots__ = (
@@ -58,6 +63,8 @@
         "on_bad_request",
         "on_limit",
         "reads_round_trips",
+        "takes_turns",
+        "turns",
     )
 
     def __init__(
@@ -78,6 +85,8 @@
         self.limits = Limits()
         self.closes_connections = False
         self.reads_round_trips = False
+        self.takes_turns = False
+        self.turns = TurnQueue(loop)
         self.connections: set[CallerConnection] = set()
 
     def close_least_useful(self) -> None:
--- a/packages/wisteriarock/src/wisteriarock/http/request_reader.py
+++ b/packages/wisteriarock/src/wisteriarock/http/request_reader.py
@@ -75,7 +75,7 @@
         self._loop = loop
         self._limits = Limits()
         self._parser: Any = httptools.HttpRequestParser(self)
-        self._rejected: RejectedRequestError | None = None
+        self._rejected: tuple[int, str] | None = None
         self._is_http_10 = False
         self._is_keep_alive = True
         self._clear()
@@ -92,9 +92,11 @@
         self.raw_bytes = 0
 
     def close(self) -> None:
-        """Drop the request and the parser, which refers back to this object."""
+        """Drop the request, and the parser and callbacks, which refer back to this object."""
         self._clear()
         self._parser = None
+        self.on_expect = _do_nothing
+        self.on_request = _ignore_request
         self.is_receiving = False
 
     @property
@@ -103,6 +105,11 @@
         objects_bytes = HEADER_COST_BYTES * len(self._headers)
         return self._kept_bytes + self.raw_bytes + objects_bytes + self.body_bytes
 
+    @property
+    def is_receiving_chunks(self) -> bool:
+        """Whether a body in chunks is being received, or its trailers."""
+        return self._is_head_complete and not self.length_bytes and self.is_receiving
+
     def find_end(self, data: bytes, position: int) -> int:
         """Return up to where to parse, so that hardly more than one request is complete.
 
@@ -127,19 +134,24 @@
         self.is_receiving = True
         # Parser callbacks reset it.
         self.raw_bytes += len(data)
+        is_too_large = self.raw_bytes > limits.header_bytes + HEAD_OVERHEAD_MAX_BYTES
+        if is_too_large and not self._is_head_complete and not data.endswith(_EMPTY_LINE):
+            raise RejectedRequestError(431, "request headers too large")
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             raise RejectedRequestError(400, "upgrade is not supported") from None
         except httptools.HttpParserError:
-            raise self._rejected or RejectedRequestError(400, "not a proper request") from None
+            status, reason = self._rejected or (400, "not a proper request")
+            raise RejectedRequestError(status, reason) from None
         if self.raw_bytes > limits.header_bytes + HEAD_OVERHEAD_MAX_BYTES and self.is_receiving:
             raise RejectedRequestError(431, "request headers too large")
 
     def _reject(self, status: int, reason: str) -> NoReturn:
-        # The parser replaces an exception of a callback by its own.
-        self._rejected = RejectedRequestError(status, reason)
-        raise self._rejected
+        # The parser replaces an exception of a callback by its own. The exception is not kept, as
+        # its traceback refers back to this object and to the received bytes.
+        self._rejected = status, reason
+        raise RejectedRequestError(status, reason)
 
     # Parser callbacks
 
@@ -209,3 +221,11 @@
         self._clear()
         self.is_receiving = False
         self.on_request(request, is_keep_alive)
+
+
+def _do_nothing() -> None:
+    """Do nothing: the connection is closed."""
+
+
+def _ignore_request(request: CallerRequest, is_keep_alive: bool) -> None:
+    """Ignore a request: the connection is closed."""
--- a/tests/wisteriaplatform/process_fixtures.py
+++ b/tests/wisteriaplatform/process_fixtures.py
@@ -37,6 +37,7 @@
 DESCRIPTOR_BOUND = DESCRIPTOR_LIMIT * 9 // 10
 # Small window, so that answers that are not read stay with the process.
 RECEIVE_BUFFER_BYTES = 4_096
+_CUSTOMER = {"name": "school", "api_keys": ["secret-1"], "priority": 0}
 _LISTENERS = ("front", "ready", "peer", "metrics")
 _RUN = (
     "import resource, sys; "
@@ -64,6 +65,27 @@
     is_half_closed: bool = False
 
 
+class Flood(NamedTuple):
+    """Callers that send one request after the other and read the start of each answer.
+
+    Attributes
+    ----------
+    requests : int
+        Number of requests of each caller.
+    is_new_each : bool
+        Whether each request has a connection of its own.
+    after : bytes
+        What a caller sends on once it has got an answer.
+    """
+
+    callers: int
+    requests: int
+    data: bytes
+    is_new_each: bool = False
+    after: bytes = b""
+    listener: str = "front"
+
+
 class InstanceProcess(NamedTuple):
     """A process of an instance with the ports of its listeners, and its endpoints.
 
@@ -122,11 +144,23 @@
     return configuration
 
 
+def _add_closed_route(configuration: dict[str, Any]) -> None:
+    """Add a route that needs the key of a customer."""
+    for route in configuration["routes"]:
+        route["public"] = True
+    closed = {"name": "closed", "prefix": "/closed/", "public": False}
+    configuration["routes"].append({**configuration["routes"][1], **closed})
+    configuration["tenants"] = [_CUSTOMER]
+
+
 @contextlib.asynccontextmanager
-async def instance_process(silent_shards: int = 0, **limits: int) -> AsyncIterator[InstanceProcess]:
+async def instance_process(
+    silent_shards: int = 0, *, needs_key: bool = False, **limits: int
+) -> AsyncIterator[InstanceProcess]:
     """Start a process with its store and endpoints; wait until it has answered a request.
 
-    With `silent_shards`, another fan-out has that many shards, whose endpoints never reply.
+    With `silent_shards`, another fan-out has that many shards, whose endpoints never reply. With
+    `needs_key`, another route is closed to callers without a key.
     """
     loop = asyncio.get_running_loop()
     store = StoreServer(loop)
@@ -140,7 +174,10 @@
             await endpoint.start()
             endpoints[endpoint.endpoint_id] = endpoint
             store.put(f"servers/{endpoint.endpoint_id}", endpoint.make_entry())
-    store.put("op/config", _make_configuration(silent, limits))
+    configuration = _make_configuration(silent, limits)
+    if needs_key:
+        _add_closed_route(configuration)
+    store.put("op/config", configuration)
     ports = free_ports(_LISTENERS)
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "settings.json"
@@ -221,3 +258,71 @@
         await asyncio.wait({sampling})
         assert running.process.poll() is None, "the process has ended"
         return _measure(process_id, highest)
+
+
+async def _send_each(port: int, flood: Flood) -> None:
+    """Send the requests of one caller of a flood; connect again when the process has closed."""
+    streams = None
+    for _ in range(flood.requests):
+        with contextlib.suppress(OSError):
+            streams = streams or await asyncio.open_connection("127.0.0.1", port)
+            streams[1].write(flood.data)
+            is_open = bool(await streams[0].read(65_536))
+            for _ in range(4 if flood.after else 0):
+                streams[1].write(flood.after)
+                await streams[1].drain()
+            if is_open and not flood.is_new_each:
+                continue
+        if streams is not None:
+            streams[1].transport.abort()
+            streams = None
+    if streams is not None:
+        streams[1].transport.abort()
+
+
+async def play_flood(running: InstanceProcess, flood: Flood) -> Usage:
+    """Play a flood beside ordinary requests, and one after it; return the highest usage."""
+    port = running.ports[flood.listener]
+    flooding = asyncio.gather(*(_send_each(port, flood) for _ in range(flood.callers)))
+    highest, during = Usage(0, 0), 0
+    while not flooding.done():
+        await answer_ordinary_request(running)
+        during += not flooding.done()
+        highest = _measure(running.process.pid, highest)
+    await flooding
+    assert during, "no ordinary request was answered during the flood"
+    await answer_ordinary_request(running)
+    return _measure(running.process.pid, highest)
+
+
+async def _send_slowly(port: int, start: bytes, piece: bytes) -> None:
+    """Send a request in small pieces until the process ends the connection."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    with contextlib.suppress(OSError):
+        writer.write(start)
+        answer = asyncio.create_task(reader.read())
+        while not answer.done():
+            writer.write(piece)
+            await asyncio.wait({answer}, timeout=0.1)
+        await answer
+    writer.transport.abort()
+
+
+async def play_slow_callers(running: InstanceProcess, requests: dict[bytes, bytes]) -> Usage:
+    """Let callers send pieces of requests until the process has ended all of their connections.
+
+    `requests` holds the first bytes and what follows them again and again.
+    """
+    port, sampled = running.ports["front"], Usage(0, 0)
+    callers = [
+        asyncio.create_task(_send_slowly(port, start, piece))
+        for start, piece in requests.items()
+        for _ in range(50)
+    ]
+    while not all(caller.done() for caller in callers):
+        await answer_ordinary_request(running)
+        sampled = _measure(running.process.pid, sampled)
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*callers)
+    await answer_ordinary_request(running)
+    return _measure(running.process.pid, sampled)
--- a/tests/wisteriaplatform/test_hostile_callers.py
+++ b/tests/wisteriaplatform/test_hostile_callers.py
@@ -11,9 +11,12 @@
     DESCRIPTOR_BOUND,
     MEMORY_BOUND_BYTES,
     Crowd,
+    Flood,
     Usage,
     instance_process,
     play_crowd,
+    play_flood,
+    play_slow_callers,
 )
 
 _HEAD = (
@@ -50,6 +53,11 @@
         _assert_bounded(await play_crowd(running, crowd))
 
 
+async def _withstands_flood(flood: Flood, *, needs_key: bool = False) -> None:
+    async with instance_process(needs_key=needs_key) as running:
+        _assert_bounded(await play_flood(running, flood))
+
+
 async def test_trailers_without_end():
     """Guards against a process that keeps all trailers of a request."""
     block = (b"X-Trailer: " + b"a" * 1_000 + b"\r\n") * 64
@@ -221,6 +229,69 @@
         _assert_bounded(await play_crowd(running, Crowd(450, _get("/wide/x"))))
 
 
+async def test_flood_of_requests_without_a_route():
+    """Guards against ordinary callers that wait while others are refused."""
+    await _withstands_flood(Flood(100, 60, _get("/none")))
+
+
+async def test_flood_of_requests_with_an_unknown_key():
+    """Guards against ordinary callers that wait while others are refused."""
+    key = b"Authorization: Token unknown\r\n\r\n"
+    flood = Flood(100, 60, _get("/closed/x")[:-2] + key)
+    await _withstands_flood(flood, needs_key=True)
+
+
+async def test_flood_of_requests_sent_ahead_whose_answers_are_read():
+    """Guards against ordinary callers that wait while others are refused."""
+    await _withstands_flood(Flood(50, 60, _get("/none") * 20))
+
+
+async def test_flood_of_requests_sent_ahead_on_few_connections():
+    """Guards against ordinary callers that wait while others are refused."""
+    await _withstands_flood(Flood(3, 100, _get("/none") * 200))
+
+
+async def test_flood_of_new_connections():
+    """Guards against connections without end that each are refused once."""
+    await _withstands_flood(Flood(100, 40, _get("/none"), is_new_each=True))
+
+
+async def test_flood_of_heads_above_the_limit():
+    """Guards against rejected requests that stay in memory when their connections are closed."""
+    head = b"GET / HTTP/1.1\r\n" + b"aa:bb\r\n" * 3_000
+    await _withstands_flood(Flood(100, 40, head, is_new_each=True))
+
+
+async def test_flood_of_refused_bodies():
+    """Guards against refused bodies that are read without end, or stay in memory."""
+    head = _HEAD + b"Content-Length: 99999999\r\n\r\n"
+    body = b"b" * _BLOCK_BYTES
+    await _withstands_flood(Flood(50, 20, head + body, is_new_each=True, after=body))
+
+
+async def test_flood_of_bodies_in_small_chunks():
+    """Guards against ordinary callers that wait while bodies in small chunks are parsed."""
+    body = _chunked_body(1) + b"0\r\n\r\n"
+    await _withstands_flood(Flood(100, 3, _CHUNKED.replace(b"/book/1", b"/none") + body))
+
+
+async def test_flood_of_dumps_at_the_metrics_address():
+    """Guards against ordinary callers that wait for dumps."""
+    await _withstands_flood(Flood(20, 20, _get("/dump"), listener="metrics"))
+
+
+async def test_slow_heads_bodies_and_trailers():
+    """Guards against requests that arrive piece by piece and never end."""
+    requests = {
+        b"GET /lookup/x HTTP/1.1\r\nx: ": b"y",
+        _HEAD + b"Content-Length: 16000\r\n\r\n": b"b",
+        _CHUNKED: b"1\r\nb\r\n",
+        _BEFORE_TRAILERS: b"a:b\r\n",
+    }
+    async with instance_process() as running:
+        _assert_bounded(await play_slow_callers(running, requests))
+
+
 async def test_single_request_at_the_limits_is_served():
     """Guards against bounds that refuse a caller within the limits of the configuration."""
     padding = b"x: %b\r\n"
--- a/tests/wisteriarock/http/test_front.py
+++ b/tests/wisteriarock/http/test_front.py
@@ -1,15 +1,20 @@
 """Tests of the flow control of callers' connections, without sockets."""
 
 import asyncio
+import gc
 from collections.abc import Callable
 from typing import Any
 
 from wisteriarock.http.buffers import BufferBudget
+from wisteriarock.http.const import TURN_MAX_BYTES, TURNS_PER_ITERATION, UNREAD_ANSWER_MAX_MS
 from wisteriarock.http.front import Answer, CallerConnection, CallerRequest, ListenerState
+from wisteriarock.http.request_reader import RequestReader
 
 from tests.common import function_suite
 
 GET = b"GET /%d HTTP/1.1\r\n\r\n"
+CHUNKED = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+SMALL_CHUNKS = CHUNKED + b"1\r\nb\r\n" * 10_000
 HALF = b"POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + b"b" * 17_000
 
 
@@ -121,6 +126,23 @@
     assert transport.is_aborted
 
 
+async def test_caller_that_reads_slowly_is_closed():
+    """Guards against an answer that is read so slowly that it is kept for hours."""
+    caller = _Caller(BufferBudget(1_000_000, 1_000_000))
+    connection, transport = caller.connect()
+    transport.is_reading_answers = False
+    connection.data_received(GET % 1)
+    caller.responds[0](Answer(200, [], b"x" * 1_000))
+    now_ms = asyncio.get_running_loop().time() * 1000
+    for second in range(1, 60):
+        transport.sent = transport.sent[1:]
+        connection.check_timeouts(now_ms + 1_000 * second)
+        assert not transport.is_aborted
+    transport.sent = transport.sent[1:]
+    connection.check_timeouts(now_ms + UNREAD_ANSWER_MAX_MS + 100)
+    assert transport.is_aborted
+
+
 async def test_request_above_the_memory_is_refused_and_not_started():
     """Guards against a refusal of a request that has run."""
     caller = _Caller(BufferBudget(1_000_000, 6_000))
@@ -132,6 +154,7 @@
     assert transport.sent.startswith(b"HTTP/1.1 503 ")
     caller.responds[0](Answer(200, [], b""))
     second.data_received(GET % 3)
+    await _turns()
     assert [request.target for request in caller.started] == [b"/1", b"/3"]
 
 
@@ -166,4 +189,124 @@
     assert len(caller.listener.connections) == 3
 
 
+def _refuse(caller: _Caller) -> list[bytes]:
+    """Let the listener refuse each request at once; return the targets of those it handled."""
+    handled: list[bytes] = []
+
+    def handle(request: CallerRequest, respond: Any) -> Callable[[], None]:
+        handled.append(request.target)
+        respond(Answer(404, [], b"no route"))
+        return lambda: None
+
+    caller.listener.handle = handle
+    return handled
+
+
+async def test_requests_sent_ahead_take_turns():
+    """Guards against ordinary callers that wait for a request of each connection that sends ahead.
+
+    An ordinary request takes several iterations of the event loop.
+    """
+    caller = _Caller(BufferBudget(10_000_000, 1_000_000))
+    handled = _refuse(caller)
+    for _ in range(50):
+        caller.connect()[0].data_received(b"".join(GET % number for number in range(20)))
+    before = len(handled)
+    for _ in range(10):
+        await asyncio.sleep(0)
+    assert 0 < len(handled) - before <= 10 * TURNS_PER_ITERATION
+    while len(handled) < 50 * 20:
+        await asyncio.sleep(0)
+    # Each connection had its turn as often as the others.
+    assert handled[50 * 19 :] == [b"/19"] * 50
+
+
+async def test_requests_after_a_refusal_take_turns():
+    """Guards against a flood of requests without a route that read their answers."""
+    caller = _Caller(BufferBudget(1_000_000, 1_000_000))
+    handled = _refuse(caller)
+    connections = [caller.connect()[0] for _ in range(50)]
+    for number in range(2):
+        for connection in connections:
+            connection.data_received(GET % number)
+    assert handled == [b"/0"] * 50
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert 0 < handled.count(b"/1") <= 2 * TURNS_PER_ITERATION
+    ordinary, _ = caller.connect()
+    ordinary.data_received(GET % 2)
+    assert handled[-1] == b"/2"
+
+
+async def test_small_chunks_take_turns():
+    """Guards against an iteration of the event loop that parses small chunks of all connections."""
+    caller = _Caller(BufferBudget(10_000_000, 1_000_000))
+    connections = [caller.connect()[0] for _ in range(20)]
+    for connection in connections:
+        connection.data_received(SMALL_CHUNKS)
+    for iteration in range(1, 40):
+        await asyncio.sleep(0)
+        parsed_bytes = sum(connection.reader.body_bytes for connection in connections)
+        # Six bytes for each byte of a body.
+        turn_bytes = TURN_MAX_BYTES // 6 + 1
+        assert 0 < parsed_bytes <= iteration * TURNS_PER_ITERATION * turn_bytes
+    for connection in connections:
+        connection.data_received(b"0\r\n\r\n")
+    while len(caller.started) < 20:
+        await asyncio.sleep(0)
+    assert {request.body for request in caller.started} == {b"b" * 10_000}
+
+
+async def test_large_chunks_need_no_turn():
+    """Guards against a calm caller whose body is delayed."""
+    caller = _Caller(BufferBudget(1_000_000, 1_000_000))
+    connection, _ = caller.connect()
+    connection.data_received(CHUNKED + b"fa0\r\n" + b"b" * 4_000 + b"\r\n0\r\n\r\n")
+    assert [len(request.body) for request in caller.started] == [4_000]
+
+
+async def test_bytes_after_a_refusal_are_bounded():
+    """Guards against a refused caller that keeps the process reading."""
+    caller = _Caller(BufferBudget(1_000_000, 1_000_000))
+    limits = caller.listener.limits
+    connection, transport = caller.connect()
+    connection.data_received(
+        b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (limits.body_bytes + 1)
+    )
+    assert transport.sent.startswith(b"HTTP/1.1 413 ")
+    connection.data_received(b"b" * limits.body_bytes)
+    assert not transport.is_aborted
+    connection.data_received(b"b" * (limits.header_bytes + 1))
+    assert transport.is_aborted
+
+
+async def test_refused_connection_is_closed_before_idle_ones():
+    """Guards against ordinary callers that lose their connections to a flood of refused ones."""
+    caller = _Caller(BufferBudget(1_000_000, 1_000_000), max_connections=2)
+    _, idle_transport = caller.connect()
+    _refuse(caller)
+    refused, refused_transport = caller.connect()
+    refused.data_received(GET % 1)
+    caller.connect()
+    assert refused_transport.is_aborted and not idle_transport.is_aborted
+
+
+async def test_rejected_connection_leaves_no_cycle():
+    """Guards against rejected requests that stay in memory until the next garbage collection."""
+    caller = _Caller(BufferBudget(1_000_000, 1_000_000))
+    gc.collect()
+    gc.disable()
+    try:
+        for data in (b"GET / HTTP/1.1\r\n" + b"a:b\r\n" * 20_000 + b"\r\n", b"none\r\n\r\n"):
+            connection, transport = caller.connect()
+            connection.data_received(data)
+            assert transport.sent
+            connection.connection_lost(None)
+            transport.protocol = None
+            del connection, transport
+        assert not [each for each in gc.get_objects() if isinstance(each, RequestReader)]
+    finally:
+        gc.enable()
+
+
 load_tests = function_suite(globals())
