Count unread answers of wisteriarockd's callers

An answer that nobody reads was kept whole, up to caller_timeout_ms, and not counted. It now counts towards max_buffered_mb while the transport is above its high-water mark. Requests sent ahead take turns, as at the platform's listeners, and a closed connection drops its last request, which referred back to it.

The two new floods of tests.wisteriarock.test_hostile_callers passed before as well.

--- a/packages/wisteriarock/src/wisteriarock/api/protocol.py
+++ b/packages/wisteriarock/src/wisteriarock/api/protocol.py
@@ -9,6 +9,7 @@
 
 from wisteriarock.http.buffers import BufferBudget
 from wisteriarock.http.const import COUNTED_MIN_BYTES
+from wisteriarock.http.turns import TurnQueue
 
 # Maximum size of a head, and of the trailers of a body.
 HEAD_MAX_BYTES = 64 * 1024
@@ -58,6 +59,7 @@
     BoundedProtocol.max_connections = max_connections
     BoundedProtocol.timeout_s = timeout_s
     BoundedProtocol.on_limit = staticmethod(on_limit)
+    BoundedProtocol.turns = None
     return BoundedProtocol
 
 
@@ -65,13 +67,15 @@
     """uvicorn's protocol, which by itself bounds neither heads, trailers nor requests sent ahead.
 
     A request is parsed once the request before it has been answered; a caller that sends more is
-    not read. Connections of callers that exceed a bound are closed, which promises nothing.
+    not read, and its requests take turns with those of others that do. Connections of callers that
+    exceed a bound are closed, which promises nothing.
     """
 
     budget: BufferBudget
     max_connections: int
     timeout_s: float
     on_limit: Callable[[str], None]
+    turns: TurnQueue | None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Register the connection; close idle ones if there are too many."""
@@ -84,7 +88,8 @@
         self._unsent_bytes = 0
         self._waiting_since_s = self.loop.time()
         self._check_timer = self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeout)
-        self._is_parsing_due = False
+        if self.turns is None:
+            type(self).turns = TurnQueue(self.loop)
         if len(self.connections) > self.max_connections:
             self._close_idle()
 
@@ -95,6 +100,10 @@
         self._ahead.clear()
         self.pipeline.clear()
         self.budget.release(self)
+        assert self.turns is not None
+        self.turns.discard(self)
+        # It refers back to the connection, which would stay until the next garbage collection.
+        self.cycle = None  # type: ignore[assignment]
 
     def _close_idle(self) -> None:
         """Close the connection that has been idle the longest, or the new one."""
@@ -120,7 +129,9 @@
         is_request_running = self._is_busy() and not unsent_bytes
         if is_request_running or unsent_bytes != self._unsent_bytes:
             self._waiting_since_s = now_s
-        self._unsent_bytes = unsent_bytes
+        if unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._count_memory()
         is_waiting = self._is_receiving or unsent_bytes or self.cycle is None
         if is_waiting and now_s - self._waiting_since_s > self.timeout_s:
             self.on_limit("timeout")
@@ -141,7 +152,6 @@
         self._parse_ahead()
 
     def _parse_ahead(self) -> None:
-        self._is_parsing_due = False
         position = 0
         while position < len(self._ahead) and not self._must_wait():
             if not self._is_receiving:
@@ -164,7 +174,13 @@
             self.transport.abort()
         elif self._ahead:
             self.flow.pause_reading()
+        self._count_memory()
+
+    def _count_memory(self) -> None:
+        """Count what the connection holds: received bytes, and answers that are not read."""
         held_bytes = len(self._ahead) + self._body_bytes + self._head_bytes
+        if self.flow.write_paused:
+            held_bytes += self.transport.get_write_buffer_size()
         if held_bytes >= COUNTED_MIN_BYTES:
             self.budget.charge(self, held_bytes)
         else:
@@ -175,9 +191,13 @@
         return is_closing or self._is_busy() or self.flow.write_paused
 
     def _parse_soon(self) -> None:
-        if self._ahead and not self._is_parsing_due:
-            self._is_parsing_due = True
-            self.loop.call_soon(self._parse_ahead)
+        if self._ahead:
+            assert self.turns is not None
+            self.turns.add(self)
+
+    def take_turn(self) -> None:
+        """Go on with the bytes that were received during the request before."""
+        self._parse_ahead()
 
     # Parser callbacks
 
@@ -221,13 +241,19 @@
         """Go on with the bytes that were received meanwhile."""
         super().on_response_complete()
         self._body_bytes = 0
-        self.budget.release(self)
+        self._count_memory()
         self._waiting_since_s = self.loop.time()
         self._parse_soon()
 
+    def pause_writing(self) -> None:
+        """Count an answer that is not read."""
+        super().pause_writing()
+        self._count_memory()
+
     def resume_writing(self) -> None:
         """Go on with the bytes that were received meanwhile."""
         super().resume_writing()
+        self._count_memory()
         self._parse_soon()
 
 
--- a/tests/wisteriarock/test_hostile_callers.py
+++ b/tests/wisteriarock/test_hostile_callers.py
@@ -14,10 +14,13 @@
 from tests.common import function_suite
 from tests.wisteriaplatform.process_fixtures import (
     Crowd,
+    Flood,
     InstanceProcess,
+    Usage,
     answer_ordinary_request,
     free_ports,
     play_crowd,
+    play_flood,
 )
 
 # An idle process takes 65 MB; a tenth of the limits is to spare.
@@ -74,11 +77,19 @@
             yield running
 
 
+def _assert_bounded(usage: Usage) -> None:
+    assert usage.memory_bytes <= MEMORY_LIMIT_MB * 1_000_000 * 9 // 10, usage
+    assert usage.descriptors <= DESCRIPTOR_LIMIT * 9 // 10, usage
+
+
 async def _withstands(crowd: Crowd) -> None:
     async with _instance_process() as running:
-        usage = await play_crowd(running, crowd)
-        assert usage.memory_bytes <= MEMORY_LIMIT_MB * 1_000_000 * 9 // 10, usage
-        assert usage.descriptors <= DESCRIPTOR_LIMIT * 9 // 10, usage
+        _assert_bounded(await play_crowd(running, crowd))
+
+
+async def _withstands_flood(flood: Flood) -> None:
+    async with _instance_process() as running:
+        _assert_bounded(await play_flood(running, flood))
 
 
 async def test_trailers_without_end() -> None:
@@ -124,4 +135,15 @@
     await _withstands(Crowd(900, b""))
 
 
+async def test_flood_of_headers_above_the_limit() -> None:
+    """Guards against rejected requests that stay in memory when their connections are closed."""
+    head = b"GET / HTTP/1.1\r\n" + _TRAILERS * 2
+    await _withstands_flood(Flood(50, 40, head, is_new_each=True))
+
+
+async def test_flood_of_requests_without_a_route() -> None:
+    """Guards against ordinary callers that wait while others are refused."""
+    await _withstands_flood(Flood(50, 40, _LIVE.replace(b"livez", b"none") * 20))
+
+
 load_tests = function_suite(globals())
