Learn the usual load per service and overrule false reports

Cause: an old report stood for the usual load of its endpoint alone. One that reports to be idle drew the legs of all instances for good, and an instance with a report of each endpoint in 20 s took the endpoints that it knew nothing of for idle, also in a zone that was full. A reply that took a multiple of what the report explains counted as chance, so that each instance found out about a slow endpoint again and again.

Change: three quarters of the usual load are those of the service, from the reports of any of its endpoints by age. A reply that takes three times as long as explained beyond the longest pause, or a second one to a leg sent after the first, contradicts the report: the observed ratio counts in full at once and lasts 5 instead of 3 s, until a reply shows better. An unanswered leg counts as stalled after 1.3 instead of 2 times the expected latency where load or speed are known. Choices of a contradicted endpoint have a source of their own in `leg_choices`.

--- a/packages/wisteriarock/src/wisteriarock/balancing/const.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/const.py
@@ -43,6 +43,10 @@
 # Random share of the expected latency if the estimate knows the load or the speed of endpoints: the
 # news of each instance is of another age, which spreads the choices as well.
 EVEN_JITTER_SHARE = 0.1
+# The same as `STALL_LATENCY_FACTOR` and `STALL_MIN_MS` if the estimate knows the load or the speed:
+# an endpoint that has slowed down for some hundreds of milliseconds is avoided for the rest of it.
+EVEN_STALL_LATENCY_FACTOR = 1.3
+EVEN_STALL_MIN_MS = 15.0
 # Endpoints of a service that are compared for a leg, drawn at random from a larger service, so that
 # many instances do not agree on the best one. It also bounds the time that a choice takes.
 EVEN_CANDIDATES_MAX = 8
@@ -55,6 +59,11 @@
 LOAD_WEIGHT = 0.1
 USUAL_LOAD_SHARE = 0.5
 USUAL_LOAD_DECAY_MS = 10_000.0
+# Part of the usual load that is the one of the whole service; the rest is the endpoint's own, which
+# would draw the legs of all instances by what it has said long ago.
+SERVICE_LOAD_PART = 0.75
+# Time constant with which the usual load of a service forgets, where reports are few.
+SERVICE_LOAD_MEMORY_MS = 3_000.0
 # Time constant with which a reported pace decays (to 1/e) towards the usual pace.
 PACE_DECAY_MS = 250.0
 # Multiple of the usual pace above which the reported one decays with `OBSERVATION_DECAY_MS`.
@@ -75,3 +84,10 @@
 SPEED_SAMPLE_MAX = 3.0
 SPEED_MIN = 0.5
 SPEED_MAX = 2.0
+# Multiple of the latency that speed and report lead to expect, beyond a pause, from which a reply
+# contradicts them: work differs by half from request to request, so that chance does it rarely.
+CONTRADICTION_RATIO = 3.0
+# Longest pause of an endpoint, which says nothing about the legs after it.
+PAUSE_MAX_MS = 250.0
+# Time constant with which the observations of a contradicted endpoint decay (to 1/e).
+CONTRADICTED_DECAY_MS = 5_000.0
--- a/packages/wisteriarock/src/wisteriarock/balancing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/decide.py
@@ -9,10 +9,13 @@
 from .const import (
     COLD_FACTOR,
     CONNECT_PENALTY_MS,
+    CONTRADICTED_DECAY_MS,
     CROSS_ZONE_PENALTY_MS,
     ERROR_PENALTY_FACTOR,
     EVEN_CANDIDATES_MAX,
     EVEN_JITTER_SHARE,
+    EVEN_STALL_LATENCY_FACTOR,
+    EVEN_STALL_MIN_MS,
     JITTER_SHARE,
     LOST_ZONE_UNREACHABLE_SHARE,
     OBSERVATION_DECAY_MS,
@@ -28,11 +31,11 @@
 from .load import (
     expected_load,
     expected_pace,
-    learn_speed,
-    observation_weight,
+    explain_ms,
+    observe_unexplained,
     record_report,
+    share_service_load,
     trouble_ratio,
-    unexplained_ratio,
 )
 from .models import Endpoint, LoadReport
 
@@ -61,12 +64,16 @@
     With `is_even`, or if the endpoint reports its load, lasting speed, pace and trouble are kept
     apart; otherwise the observed ratio of latencies stands for all of them.
     """
-    weight = math.exp((endpoint.observed_at_ms - now_ms) / OBSERVATION_DECAY_MS)
+    decay_ms = CONTRADICTED_DECAY_MS if endpoint.is_contradicted else OBSERVATION_DECAY_MS
+    weight = math.exp((endpoint.observed_at_ms - now_ms) / decay_ms)
     ratio = 1.0 + (endpoint.slow_ratio - 1.0) * weight
     jitter_share = JITTER_SHARE
+    stall_factor, stall_min_ms = STALL_LATENCY_FACTOR, STALL_MIN_MS
     if is_even or endpoint.load is not None:
-        ratio = endpoint.speed_ratio * expected_pace(endpoint, now_ms) * trouble_ratio(ratio)
+        ratio = trouble_ratio(endpoint, ratio)
+        ratio *= endpoint.speed_ratio * expected_pace(endpoint, now_ms)
         jitter_share = EVEN_JITTER_SHARE
+        stall_factor, stall_min_ms = EVEN_STALL_LATENCY_FACTOR, EVEN_STALL_MIN_MS
     if endpoint.cold_until_ms > now_ms:
         ratio *= COLD_FACTOR
     cost = expected_ms * ratio * (1.0 + expected_load(endpoint, expected_ms, now_ms))
@@ -75,7 +82,7 @@
     if endpoint.error_rate:
         cost += expected_ms * ERROR_PENALTY_FACTOR * endpoint.error_rate * weight
     silent_ms = silence_ms(endpoint, now_ms)
-    if silent_ms > STALL_MIN_MS and silent_ms > STALL_LATENCY_FACTOR * expected_ms * ratio:
+    if silent_ms > stall_min_ms and silent_ms > stall_factor * expected_ms * ratio:
         cost += expected_ms * STALL_PENALTY_FACTOR
     return cost + expected_ms * jitter_share * rng.random()
 
@@ -106,6 +113,8 @@
     for endpoint in candidates:
         if not _is_usable(endpoint, excluded, now_ms):
             continue
+        if endpoint.service_load is None:
+            share_service_load(endpoints)
         cost = estimate_cost_ms(endpoint, zone, expected_ms, now_ms, rng, is_even=is_even)
         if not has_idle_connection(endpoint):
             cost += CONNECT_PENALTY_MS
@@ -126,7 +135,8 @@
 
 
 def _decay_observations(endpoint: Endpoint, now_ms: float) -> None:
-    weight = math.exp((endpoint.observed_at_ms - now_ms) / OBSERVATION_DECAY_MS)
+    decay_ms = CONTRADICTED_DECAY_MS if endpoint.is_contradicted else OBSERVATION_DECAY_MS
+    weight = math.exp((endpoint.observed_at_ms - now_ms) / decay_ms)
     endpoint.slow_ratio = 1.0 + (endpoint.slow_ratio - 1.0) * weight
     endpoint.error_rate *= weight
     endpoint.observed_at_ms = now_ms
@@ -146,20 +156,20 @@
     """Record a reply and its load report; an error does not count towards the latency."""
     if report is not None:
         record_report(endpoint, report, now_ms, counts_replied=has_run)
-    gap_ms = now_ms - endpoint.observed_at_ms
+    observed_at_ms = endpoint.observed_at_ms
     _decay_observations(endpoint, now_ms)
     endpoint.last_reply_at_ms = now_ms
     mark_reachable(endpoint)
     endpoint.error_rate += OBSERVATION_WEIGHT * ((1.0 if is_error else 0.0) - endpoint.error_rate)
-    if not is_error and expected_ms > 0:
+    if is_error or expected_ms <= 0:
+        return
+    if is_even or endpoint.load is not None:
+        explained_ms = explain_ms(endpoint, expected_ms, report)
+        gap_ms = now_ms - observed_at_ms
+        observe_unexplained(endpoint, elapsed_ms, explained_ms, gap_ms, now_ms)
+    else:
         ratio = elapsed_ms / expected_ms
-        weight = OBSERVATION_WEIGHT
-        if is_even or endpoint.load is not None:
-            ratio = unexplained_ratio(endpoint, elapsed_ms, expected_ms, report)
-            if endpoint.cold_until_ms <= now_ms:
-                learn_speed(endpoint, ratio)
-            weight = observation_weight(gap_ms)
-        endpoint.slow_ratio += weight * (ratio - endpoint.slow_ratio)
+        endpoint.slow_ratio += OBSERVATION_WEIGHT * (ratio - endpoint.slow_ratio)
 
 
 def observe_incomplete_reply(endpoint: Endpoint, now_ms: float) -> None:
--- a/packages/wisteriarock/src/wisteriarock/balancing/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/diagnostics.py
@@ -10,6 +10,8 @@
     """Return what the load of a chosen endpoint was estimated from."""
     if endpoint.load is None:
         return "observation"
+    if endpoint.is_contradicted:
+        return "contradicted"
     return "report" if has_recent_report(endpoint, now_ms) else "old_report"
 
 
@@ -18,6 +20,7 @@
     report = endpoint.load
     if report is None:
         return None
+    shared = endpoint.service_load
     return {
         "running": report.running,
         "waiting": report.waiting,
@@ -25,6 +28,8 @@
         "pace": round(report.pace, 2),
         "usual_pace": round(endpoint.usual_pace, 2),
         "age_ms": round(now_ms - endpoint.load_at_ms),
+        "is_contradicted": endpoint.is_contradicted,
+        "service_per_slot": round(shared.per_slot, 2) if shared is not None else 0.0,
     }
 
 
--- a/packages/wisteriarock/src/wisteriarock/balancing/load.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/load.py
@@ -1,9 +1,11 @@
 """Estimate of the load of an endpoint from its last report and what was sent since."""
 
 import math
+from collections.abc import Sequence
 
 from .const import (
     CHANCE_RATIO,
+    CONTRADICTION_RATIO,
     FIRST_PACE_WEIGHT,
     LOAD_WEIGHT,
     OBSERVATION_DECAY_MS,
@@ -12,9 +14,12 @@
     PACE_FAULT_RATIO,
     PACE_MAX,
     PACE_MIN,
+    PAUSE_MAX_MS,
     QUEUE_DECAY_FACTOR,
     REPORT_MAX_AGE_MS,
     REPORTED_LOAD_MAX_PER_SLOT,
+    SERVICE_LOAD_MEMORY_MS,
+    SERVICE_LOAD_PART,
     SPEED_MAX,
     SPEED_MIN,
     SPEED_SAMPLE_MAX,
@@ -23,7 +28,7 @@
     USUAL_LOAD_DECAY_MS,
     USUAL_LOAD_SHARE,
 )
-from .models import Endpoint, LoadReport
+from .models import Endpoint, LoadReport, ServiceLoad
 
 
 def record_report(
@@ -41,11 +46,24 @@
     running = min(running, load_max)
     weight = FIRST_PACE_WEIGHT if endpoint.load is None else SPEED_WEIGHT
     endpoint.usual_pace += weight * (min(pace, SPEED_MAX) - endpoint.usual_pace)
-    endpoint.usual_load += LOAD_WEIGHT * (min(running + waiting, slots) - endpoint.usual_load)
+    reported = min(running + waiting, slots)
+    endpoint.usual_load += LOAD_WEIGHT * (reported - endpoint.usual_load)
+    shared = endpoint.service_load
+    if shared is not None:
+        forgotten = 1.0 - math.exp((shared.reported_at_ms - now_ms) / SERVICE_LOAD_MEMORY_MS)
+        shared.per_slot += max(LOAD_WEIGHT, forgotten) * (reported / slots - shared.per_slot)
+        shared.reported_at_ms = now_ms
     endpoint.load = LoadReport(running, waiting, slots, pace)
     endpoint.load_at_ms = now_ms
 
 
+def share_service_load(endpoints: Sequence[Endpoint]) -> None:
+    """Let the endpoints of a service share its usual load."""
+    shared = next((each.service_load for each in endpoints if each.service_load), ServiceLoad())
+    for each in endpoints:
+        each.service_load = shared
+
+
 def limit_pace(pace: float) -> float:
     """Return a reported pace within the range that is taken for true."""
     return min(max(pace, PACE_MIN), PACE_MAX)
@@ -68,11 +86,21 @@
         return own / endpoint.slots
     age_ms = now_ms - endpoint.load_at_ms
     reported = report.running + report.waiting
-    queued_per_slot = max(0, reported - report.slots) / report.slots
-    decay_ms = max(1.0, expected_ms * (1.0 + QUEUE_DECAY_FACTOR * queued_per_slot))
-    usual = USUAL_LOAD_SHARE * endpoint.usual_load * math.exp(-age_ms / USUAL_LOAD_DECAY_MS)
+    slots = report.slots
+    decay_ms = expected_ms if expected_ms > 1.0 else 1.0
+    if reported > slots:
+        decay_ms *= 1.0 + QUEUE_DECAY_FACTOR * (reported - slots) / slots
+    usual = endpoint.usual_load
+    usual_age_ms = age_ms
+    shared = endpoint.service_load
+    if shared is not None:
+        usual_age_ms = now_ms - shared.reported_at_ms
+        usual += SERVICE_LOAD_PART * (shared.per_slot * slots - usual)
+    usual *= USUAL_LOAD_SHARE * math.exp(-usual_age_ms / USUAL_LOAD_DECAY_MS)
     remaining = usual + (reported - usual) * math.exp(-age_ms / decay_ms)
-    return max(remaining + _count_sent_since(endpoint, endpoint.load_at_ms), own) / report.slots
+    if own:
+        remaining = max(remaining + _count_sent_since(endpoint, endpoint.load_at_ms), own)
+    return remaining / slots
 
 
 def _count_sent_since(endpoint: Endpoint, since_ms: float) -> int:
@@ -99,27 +127,59 @@
     return usual + (report.pace - usual) * math.exp((endpoint.load_at_ms - now_ms) / decay_ms)
 
 
-def trouble_ratio(slow_ratio: float) -> float:
+def trouble_ratio(endpoint: Endpoint, slow_ratio: float) -> float:
     """Return the part of the observed ratio of latencies that is not left to chance.
 
     Latencies differ from request to request. Only an endpoint that takes a multiple of the expected
     time is in trouble, whatever it reports.
     """
-    return max(1.0, slow_ratio - CHANCE_RATIO)
-
+    return slow_ratio if endpoint.is_contradicted else max(1.0, slow_ratio - CHANCE_RATIO)
 
-def unexplained_ratio(
-    endpoint: Endpoint, elapsed_ms: float, expected_ms: float, report: LoadReport | None
-) -> float:
-    """Return the ratio of an observed latency to the one that speed and report lead to expect.
 
-    It is cut off, as a pause is over by the time of the reply and says little about the next leg.
-    """
+def explain_ms(endpoint: Endpoint, expected_ms: float, report: LoadReport | None) -> float:
+    """Return the latency that the speed of an endpoint and the report of a reply lead to expect."""
     explained = endpoint.speed_ratio
     if report is not None:
         waiting = min(report.waiting / endpoint.slots, REPORTED_LOAD_MAX_PER_SLOT)
         explained *= limit_pace(report.pace) * (1.0 + waiting)
-    return min(elapsed_ms / (expected_ms * explained), UNEXPLAINED_MAX)
+    return expected_ms * explained
+
+
+def observe_unexplained(
+    endpoint: Endpoint, elapsed_ms: float, explained_ms: float, gap_ms: float, now_ms: float
+) -> None:
+    """Record an observed latency against the one that speed and report lead to expect.
+
+    The ratio is cut off, as a pause is over by the time of the reply and says little about the next
+    leg. A reply that takes much longer than a pause explains, or a second one to a leg sent after
+    the first, contradicts the report: it counts in full at once, until a reply shows better.
+    """
+    ratio = min(elapsed_ms / explained_ms, UNEXPLAINED_MAX)
+    is_slow = ratio >= CONTRADICTION_RATIO
+    if is_slow:
+        _note_slow_reply(endpoint, elapsed_ms, explained_ms, now_ms)
+    else:
+        endpoint.slow_reply_at_ms = None
+        if ratio <= 1.0 + CHANCE_RATIO:
+            endpoint.is_contradicted = False
+    if is_slow and endpoint.is_contradicted:
+        endpoint.slow_ratio = max(endpoint.slow_ratio, ratio)
+    else:
+        weight = observation_weight(gap_ms)
+        endpoint.slow_ratio += weight * (ratio - endpoint.slow_ratio)
+    if endpoint.cold_until_ms <= now_ms:
+        learn_speed(endpoint, ratio)
+
+
+def _note_slow_reply(
+    endpoint: Endpoint, elapsed_ms: float, explained_ms: float, now_ms: float
+) -> None:
+    first_at_ms = endpoint.slow_reply_at_ms
+    if first_at_ms is None:
+        endpoint.slow_reply_at_ms = now_ms
+    is_second = first_at_ms is not None and now_ms - elapsed_ms >= first_at_ms
+    if is_second or elapsed_ms - PAUSE_MAX_MS >= CONTRADICTION_RATIO * explained_ms:
+        endpoint.is_contradicted = True
 
 
 def observation_weight(gap_ms: float) -> float:
--- a/packages/wisteriarock/src/wisteriarock/balancing/models.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/models.py
@@ -1,5 +1,6 @@
 """Endpoint state as observed by this instance."""
 
+import math
 from typing import NamedTuple
 
 from wisteriarock.limits.endpoint_limit import EndpointLimit
@@ -26,6 +27,24 @@
     pace: float = 1.0
 
 
+class ServiceLoad:
+    """Usual load of the endpoints of a service, from the reports of any of them.
+
+    Attributes
+    ----------
+    per_slot : float
+        Moving average of the requests that endpoints report, per slot and at most 1.
+    reported_at_ms : float
+        Time of the last report.
+    """
+
+    __slots__ = ("per_slot", "reported_at_ms")
+
+    def __init__(self) -> None:
+        self.per_slot = 0.0
+        self.reported_at_ms = -math.inf
+
+
 class Endpoint:
     """An endpoint with its observed latency, failures and reachability.
 
@@ -43,6 +62,8 @@
         The rate limit of the endpoint while it is cold, None if it has none.
     has_said_leaving : bool
         Whether the endpoint itself has said that it leaves; its entry may not say so yet.
+    is_contradicted : bool
+        Whether its replies contradict what speed and report lead to expect; until one does not.
     is_evacuated : bool
         Whether an operator wants nothing sent to the endpoint's zone.
     is_zone_lost : bool
@@ -57,8 +78,12 @@
         Pause that the endpoint asked for.
     rate_limit : EndpointLimit or None
         The rate limit that the endpoint names in its replies, None if it names none.
+    slow_reply_at_ms : float or None
+        Time of the first reply that took much longer than expected since the last that did not.
     speed_ratio : float
         Lasting ratio of the work time of this endpoint to that of others; below 1 if it is faster.
+    service_load : ServiceLoad or None
+        Usual load of the service, shared by its endpoints; None until they are compared.
     silent_since_ms : float or None
         Send time of the first leg abandoned without a reply since the last reply.
     usual_load : float
@@ -77,6 +102,7 @@
         "has_said_leaving",
         "host",
         "in_flight",
+        "is_contradicted",
         "is_draining",
         "is_evacuated",
         "is_unreachable",
@@ -91,9 +117,11 @@
         "port",
         "rate_limit",
         "service",
+        "service_load",
         "silent_since_ms",
         "slots",
         "slow_ratio",
+        "slow_reply_at_ms",
         "speed_ratio",
         "usual_load",
         "usual_pace",
@@ -112,6 +140,7 @@
         self.started_at_unix_ms: int | None = None
         self.is_draining = False
         self.has_said_leaving = False
+        self.is_contradicted = False
         self.is_evacuated = False
         self.is_unreachable = False
         self.is_zone_lost = False
@@ -122,7 +151,9 @@
         self.load: LoadReport | None = None
         self.load_at_ms = 0.0
         self.in_flight: dict[int, float] = {}
+        self.service_load: ServiceLoad | None = None
         self.slow_ratio = 1.0
+        self.slow_reply_at_ms: float | None = None
         self.speed_ratio = 1.0
         self.usual_load = 0.0
         self.usual_pace = 1.0
--- a/tests/wisteriarock/balancing/crowd.py
+++ b/tests/wisteriarock/balancing/crowd.py
@@ -5,6 +5,8 @@
 
 import math
 import random
+import statistics
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
@@ -80,23 +82,29 @@
     ----------
     busiest_ratio : float
         Load of the busiest endpoint in a second over the mean of all, averaged over the seconds.
+    busiest_arrivals_ratio : float
+        The same for the requests that arrive in a second.
     overrun_share : float
         Share of requests that waited although another endpoint had a free slot.
     wait_mean_ms, wait_p99_ms, latency_mean_ms, latency_p99_ms : float
         Time that requests waited for a slot, and their latency.
     cross_zone_share : float
         Share of requests sent to another zone.
+    cross_zone_swing : float
+        Standard deviation of that share from second to second, without the first five.
     shares : list of float
         Share of the requests of each endpoint.
     """
 
     busiest_ratio: float
+    busiest_arrivals_ratio: float
     overrun_share: float
     wait_mean_ms: float
     wait_p99_ms: float
     latency_mean_ms: float
     latency_p99_ms: float
     cross_zone_share: float
+    cross_zone_swing: float
     shares: list[float]
 
 
@@ -123,7 +131,7 @@
         self.speed = load.speeds[number % len(load.speeds)]
         self.running = 0
         self.queue: list[Callable[[], None]] = []
-        self.arrivals = 0
+        self.arrivals: Counter[int] = Counter()
         self.load = load
         self._noise_offset_ms = rng.uniform(0.0, load.noise_ms)
         self._pause_offset_ms = rng.uniform(0.0, load.pause_interval_ms)
@@ -141,6 +149,13 @@
         is_slow = random.Random(self._noise_seed + period).random() < self.load.noise_share
         return self.load.noise_factor if is_slow else 1.0
 
+    def expected_ms(self, size_ms: float, now_ms: float) -> float:
+        """Return the time that a request of a size would take from now on."""
+        ahead = (self.running + len(self.queue)) / self.load.slots
+        work_ms = self.speed * self.pace(now_ms) * self.slowness(now_ms)
+        queued_ms = max(0.0, ahead - 1.0 + 1.0 / self.load.slots) * self.load.work_ms * work_ms
+        return size_ms * work_ms + self.pause_left_ms(now_ms) + queued_ms
+
     def pause_left_ms(self, now_ms: float) -> float:
         """Return the time until the end of a pause, 0 outside of one."""
         into_ms = (now_ms + self._pause_offset_ms) % self.load.pause_interval_ms
@@ -177,7 +192,9 @@
         self.expected_ms = [load.work_ms] * load.instances
         self.waits_ms: list[float] = []
         self.latencies_ms: list[float] = []
-        self.overruns = self.crossings = self.legs = 0
+        self.overruns = self.legs = 0
+        self.sent: Counter[int] = Counter()
+        self.crossings: Counter[int] = Counter()
         self.samples: list[list[float]] = []
 
     def run(self, duration_ms: float) -> Figures:
@@ -214,14 +231,16 @@
         leg = self.legs
         endpoint.in_flight[leg] = now_ms
         is_near = endpoint.zone == zone
-        self.crossings += not is_near
+        second = int(now_ms // WINDOW_MS)
+        self.sent[second] += 1
+        self.crossings[second] += not is_near
         one_way_ms = self.load.one_way_ms if is_near else self.load.cross_zone_ms
         sigma = self.load.work_spread
         size_ms = self.load.work_ms * self.rng.lognormvariate(-sigma * sigma / 2, sigma)
 
         def arrive() -> None:
             arrived_ms = self.loop.time() * 1000
-            server.arrivals += 1
+            server.arrivals[int(arrived_ms // WINDOW_MS)] += 1
             waits = server.running >= self.load.slots
             if waits and any(each.running < self.load.slots for each in self.servers):
                 self.overruns += 1
@@ -293,13 +312,18 @@
             if sum(loads):
                 ratios.append(max(loads) * len(loads) / sum(loads))
         legs = max(1, self.legs)
+        arrivals = [[each.arrivals[second] for each in self.servers] for second in self.sent]
+        arrivals_ratios = [max(each) * len(each) / sum(each) for each in arrivals if sum(each)]
+        cross_shares = [self.crossings[each] / self.sent[each] for each in self.sent if each >= 5]
         return Figures(
             sum(ratios) / max(1, len(ratios)),
+            statistics.fmean(arrivals_ratios),
             self.overruns / legs,
             sum(self.waits_ms) / legs,
             _quantile(self.waits_ms, 0.99),
             sum(self.latencies_ms) / legs,
             _quantile(self.latencies_ms, 0.99),
-            self.crossings / legs,
-            [each.arrivals / legs for each in self.servers],
+            self.crossings.total() / legs,
+            statistics.pstdev(cross_shares),
+            [each.arrivals.total() / legs for each in self.servers],
         )
