Let the soak play hostile callers and customers

New faults: callers outside the limits at one instance, in seven ways; a customer that sends far above its allotment; a key that is withdrawn and returns. All callers but those of probes have a key, and name a customer as none may. One endpoint of each service takes three times as long as the other.

New checks: each request at an endpoint names the customer of its key and carries no key, no key in force is refused, a withdrawn one opens nothing after the time for a change, the requests of a customer stay within its allotment summed over all endpoints, and each process keeps a tenth of its memory limit.

A copy of the programs that ignores allotments is found.

--- a/packages/standins/src/wisteriastandins/soak/callers.py
+++ b/packages/standins/src/wisteriastandins/soak/callers.py
@@ -7,9 +7,12 @@
 from wisteriastandins.users.response import read_response
 
 from .const import (
+    ALLOTTED_CALLERS,
+    ALLOTTED_CUSTOMER,
     CALLER_PAUSE_RANGE_S,
     CALLER_SLACK_MS,
     CALLER_TIMEOUT_MS,
+    CUSTOMERS,
     HOST,
     READY_FAILURE_LIMIT,
     READY_INTERVAL_S,
@@ -72,7 +75,8 @@
     return rng.choice(other_programs or programs)
 
 
-def _encode_request(kind: RequestKind, request_id: str, version: int) -> bytes:
+def _encode_request(kind: RequestKind, request_id: str, version: int, key: str) -> bytes:
+    """Return a proper request, which names a customer as no caller may."""
     path = {
         RequestKind.SEARCH: "/search/1",
         RequestKind.LOOKUP: "/lookup/1",
@@ -83,12 +87,16 @@
     length = f"Content-Length: {len(body)}\r\n" if body else ""
     head = (
         f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
-        f"Deadline-Ms: {CALLER_TIMEOUT_MS:.0f}\r\n{length}\r\n"
+        f"Deadline-Ms: {CALLER_TIMEOUT_MS:.0f}\r\n{_key_header(key)}Tenant: forged\r\n{length}\r\n"
     )
     return head.encode() + body
 
 
-def _encode_malformed_request(request_id: str, rng: random.Random) -> bytes:
+def _key_header(key: str) -> str:
+    return f"Authorization: Token {key}\r\n" if key else ""
+
+
+def _encode_malformed_request(request_id: str, rng: random.Random, key: str) -> bytes:
     """Return a malformed or smuggled request, which must not reach an endpoint."""
     hidden_request = f"POST /book/2 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n\r\n"
     variants = (
@@ -98,12 +106,25 @@
         "X-Long: " + "x" * 70_000 + "\r\n\r\n",
         f"Request-Id: {request_id}-2\r\n\r\n",
     )
-    head = f"POST /book/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+    head = (
+        f"POST /book/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+        f"{_key_header(key)}"
+    )
     return (head + rng.choice(variants)).encode()
 
 
 class Caller:
-    """Caller with at most one open connection."""
+    """Caller with at most one open connection.
+
+    Attributes
+    ----------
+    customer, key : str
+        Customer that it is of, and its key.
+    pause_range_s : tuple
+        Range of its pauses between two requests.
+    should_stop : bool
+        Whether it ends after the request under way.
+    """
 
     def __init__(
         self, number: int, seed: int, programs: list[Program], observations: Observations
@@ -113,6 +134,11 @@
         self.zone = ZONES[number % len(ZONES)]
         self.programs = programs
         self.observations = observations
+        is_allotted = number % ALLOTTED_CALLERS == 0
+        self.customer = ALLOTTED_CUSTOMER if is_allotted else next(iter(CUSTOMERS))
+        self.key = CUSTOMERS[self.customer][number // ALLOTTED_CALLERS % 2]
+        self.pause_range_s = CALLER_PAUSE_RANGE_S
+        self.should_stop = False
         self.request_count = 0
         self.program: Program | None = None
         self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -133,10 +159,10 @@
         return True
 
     async def run(self, get_newest_version: Callable[[], int]) -> None:
-        """Send requests one at a time until the task is cancelled."""
+        """Send requests one at a time until it should stop or the task is cancelled."""
         try:
-            while True:
-                await asyncio.sleep(self.rng.uniform(*CALLER_PAUSE_RANGE_S))
+            while not self.should_stop:
+                await asyncio.sleep(self.rng.uniform(*self.pause_range_s))
                 if self.streams is not None or await self._connect():
                     await self._send(get_newest_version())
         finally:
@@ -149,10 +175,11 @@
         request_id = f"r{self.number}-{self.request_count}"
         if self.rng.random() < MALFORMED_SHARE:
             self.observations.malformed_ids.update((request_id, f"{request_id}-2"))
-            data, kind = _encode_malformed_request(request_id, self.rng), None
+            data, kind = _encode_malformed_request(request_id, self.rng, self.key), None
         else:
             (kind,) = self.rng.choices(_REQUEST_KINDS, _KIND_WEIGHTS)
-            data = _encode_request(kind, request_id, version)
+            has_key = kind is not RequestKind.PROBE
+            data = _encode_request(kind, request_id, version, self.key if has_key else "")
             is_deadly_time = _now_ms() < self.observations.deadly_until_ms
             if kind is RequestKind.SEARCH and is_deadly_time and self.rng.random() < DEADLY_SHARE:
                 data = data.replace(b"/search/1", DEADLY_PATH.encode())
@@ -185,5 +212,7 @@
                 body,
                 version if kind is RequestKind.PROBE else 0,
                 has_disconnected,
+                self.customer if kind is not RequestKind.PROBE else "",
+                self.key if kind is not RequestKind.PROBE else "",
             )
             self.observations.attempts.append(attempt)
--- a/packages/standins/src/wisteriastandins/soak/const.py
+++ b/packages/standins/src/wisteriastandins/soak/const.py
@@ -46,6 +46,20 @@
 TOP_K = 5
 MIN_COVERAGE = 0.75
 HOST = "shop.example"
+# Customers with their keys, and the allotment of one: requests per second, burst, and the bound in
+# each window. One caller in `ALLOTTED_CALLERS` is of that customer.
+CUSTOMERS = {"school": ("school-1", "school-2"), "choir": ("choir-1", "choir-2")}
+ALLOTTED_CUSTOMER = "choir"
+ALLOTTED_CALLERS = 4
+ALLOTMENT_PER_S = 30.0
+ALLOTMENT_BURST = 20.0
+QUOTA_WINDOW_S = 5.0
+QUOTA_OVERSHOOT = 0.1
+QUOTA_SLACK = 20.0
+# Limits of each process; a tenth is to spare.
+MEMORY_LIMIT_MB = 96
+DESCRIPTOR_LIMIT = 1_024
+MEMORY_SHARE = 0.9
 ZONES = ("zone-a", "zone-b", "zone-c")
 SHARDS = tuple(f"shard-{number}" for number in range(6))
 # Set of shards after resharding.
--- a/packages/standins/src/wisteriastandins/soak/faults.py
+++ b/packages/standins/src/wisteriastandins/soak/faults.py
@@ -28,6 +28,8 @@
     SHARDS,
     ZONES,
 )
+from .customers import overuse_allotment, withdraw_key
+from .hostile import play_hostile_callers
 from .models import Disturbance, DrainingEndpoint, Fault, FaultKind, RateLimit
 from .programs import Program
 from .world import REPLICAS, SoakDeployment, add_endpoint, configure, register, remove_endpoint
@@ -459,6 +461,9 @@
     FaultKind.EVACUATE: evacuate,
     FaultKind.DEADLY_REQUESTS: _send_deadly_requests,
     FaultKind.LARGE_CHANGES: _pause_under_large_changes,
+    FaultKind.HOSTILE_CALLERS: play_hostile_callers,
+    FaultKind.HOT_CUSTOMER: overuse_allotment,
+    FaultKind.KEY_WITHDRAWN: withdraw_key,
     FaultKind.ENDPOINT_DRAIN: _replace_endpoint,
     FaultKind.ENDPOINT_MOVE: _reassign_address,
     FaultKind.CONFIGURE: _configure,
--- a/packages/standins/src/wisteriastandins/soak/models.py
+++ b/packages/standins/src/wisteriastandins/soak/models.py
@@ -44,6 +44,9 @@
     EVACUATE = "evacuate"
     DEADLY_REQUESTS = "deadly_requests"
     LARGE_CHANGES = "large_changes"
+    HOSTILE_CALLERS = "hostile_callers"
+    HOT_CUSTOMER = "hot_customer"
+    KEY_WITHDRAWN = "key_withdrawn"
     ENDPOINT_DRAIN = "endpoint_drain"
     ENDPOINT_MOVE = "endpoint_move"
     CONFIGURE = "configure"
@@ -77,6 +80,8 @@
         Version that added the route of a probe; 0 for other kinds.
     has_disconnected : bool
         Whether the caller disconnected before it got an answer.
+    customer, key : str
+        Customer of the caller and its key; empty for a request without a key.
     """
 
     request_id: str
@@ -89,10 +94,20 @@
     body: bytes
     expected_version: int = 0
     has_disconnected: bool = False
+    customer: str = ""
+    key: str = ""
 
 
 class Arrival(NamedTuple):
-    """A request that reached an endpoint; `stamp` is empty if it did not run."""
+    """A request that reached an endpoint; `stamp` is empty if it did not run.
+
+    Attributes
+    ----------
+    customer : str
+        Customers that the request names, separated by commas.
+    has_key : bool
+        Whether a key was passed on.
+    """
 
     at_ms: float
     request_id: str
@@ -101,6 +116,8 @@
     target: str
     body: bytes
     stamp: str
+    customer: str = ""
+    has_key: bool = False
 
 
 class ConfigurationVersion(NamedTuple):
@@ -199,6 +216,14 @@
     to_ms: float
 
 
+class KeyWithdrawal(NamedTuple):
+    """A period in which a key was withdrawn, from the store's confirmation until its return."""
+
+    key: str
+    confirmed_ms: float
+    to_ms: float
+
+
 class DeadlyEnd(NamedTuple):
     """The end of an endpoint under a request."""
 
@@ -224,6 +249,9 @@
         self.cold_periods: list[ColdPeriod] = []
         self.deadly_ends: list[DeadlyEnd] = []
         self.deadly_until_ms = 0.0
+        self.key_withdrawals: list[KeyWithdrawal] = []
+        self.hot_callers: list[int] = []
+        self.peak_memory_bytes: dict[int, int] = {}
         self.kill_all_times_ms: list[float] = []
         self.malformed_ids: set[str] = set()
         self.peak_connections: dict[str, int] = {}
--- a/packages/standins/src/wisteriastandins/soak/plan.py
+++ b/packages/standins/src/wisteriastandins/soak/plan.py
@@ -19,6 +19,8 @@
     FaultKind.RESHARD: 0.4,
     FaultKind.DEADLY_REQUESTS: 0.5,
     FaultKind.LARGE_CHANGES: 0.4,
+    FaultKind.HOT_CUSTOMER: 0.7,
+    FaultKind.KEY_WITHDRAWN: 0.7,
     FaultKind.CONFIGURE: 2.0,
     FaultKind.STOP: 2.0,
     FaultKind.STORE_FORGETS: 1.5,
--- a/packages/standins/src/wisteriastandins/soak/programs.py
+++ b/packages/standins/src/wisteriastandins/soak/programs.py
@@ -10,11 +10,16 @@
 from .const import (
     COLD_OVERSHOOT,
     COLD_SLACK,
+    DESCRIPTOR_LIMIT,
     DRAIN_GRACE_MS,
     EVACUATION_MS,
     EXTRA_FIXED,
     EXTRA_RATIO,
     EXTRA_WINDOW_S,
+    MEMORY_LIMIT_MB,
+    QUOTA_OVERSHOOT,
+    QUOTA_SLACK,
+    QUOTA_WINDOW_S,
     ZONES,
 )
 
@@ -64,6 +69,10 @@
             "evacuation_ms": EVACUATION_MS,
             "cold_overshoot": COLD_OVERSHOOT,
             "cold_slack": COLD_SLACK,
+            "quota_window_s": QUOTA_WINDOW_S,
+            "quota_overshoot": QUOTA_OVERSHOOT,
+            "quota_slack": QUOTA_SLACK,
+            "limits": {"memory_mb": MEMORY_LIMIT_MB, "max_fds": DESCRIPTOR_LIMIT},
         }
         self.settings_path.write_text(json.dumps(settings), encoding="utf-8")
 
@@ -99,6 +108,15 @@
         (caught,) = (line.split()[1] for line in status.splitlines() if line.startswith("SigCgt:"))
         return bool(int(caught, 16) >> (signal.SIGHUP - 1) & 1)
 
+    def peak_memory_bytes(self) -> int:
+        """Return the highest resident set of the process, or 0 if it does not run."""
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text() if self.process else ""
+        except OSError:
+            return 0
+        lines = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(lines[0]) * 1_024 if lines else 0
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it runs; SIGHUP only once it is handled."""
         if signal_number is signal.SIGHUP and not self.handles_signals():
--- a/packages/standins/src/wisteriastandins/soak/run.py
+++ b/packages/standins/src/wisteriastandins/soak/run.py
@@ -9,7 +9,9 @@
 from .callers import Caller, poll_readiness
 from .checks import check_timed, check_untimed
 from .const import STARTUP_TIMEOUT_S
+from .customers import check_allotments, check_customers, check_withdrawn_keys
 from .faults import inject_fault
+from .hostile import check_memory
 from .models import Fault, Observations, Violation
 from .plan import format_plan, make_plan
 from .world import SoakDeployment, start_deployment, stop_deployment, track_task
@@ -85,10 +87,14 @@
     finally:
         await stop_deployment(deployment)
     violations = check_untimed(deployment.observations)
+    violations += check_customers(deployment.observations)
+    violations += check_memory(deployment.observations)
     if options.check_timing:
         violations += check_timed(deployment.observations, end_ms)
         violations += check_evacuations(deployment.observations)
         violations += check_cold_endpoints(deployment.observations)
+        violations += check_allotments(deployment.observations)
+        violations += check_withdrawn_keys(deployment.observations)
     return SoakResult(plan, deployment.observations, violations, started_ms)
 
 
--- a/packages/standins/src/wisteriastandins/soak/world.py
+++ b/packages/standins/src/wisteriastandins/soak/world.py
@@ -15,8 +15,12 @@
 from .callers import DEADLY_PATH
 from .checks import make_records
 from .const import (
+    ALLOTMENT_BURST,
+    ALLOTMENT_PER_S,
+    ALLOTTED_CUSTOMER,
     CALLER_TIMEOUT_MS,
     COLD_RATE_PER_S,
+    CUSTOMERS,
     HOST,
     LEDGERS,
     MAX_ATTEMPTS,
@@ -42,7 +46,8 @@
 from .programs import RESTART_DELAY_S, Program, program_host
 
 REPLICAS = 2
-SERVICE_MS = 8.0
+# Service times of the endpoints of a service by turns.
+SERVICE_TIMES_MS = (4.0, 12.0)
 # Time until another endpoint takes the place of one that has ended.
 ENDPOINT_RESTART_S = 1.0
 _PORTS_PER_INSTANCE = 4
@@ -65,6 +70,8 @@
         The link in front of the store, by zone.
     last_born : int
         Value of `born` in the entry registered last; increases with each new endpoint.
+    withdrawn_keys : set
+        Keys that the newest version does not hold.
     """
 
     def __init__(self, seed: int, instances: int, folder: Path, source: Path | None) -> None:
@@ -78,6 +85,7 @@
         self.version = 0
         self.shards = SHARDS
         self.last_born = 1_000
+        self.withdrawn_keys: set[str] = set()
         ports = _free_ports(instances * _PORTS_PER_INSTANCE)
         self.programs = [
             Program(
@@ -134,7 +142,7 @@
     endpoint_id = f"{service}.{deployment.last_born}.{number}"
     endpoint = StubEndpoint(deployment.loop, endpoint_id, service, b"")
     endpoint.make_body = lambda request_id: make_records(service, request_id.decode())
-    endpoint.service_ms = SERVICE_MS
+    endpoint.service_ms = SERVICE_TIMES_MS[number % len(SERVICE_TIMES_MS)]
     endpoint.on_arrival = lambda request, stamp: _record_arrival(
         deployment, endpoint, request, stamp
     )
@@ -179,6 +187,8 @@
     deployment: SoakDeployment, endpoint: StubEndpoint, request: CallerRequest, stamp: bytes
 ) -> None:
     request_id = dict(request.headers).get(b"Request-Id", b"").decode()
+    names = [name.lower() for name, _ in request.headers]
+    customers = [value for name, value in request.headers if name.lower() == b"tenant"]
     arrival = Arrival(
         deployment.now_ms(),
         request_id,
@@ -187,6 +197,8 @@
         request.target.decode(),
         request.body,
         stamp.decode(),
+        b",".join(customers).decode(),
+        b"authorization" in names,
     )
     deployment.observations.arrivals.append(arrival)
 
@@ -235,12 +247,20 @@
     }
     known = [version.version for version in deployment.observations.versions]
     probes = [
-        {**plain, "name": f"probe-{version}", "prefix": f"/probe-{version}/"}
+        {**plain, "name": f"probe-{version}", "prefix": f"/probe-{version}/", "public": True}
         for version in [*known, deployment.version]
     ]
     return [search, lookup, book, *probes]
 
 
+def _make_customer(deployment: SoakDeployment, name: str) -> dict[str, object]:
+    keys = [key for key in CUSTOMERS[name] if key not in deployment.withdrawn_keys]
+    customer = {"name": name, "api_keys": keys, "priority": 1}
+    if name != ALLOTTED_CUSTOMER:
+        return customer
+    return {**customer, "rate_per_s": ALLOTMENT_PER_S, "burst": ALLOTMENT_BURST}
+
+
 def configure(
     deployment: SoakDeployment, shards: tuple[str, ...] | None = None, padding_bytes: int = 0
 ) -> None:
@@ -262,6 +282,7 @@
             for name in (*SHARDS, *NEW_SHARDS, *LEDGERS)
         ],
         "limits": _LIMITS,
+        "tenants": [_make_customer(deployment, name) for name in CUSTOMERS],
         "padding": "x" * padding_bytes,
     }
     # Read the time before the write, as no program can see the version any earlier.
@@ -296,6 +317,12 @@
         await asyncio.sleep(RESTART_DELAY_S)
 
 
+def _sample_memory(deployment: SoakDeployment) -> None:
+    peak = deployment.observations.peak_memory_bytes
+    for program in deployment.programs:
+        peak[program.number] = max(peak.get(program.number, 0), program.peak_memory_bytes())
+
+
 def _sample_connections(deployment: SoakDeployment) -> None:
     peak = deployment.observations.peak_connections
     for endpoint_id, link in deployment.links.items():
@@ -306,6 +333,7 @@
 async def _poll_connections(deployment: SoakDeployment) -> None:
     while True:
         _sample_connections(deployment)
+        _sample_memory(deployment)
         await asyncio.sleep(0.1)
 
 
--- a/tests/wisteriastandins/soak/test_run.py
+++ b/tests/wisteriastandins/soak/test_run.py
@@ -89,4 +89,15 @@
     assert "rate_limit" in {violation.guarantee for violation in result.violations}
 
 
+def test_ignored_allotment_is_found():
+    """Guards against missing a customer that gets more than its allotment."""
+    result = run_copy(
+        "front/instance.py",
+        "    if exchange.local.pending:\n",
+        "    wait_ms = None\n    if exchange.local.pending:\n",
+        [Fault(0.5, FaultKind.HOT_CUSTOMER, 0, 6.0)],
+    )
+    assert "allotment" in {violation.guarantee for violation in result.violations}
+
+
 load_tests = function_suite(globals())
