Keep requests under way when their caller sends on

A caller that sent more than a whole request after a rejected one was cut although its first request was still under way; it is answered now. A closed connection of wisteriarockd counts no memory any more: trailers above 16 KB of a request that ended after its connection stayed in the sum.

--- a/packages/wisteriarock/src/wisteriarock/api/protocol.py
+++ b/packages/wisteriarock/src/wisteriarock/api/protocol.py
@@ -86,6 +86,7 @@
         self._body_bytes = 0
         self._is_receiving = False
         self._unsent_bytes = 0
+        self._is_lost = False
         self._waiting_since_s = self.loop.time()
         self._check_timer = self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeout)
         if self.turns is None:
@@ -96,6 +97,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what the connection holds."""
         super().connection_lost(exc)
+        self._is_lost = True
         self._check_timer.cancel()
         self._ahead.clear()
         self.pipeline.clear()
@@ -178,6 +180,8 @@
 
     def _count_memory(self) -> None:
         """Count what the connection holds: received bytes, and answers that are not read."""
+        if self._is_lost:
+            return
         held_bytes = len(self._ahead) + self._body_bytes + self._head_bytes
         if self.flow.write_paused:
             held_bytes += self.transport.get_write_buffer_size()
--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -288,10 +288,14 @@
             self._update_reading()
 
     def _drop_lingering(self, size_bytes: int) -> None:
-        """Cut the connection of a caller that sends more after a refusal than a whole request."""
+        """Cut the connection of a caller that sends more after a refusal than a whole request.
+
+        Not while a request before it is under way, which is still answered.
+        """
         self.lingering_bytes += size_bytes
         limits = self.listener.limits
-        if self.lingering_bytes > limits.header_bytes + limits.body_bytes:
+        is_too_much = self.lingering_bytes > limits.header_bytes + limits.body_bytes
+        if is_too_much and self.cancel_request is None:
             self.abort()
 
     def _parse(self, data: bytes, position: int = 0, turn_bytes: int = 0) -> None:
--- a/packages/wisteriarock/src/wisteriarock/http/turns.py
+++ b/packages/wisteriarock/src/wisteriarock/http/turns.py
@@ -35,9 +35,6 @@
         self._waiting: dict[TurnTaker, None] = {}
         self._is_scheduled = False
 
-    def __len__(self) -> int:
-        return len(self._waiting)
-
     def add(self, connection: TurnTaker) -> None:
         """Let a connection wait for its turn; one that waits already keeps its place."""
         self._waiting[connection] = None
--- a/tests/wisteriarock/api/test_protocol.py
+++ b/tests/wisteriarock/api/test_protocol.py
@@ -118,6 +118,7 @@
         connection.protocol.connection_lost(None)
     ended.set()
     await _iterate(5)
+    assert budget.total_bytes == 0
 
 
 async def test_requests_sent_ahead_take_turns():
--- a/tests/wisteriarock/http/test_front.py
+++ b/tests/wisteriarock/http/test_front.py
@@ -278,6 +278,13 @@
     assert not transport.is_aborted
     connection.data_received(b"b" * (limits.header_bytes + 1))
     assert transport.is_aborted
+    running, transport = caller.connect()
+    running.data_received(GET % 1 + b"b" * 20_000)
+    running.evict()
+    running.data_received(b"b" * (limits.header_bytes + limits.body_bytes + 1))
+    assert not transport.is_aborted
+    caller.responds[0](Answer(200, [], b""))
+    assert transport.sent.startswith(b"HTTP/1.1 200 ")
 
 
 async def test_refused_connection_is_closed_before_idle_ones():
