--- a/packages/wisteriarock/src/wisteriarock/explain/dry_run.py
+++ b/packages/wisteriarock/src/wisteriarock/explain/dry_run.py
@@ -131,7 +131,7 @@
     dry.pool_of_gatherer = lambda gatherer: cast(Pool, _StillPool(None))
     dry.on_misdirected = dry.on_leaving = lambda endpoint: None
     dry.on_deadly = lambda notice: None
-    dry.admit_customer = lambda customer: None
+    dry.admit_customer = lambda *_: None
     dry.reserve_legs = view.can_reserve_legs
     dry.return_legs = lambda count: None
     return dry
