--- a/tests/wisteriarock/explain/test_request.py
+++ b/tests/wisteriarock/explain/test_request.py
@@ -30,7 +30,8 @@
 
 
 def _create(seed: int) -> Emulator:
-    return create_instance(make_fan_out_route(4) if seed % 3 else make_single_service_route(), seed)
+    route = make_fan_out_route(4) if seed % 3 else make_single_service_route()
+    return create_instance(route, seed, 12 if seed % 5 == 0 else 5)
 
 
 def _name(emulator: Emulator, *customers: Customer) -> None:
