Answer a fan-out at once that cannot get its parts any more

Cause: when more shards have failed than a route may leave out, a fan-out went on while a leg of any other shard was under way, to an endpoint that had fallen silent for instance, and ended at its deadline.

Change: the shards that may still bring a part are counted when a leg or fragment has failed, and when the early answer is due. A fragment goes on until its early answer is due, as its parts may complete the query of another instance.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -295,6 +295,7 @@
         for shard in fragment.shards:
             if shard.part is None and not shard.legs:
                 _retry_leg(state, query, shard)
+        _give_up_if_short(state, query)
         _answer_if_finished(state, query)
         return
     _schedule_hedges(state, query, loop_time_ms(state) + query.latency.hedge_delay_ms)
@@ -438,6 +439,8 @@
         if canary is not None:
             _send_first_legs(state, query, [canary])
             return
+    if not _may_get_part(state, query, shard):
+        _give_up_if_short(state, query)
     _answer_if_finished(state, query)
 
 
@@ -547,6 +550,30 @@
     answer_failure(state, query, "every leg failed")
 
 
+def _give_up_if_short(state: DispatchState, query: Query) -> None:
+    """Answer a fan-out that cannot get the parts that it needs any more.
+
+    A fragment goes on until its early answer is due: its parts may still complete the query that it
+    belongs to.
+    """
+    if query.is_done or not query.route.shards:
+        return
+    if query.is_fragment and not query.is_early_answer_due:
+        return
+    possible_parts = sum(_may_get_part(state, query, shard) for shard in query.shards)
+    if possible_parts < query.needed_parts:
+        answer_failure(state, query, "too few shards left")
+
+
+def _may_get_part(state: DispatchState, query: Query, shard: Shard) -> bool:
+    """Return whether a shard has its part, or a leg of it is under way or may still be sent."""
+    if shard.part is not None or shard.legs or shard.fragment is not None:
+        return True
+    if shard.is_held or shard.is_waiting:
+        return True
+    return may_send_another_leg(query, shard) and _is_reachable(state, shard.service)
+
+
 def _will_retry_later(state: DispatchState, query: Query, shard: Shard) -> bool:
     """Return whether a fan-out shard without an outstanding leg will be retried after a backoff."""
     return (
@@ -569,6 +596,8 @@
     query.legs_expire_at_ms = query.expires_at_ms
     if not query.is_done and query.parts >= query.needed_parts:
         answer_success(state, query, "early")
+        return
+    _give_up_if_short(state, query)
 
 
 def _on_expiry(state: DispatchState, query: Query) -> None:
--- a/tests/wisteriarock/dispatch/test_days.py
+++ b/tests/wisteriarock/dispatch/test_days.py
@@ -63,6 +63,31 @@
     assert emulator.mean_answer_score(70, 50) > 0.95
 
 
+def test_failing_shards_beside_a_silent_one_are_not_waited_for():
+    """Guards against a caller that waits for its deadline after too many shards have failed.
+
+    It has time to try again when it is told at once.
+    """
+    emulator = Emulator(make_fan_out_route(4))
+    for name, mode in (("shard-0", "error"), ("shard-1", "error"), ("shard-2", "silent")):
+        for number in range(2):
+            emulator.endpoints[f"{name}/{number}"].mode = mode
+    emulator.send_requests(1, 100.0)
+    took_ms, answer = emulator.answers[b"r0"]
+    assert answer.status == 502 and took_ms < 200, (answer.status, took_ms)
+
+
+def test_one_failing_shard_beside_a_silent_one_is_answered():
+    """Guards against giving up a query that still gets the parts that it needs."""
+    emulator = Emulator(make_fan_out_route(4))
+    for number in range(2):
+        emulator.endpoints[f"shard-0/{number}"].mode = "error"
+    emulator.endpoints["shard-2/0"].mode = "silent"
+    emulator.send_requests(1, 100.0)
+    _, answer = emulator.answers[b"r0"]
+    assert answer.status == 200 and dict(answer.headers)[b"parts"] == b"3"
+
+
 def test_slow_endpoints_of_many_shards():
     """Guards against slow replicas in one zone delaying every fan-out."""
     emulator = Emulator(make_fan_out_route(20))
