Part the front's instance by concern

`front/instance.py` held the wiring of all components, the shares of budget, connections and limits, the pools, what follows changes of endpoints, rotation, and the answers to operators. `shares.py`, `pools.py`, `endpoints.py`, `rotation.py` and `answers.py` have these now; wiring, callers' and peers' requests, admission and the configuration stay. Definitions are moved as they were.

--- a/packages/wisteriarock/src/wisteriarock/front/app.py
+++ b/packages/wisteriarock/src/wisteriarock/front/app.py
@@ -26,9 +26,10 @@
     SETTINGS_READ_INTERVAL_MS,
 )
 from .early_signals import EarlySignals
-from .instance import Instance, update_readiness
+from .instance import Instance
 from .listeners import ListenerName, Listeners
 from .readiness import Phase
+from .rotation import update_readiness
 from .settings import FrontSettings, SettingsError, load_settings
 
 
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -28,15 +28,11 @@
     STORE_CHECK_INTERVAL_MS,
     STORE_CHECK_TIMEOUT_MS,
 )
-from .instance import (
-    Instance,
-    pool_of,
-    readiness_input,
-    release_held_requests,
-    update_instance_count,
-    update_readiness,
-)
+from .instance import Instance, release_held_requests
+from .pools import pool_of
 from .readiness import zones_to_report
+from .rotation import readiness_input, update_readiness
+from .shares import update_instance_count
 
 
 def start(instance: Instance) -> None:
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -2,50 +2,30 @@
 
 import asyncio
 import functools
-import json
 import random
 from collections.abc import Callable
 from typing import Any
 
-from wisteriarock.balancing.decide import mark_reachable, observe_connect_failure, restore_zone
-from wisteriarock.balancing.models import Endpoint
 from wisteriarock.catalog.models import Catalog, Configuration, Customer
 from wisteriarock.customers.decide import forget_customers, try_admit
 from wisteriarock.customers.models import Tolerance
 from wisteriarock.discovery.changes import apply_feed_answer
-from wisteriarock.discovery.decide import mark_leaving, remove_entry
-from wisteriarock.discovery.models import Directory, DirectoryChange
+from wisteriarock.discovery.models import Directory
 from wisteriarock.discovery.reads import check_store
 from wisteriarock.discovery.state import DiscoveryState
-from wisteriarock.dispatch.budget import (
-    ExtraLegBudget,
-    set_gathered_share,
-    set_instance_count,
-)
+from wisteriarock.dispatch.budget import ExtraLegBudget
 from wisteriarock.dispatch.controller import handle_fragment, handle_request
 from wisteriarock.dispatch.models import WireFormat
 from wisteriarock.dispatch.state import DispatchState
-from wisteriarock.explain.const import EXPLAIN_PATH
 from wisteriarock.feed.allotments import PATH_PREFIX as ALLOTMENTS_PATH
 from wisteriarock.feed.allotments import AllotmentExchange, handle_allotment_request
 from wisteriarock.feed.allotments import start as start_allotments
-from wisteriarock.feed.decide import (
-    count_assigned_instances,
-    count_gatherers,
-    count_instances,
-    has_live_feed,
-)
+from wisteriarock.feed.decide import has_live_feed
 from wisteriarock.feed.models import FeedState
 from wisteriarock.feed.serving import handle_follower_request
 from wisteriarock.feed.state import Feed, is_relay, wake_followers
-from wisteriarock.gathering.const import CONNECTIONS_MAX, FRAGMENT_PATH, IDLE_LIMIT_MS
-from wisteriarock.gathering.decide import (
-    count_limit_sharers,
-    find_fan_out_shape,
-    is_assigned,
-    replace_gatherers,
-    share_budget,
-)
+from wisteriarock.gathering.const import FRAGMENT_PATH
+from wisteriarock.gathering.decide import find_fan_out_shape
 from wisteriarock.gathering.models import Gatherer
 from wisteriarock.http.front import (
     Answer,
@@ -64,19 +44,11 @@
 from wisteriarock.store.client import StoreClient
 from wisteriarock.store.models import StoreFormat
 
+from .answers import answer_metrics, answer_readiness, do_nothing
 from .caller_limits import connections_max, create_budget
-from .cold import (
-    ColdSharers,
-    cold_limit_sharers,
-    record_instance_count,
-    suspect_cold,
-    suspect_restart,
-    uptime_ms,
-)
+from .cold import ColdSharers, cold_limit_sharers, uptime_ms
 from .const import (
     CALLER_DESCRIPTOR_SHARE,
-    CONNECTION_CAP_SHARE,
-    CONNECTION_LIMIT_DEFAULT,
     INSTANCES_DEFAULT,
     LEG_COST_BYTES,
     METRICS_DESCRIPTOR_SHARE,
@@ -84,9 +56,12 @@
     PEER_DESCRIPTOR_SHARE,
     READINESS_DESCRIPTOR_SHARE,
 )
-from .diagnostics import dump, gauges
-from .readiness import Phase, ReadinessInput, count_reachable_shards, is_isolated, is_ready
+from .endpoints import on_directory_changes, on_endpoint_leaving, on_endpoint_misdirected
+from .pools import pool_of, pool_of_gatherer
+from .readiness import Phase
+from .rotation import update_readiness
 from .settings import FrontSettings
+from .shares import divide_budget, limit_sharers
 from .startup import HeldRequests, hold_request, release_requests
 
 
@@ -272,7 +247,7 @@
         return handle_follower_request(instance.feed, request, respond)
     if instance.phase is not Phase.RUNNING or not instance.discovery.is_loaded:
         respond(Answer(503, [], b"not serving"))
-        return _do_nothing
+        return do_nothing
     return handle_fragment(instance.dispatch, request, respond)
 
 
@@ -316,60 +291,6 @@
     return instance.loop.time() * 1000 - instance.discovery.failure_free_since_ms
 
 
-def update_instance_count(instance: Instance) -> None:
-    """Divide the budget and connections by the numbers of instances that relays report."""
-    now_ms = instance.loop.time() * 1000
-    update_gatherers(instance)
-    instance_count = count_instances(instance.feed_state, now_ms)
-    gatherer_count = count_gatherers(instance.feed_state, now_ms)
-    if instance_count is None or gatherer_count is None:
-        return
-    record_instance_count(instance, instance_count)
-    if (instance_count, gatherer_count) == (instance.instance_count, instance.gatherer_count):
-        return
-    instance.log.record(
-        "instances_counted",
-        before=instance.instance_count,
-        now=instance_count,
-        gatherers=gatherer_count,
-    )
-    instance.instance_count = instance_count
-    instance.gatherer_count = gatherer_count
-    divide_budget(instance)
-
-
-def update_gatherers(instance: Instance) -> None:
-    """Use the gatherers that the relay of the local zone chose."""
-    gatherers = instance.feed_state.gatherers
-    if gatherers is None or not replace_gatherers(instance.dispatch.gatherers, gatherers):
-        return
-    names = [each.name for each in gatherers]
-    instance.is_gatherer = not names or instance.settings.instance in names
-    for gatherer in [each for each in instance.gatherer_pools if each not in gatherers]:
-        instance.gatherer_pools.pop(gatherer).retire()
-    instance.log.record("gatherers_changed", gatherers=",".join(names))
-    divide_budget(instance)
-
-
-def divide_budget(instance: Instance) -> None:
-    """Set the shares of this instance in the budget for extra legs."""
-    settings = instance.settings
-    set_instance_count(
-        instance.budget,
-        settings.extra_ratio,
-        settings.extra_fixed,
-        settings.extra_window_s,
-        instance.instance_count,
-    )
-    share = share_budget(
-        settings.extra_fixed,
-        instance.instance_count,
-        instance.gatherer_count,
-        is_gatherer=instance.is_gatherer,
-    )
-    set_gathered_share(instance.budget, instance.gathered_services, share, settings.extra_window_s)
-
-
 def on_history_updated(instance: Instance) -> None:
     """Pass changes on to followers, and start held requests after the first load."""
     wake_followers(instance.feed)
@@ -387,148 +308,6 @@
     log.record("bad_request", status=int(status), reason=reason, count=count)
 
 
-def connection_limit(instance: Instance, service: str) -> int:
-    """Return the limit of connections from this instance to one endpoint of a service."""
-    definition = instance.catalog.services.get(service)
-    if definition is None or instance.instance_count == INSTANCES_DEFAULT:
-        return CONNECTION_LIMIT_DEFAULT
-    count = instance.instance_count
-    if service in instance.gathered_services and instance.gatherer_count < count:
-        if not instance.is_gatherer:
-            return 1
-        count = instance.gatherer_count
-    return max(1, int(definition.max_connections * CONNECTION_CAP_SHARE / count))
-
-
-def limit_sharers(instance: Instance, service: str) -> float:
-    """Return the number of instances that share the rate limits of a service's endpoints."""
-    count = instance.instance_count
-    if service not in instance.gathered_services or instance.gatherer_count >= count:
-        return float(count)
-    now_ms = instance.loop.time() * 1000
-    assigned = count_assigned_instances(instance.feed_state, now_ms)
-    return count_limit_sharers(
-        count,
-        count if assigned is None else assigned,
-        is_assigned=is_assigned(
-            instance.dispatch.gatherers, service, instance.settings.instance, now_ms
-        ),
-    )
-
-
-def pool_of_gatherer(instance: Instance, gatherer: Gatherer) -> Pool:
-    """Return the connection pool of a gatherer, created at first use."""
-    pool = instance.gatherer_pools.get(gatherer)
-    if pool is None:
-        pool = instance.gatherer_pools[gatherer] = Pool(
-            instance.loop,
-            gatherer.host,
-            gatherer.port,
-            lambda: CONNECTIONS_MAX,
-            lambda _: None,
-            lambda reason: instance.counters.count("stray_replies", reason),
-            IDLE_LIMIT_MS,
-            instance.buffers,
-        )
-    return pool
-
-
-def find_pool(instance: Instance, endpoint: Endpoint) -> Pool | None:
-    """Return the connection pool of an endpoint, None if it has none yet."""
-    pool = instance.pools.get(endpoint.endpoint_id)
-    if pool is not None and (pool.host, pool.port) == (endpoint.host, endpoint.port):
-        return pool
-    return None
-
-
-def pool_of(instance: Instance, endpoint: Endpoint) -> Pool:
-    """Return the connection pool of an endpoint, created at first use."""
-    pool = find_pool(instance, endpoint)
-    if pool is not None:
-        return pool
-
-    def on_connect(is_open: bool) -> None:
-        if not is_open:
-            observe_connect_failure(endpoint)
-            return
-        if endpoint.connect_failures or endpoint.is_unreachable:
-            suspect_restart(instance, endpoint)
-        instance.counters.count("connections_opened")
-        if endpoint.is_unreachable:
-            on_endpoint_reached(instance, endpoint)
-
-    def on_stray_bytes(reason: str) -> None:
-        instance.counters.count("stray_replies", reason)
-        instance.log.detail("stray_bytes", endpoint=endpoint.endpoint_id, reason=reason)
-
-    pool = Pool(
-        instance.loop,
-        endpoint.host,
-        endpoint.port,
-        lambda: connection_limit(instance, endpoint.service),
-        on_connect,
-        on_stray_bytes,
-        buffers=instance.buffers,
-    )
-    instance.pools[endpoint.endpoint_id] = pool
-    return pool
-
-
-def on_endpoint_reached(instance: Instance, endpoint: Endpoint) -> None:
-    """Use an unreachable endpoint again, and its whole zone if the zone was lost."""
-    if endpoint.is_zone_lost:
-        for other in instance.directory.by_id.values():
-            if other.zone == endpoint.zone and other.is_zone_lost:
-                suspect_restart(instance, other)
-        restored_count = restore_zone(instance.directory.by_id.values(), endpoint.zone)
-        instance.log.record("zone_back", zone=endpoint.zone, endpoints=restored_count)
-    else:
-        instance.log.record("endpoint_back", endpoint=endpoint.endpoint_id)
-        mark_reachable(endpoint)
-    update_readiness(instance)
-
-
-def on_endpoint_misdirected(instance: Instance, endpoint: Endpoint) -> None:
-    """Remove an endpoint whose address now belongs to another endpoint."""
-    now_ms = instance.loop.time() * 1000
-    changes = remove_entry(instance.directory, endpoint.endpoint_id, now_ms, may_have_lapsed=False)
-    instance.log.record("endpoint_misdirected", endpoint=endpoint.endpoint_id)
-    on_directory_changes(instance, changes)
-
-
-def on_endpoint_leaving(instance: Instance, endpoint: Endpoint) -> None:
-    """Send nothing more to an endpoint that says in a reply that it leaves."""
-    changes = mark_leaving(instance.directory, endpoint)
-    instance.counters.count("endpoints_leaving")
-    instance.log.record("endpoint_leaving", endpoint=endpoint.endpoint_id, service=endpoint.service)
-    on_directory_changes(instance, changes)
-
-
-def on_directory_changes(instance: Instance, changes: list[DirectoryChange]) -> None:
-    """Close the connections of removed, replaced and draining endpoints."""
-    for change in changes:
-        if change.kind == "returned":
-            suspect_cold(instance, change.endpoint)
-        if change.kind in ("added", "lapsed", "returned"):
-            continue
-        if change.kind in ("draining", "ready", "evacuated"):
-            pool = instance.pools.get(change.endpoint.endpoint_id)
-        else:
-            pool = instance.pools.pop(change.endpoint.endpoint_id, None)
-        if pool is None:
-            continue
-        if change.kind == "ready":
-            pool.reopen()
-        elif change.kind == "evacuated":
-            # Idle connections are kept for the endpoint's return.
-            pool.return_waiting("evacuated")
-        elif change.closes_connections:
-            pool.close()
-        else:
-            pool.retire()
-    update_readiness(instance)
-
-
 def on_configuration(instance: Instance, configuration: Configuration) -> None:
     """Apply the limits for callers and drop the latencies of removed routes."""
     instance.caller_listener.limits = configuration.limits
@@ -549,100 +328,3 @@
     for name in [name for name in latencies if name not in names]:
         del latencies[name]
     update_readiness(instance)
-
-
-def readiness_input(instance: Instance) -> ReadinessInput:
-    """Return the current inputs of the readiness decision."""
-    reachable, needed = count_reachable_shards(instance.catalog, instance.directory)
-    return ReadinessInput(
-        instance.phase,
-        instance.discovery.is_loaded,
-        instance.loop.time() * 1000 - instance.discovery.last_answer_at_ms,
-        instance.discovery.is_store_silent,
-        reachable,
-        needed,
-    )
-
-
-def update_readiness(instance: Instance) -> bool:
-    """Update readiness and isolation, log a change of readiness, and return readiness.
-
-    While the instance is isolated, every answer closes its connection, so that callers reconnect
-    and the load balancer sends them to another zone.
-    """
-    inputs = readiness_input(instance)
-    ready = is_ready(inputs)
-    isolated = is_isolated(inputs)
-    if not isolated:
-        instance.dispatch.isolated_since_ms = None
-    elif instance.dispatch.isolated_since_ms is None:
-        instance.dispatch.isolated_since_ms = instance.loop.time() * 1000
-    instance.caller_listener.closes_connections = instance.phase is Phase.DRAINING or isolated
-    if ready != instance.was_ready:
-        instance.was_ready = ready
-        instance.log.record(
-            "ready" if ready else "not_ready",
-            phase=inputs.phase.value,
-            loaded=inputs.is_loaded,
-            store_age_ms=inputs.store_age_ms,
-            reachable=inputs.reachable_shards,
-            needed=inputs.needed_shards,
-        )
-    return ready
-
-
-def answer_readiness(instance: Instance, respond: Respond) -> Callable[[], None]:
-    """Answer a readiness check of the load balancer."""
-    respond(Answer(200 if update_readiness(instance) else 503, [], b""))
-    return _do_nothing
-
-
-def answer_metrics(
-    instance: Instance, request: CallerRequest, respond: Respond
-) -> Callable[[], None]:
-    """Answer a request for the metrics, the state dump or an explanation."""
-    if request.target == b"/metrics":
-        # Imported at first use: the library needs more memory than the rest of the process.
-        from wisteriarock.observability.exposition import render  # noqa: PLC0415
-
-        _collect_totals(instance)
-        text = render(instance.counters, gauges(instance))
-        respond(Answer(200, [(b"Content-Type", b"text/plain; version=0.0.4")], text))
-    elif request.target == b"/dump":
-        body = json.dumps(dump(instance), indent=1).encode()
-        respond(Answer(200, [(b"Content-Type", b"application/json")], body))
-    elif request.target.partition(b"?")[0] == EXPLAIN_PATH.encode():
-        respond(_explain(instance, request))
-    else:
-        respond(Answer(404, [], b"metrics, dump or explain"))
-    return _do_nothing
-
-
-def _explain(instance: Instance, request: CallerRequest) -> Answer:
-    # Imported at first use, as few processes are ever asked.
-    from wisteriarock.explain.answer import (  # noqa: PLC0415
-        answer_explain_request,
-        create_explain_limit,
-    )
-    from wisteriarock.explain.dry_run import InstanceView  # noqa: PLC0415
-
-    if instance.explain_limit is None:
-        instance.explain_limit = create_explain_limit(instance.loop.time() * 1000)
-    view = InstanceView(
-        lambda endpoint: find_pool(instance, endpoint),
-        lambda count: instance.buffers.can_reserve(count * LEG_COST_BYTES),
-    )
-    return answer_explain_request(
-        instance.dispatch, view, instance.allotments.local, instance.explain_limit, request
-    )
-
-
-def _collect_totals(instance: Instance) -> None:
-    counts = instance.counters.counts
-    counts["log_lines_dropped",] = instance.log.dropped_total
-    counts["budget_refusals",] = instance.budget.refused_total
-    counts["evicted_messages",] = instance.buffers.evicted_total
-
-
-def _do_nothing() -> None:
-    """Do nothing: the request was answered at once."""
--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -14,7 +14,8 @@
 from wisteriarock.feed.state import is_relay
 from wisteriarock.front.app import drain
 from wisteriarock.front.housekeeping import verify_lost_zones
-from wisteriarock.front.instance import Instance, update_readiness
+from wisteriarock.front.instance import Instance
+from wisteriarock.front.rotation import update_readiness
 from wisteriarock.http.front import CallerConnection
 from wisteriarock.http.models import Reply
 from wisteriarock.store.models import StoreError
