Free the copies of an explanation at once

Legs, exchanges and queries of a dry run refer to each other in circles, so that they stayed until the next full garbage collection: a process grew from 25.4 to 29.0 MB over 40 explanations of a fan-out over 90 shards.

--- a/packages/wisteriarock/src/wisteriarock/explain/request.py
+++ b/packages/wisteriarock/src/wisteriarock/explain/request.py
@@ -13,7 +13,7 @@
 from wisteriarock.dispatch.legs import choose_within_limit
 from wisteriarock.dispatch.models import Query, RequestHead, Shard, WireFormat
 from wisteriarock.dispatch.state import NO_ENDPOINTS, DispatchState, loop_time_ms
-from wisteriarock.http.models import Answer, CallerRequest
+from wisteriarock.http.models import Answer, CallerRequest, ExchangeFailure
 from wisteriarock.overload.decide import is_short
 
 from .const import (
@@ -110,6 +110,8 @@
             row |= _describe_endpoints(state, view, query, service, now_ms)
         explanation["services"].append(row)
     explanation["services_total"] = len(services)
+    if sent is not None:
+        _release(sent)
     return explanation
 
 
@@ -140,6 +142,20 @@
     return Run(answers[0] if answers else None, next(iter(dry.active), None))
 
 
+def _release(query: Query) -> None:
+    """Drop references in circles, which would stay in memory until the next garbage collection."""
+    legs = [leg for shard in query.shards for leg in shard.legs]
+    for exchange in [each.exchange for each in legs] + [each.exchange for each in query.fragments]:
+        if exchange is not None:
+            exchange.on_end = lambda outcome: None
+            exchange.end(ExchangeFailure("explained", False))
+    for shard in query.shards:
+        shard.legs.clear()
+        shard.fragment = None
+    query.fragments.clear()
+    query.stay = None
+
+
 def _wire_format_of(wire_format: WireFormat, head: RequestHead) -> WireFormat:
     """Return a wire format that reads a given head, and encodes nothing for endpoints."""
     return wire_format._replace(
--- a/tests/wisteriarock/explain/test_request.py
+++ b/tests/wisteriarock/explain/test_request.py
@@ -1,5 +1,6 @@
 """Tests of explanations, without network."""
 
+import gc
 from typing import Any
 
 from wisteriarock.balancing.decide import choose_endpoint
@@ -56,6 +57,23 @@
         assert freeze(watched) == before
 
 
+def test_an_explanation_leaves_nothing_in_memory():
+    """Guards against copies that stay until the next garbage collection."""
+    emulator = Emulator(make_fan_out_route(30))
+    emulator.state.instance = "front-1"
+    emulator.gatherer_pools = {"front-2": PeerPool(emulator)}
+    gatherers = tuple(Gatherer(name, "10.0.0.1", 1, 1.0) for name in ("front-1", "front-2"))
+    replace_gatherers(emulator.state.gatherers, gatherers)
+    explain(emulator)
+    gc.collect()
+    gc.disable()
+    try:
+        explain(emulator)
+        assert gc.collect() == 0
+    finally:
+        gc.enable()
+
+
 def test_the_first_endpoint_is_the_one_that_is_chosen():
     """Guards against an explanation that differs from what the next request meets."""
     for seed in SEEDS:
