Read as much after a refusal as a request may take

The bound on bytes that are dropped after a refusal counted a body without the sizes of its chunks, so that a caller within the limits whose request was refused halfway could be cut before it had read the answer. It now allows for chunks of one byte and trailers.

--- a/packages/wisteriarock/src/wisteriarock/http/const.py
+++ b/packages/wisteriarock/src/wisteriarock/http/const.py
@@ -44,3 +44,5 @@
 # Lingering close: time to read and drop further data after a request was rejected, so that the
 # caller gets the answer instead of a connection reset.
 LINGER_MS = 1_000.0
+# Bytes of the smallest chunk, which holds one byte of a body.
+SMALLEST_CHUNK_BYTES = 6
--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -12,6 +12,7 @@
     REQUEST_COPIES,
     REQUEST_COST_BYTES,
     SMALL_CHUNK_LINES,
+    SMALLEST_CHUNK_BYTES,
     TURN_MAX_BYTES,
     UNREAD_ANSWER_MAX_MS,
 )
@@ -294,8 +295,9 @@
         """
         self.lingering_bytes += size_bytes
         limits = self.listener.limits
-        is_too_much = self.lingering_bytes > limits.header_bytes + limits.body_bytes
-        if is_too_much and self.cancel_request is None:
+        # Head, body in the smallest chunks, and trailers.
+        request_bytes = 2 * limits.header_bytes + SMALLEST_CHUNK_BYTES * limits.body_bytes
+        if self.lingering_bytes > request_bytes and self.cancel_request is None:
             self.abort()
 
     def _parse(self, data: bytes, position: int = 0, turn_bytes: int = 0) -> None:
