Wait for an explanation as long as the operator says

The tool gave up after the 2 s of a status request. With a load average of 23 on seven processors, its end-to-end test failed in one of eight runs with an empty table; the exit code was not kept, so that the time limit is the likely cause and not a proved one.

--- a/packages/wisteriactl/src/wisteriactl/__main__.py
+++ b/packages/wisteriactl/src/wisteriactl/__main__.py
@@ -55,7 +55,8 @@
     json : bool
         Print the result as JSON.
     timeout_s : float
-        Time for retries while the platform does not answer, and limit of `wait`, in seconds.
+        Time for retries while the platform does not answer, and limit of `wait` and `explain`, in
+        seconds.
     """
 
     settings: Path | None = None
@@ -361,7 +362,7 @@
     shard : str
         Shard, or service, whose endpoints are shown; without it, a long list has a line for each.
     """
-    outcome = asyncio.run(explain_request(at, host, path, customer, shard))
+    outcome = asyncio.run(explain_request(at, host, path, customer, shard, common.timeout_s))
     return _print_outcome("explain", outcome, common.json)
 
 
--- a/packages/wisteriactl/src/wisteriactl/explain.py
+++ b/packages/wisteriactl/src/wisteriactl/explain.py
@@ -28,7 +28,7 @@
 
 
 async def explain(
-    at: str, host: str, path: str, customer: str | None, shard: str | None
+    at: str, host: str, path: str, customer: str | None, shard: str | None, timeout_s: float
 ) -> Outcome:
     """Return the explanation of a request by the instance whose metrics address is `at`."""
     address = parse_address(at)
@@ -37,7 +37,9 @@
     target = encode_target(host, path, customer, shard)
     if isinstance(target, Problem):
         return _problem(target.code, target.message, target.field)
-    reply = await fetch(address[0].strip("[]"), address[1], target, {}, reads_errors=True)
+    reply = await fetch(
+        address[0].strip("[]"), address[1], target, {}, timeout_s, reads_errors=True
+    )
     if not isinstance(reply, Success):
         return Outcome(ExitCode.UNREACHABLE, f"{at}: {reply.failure()}")
     return decode_reply(at, *reply.unwrap())
--- a/packages/wisteriactl/src/wisteriactl/fetch.py
+++ b/packages/wisteriactl/src/wisteriactl/fetch.py
@@ -10,17 +10,22 @@
 from wisteriarock.platform.client import EXCHANGE_ERRORS
 from wisteriarock.wire.connection import BoundedConnection
 
-from .const import MAX_REPLY_BYTES, REQUEST_TIMEOUT_MS
+from .const import MAX_REPLY_BYTES
 
 
 async def fetch(
-    host: str, port: int, target: str, headers: Mapping[str, str], *, reads_errors: bool = False
+    host: str,
+    port: int,
+    target: str,
+    headers: Mapping[str, str],
+    timeout_s: float,
+    *,
+    reads_errors: bool = False,
 ) -> Result[tuple[int, bytes], str]:
     """Return the status and the body of a reply, or the error; it contains no header.
 
     The body of a reply with another status than 200 is only read with `reads_errors`.
     """
-    timeout_s = REQUEST_TIMEOUT_MS / 1000
     url_host = f"[{host}]" if ":" in host else host
     connector = TCPConnector(
         pool_configs={":default": PoolConfig(size=1)},
--- a/packages/wisteriactl/src/wisteriactl/status.py
+++ b/packages/wisteriactl/src/wisteriactl/status.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 from wisteriarock.codec.decode import decode
 
-from .const import MAX_REPLY_BYTES, SILENT_AFTER_MS, ExitCode
+from .const import MAX_REPLY_BYTES, REQUEST_TIMEOUT_MS, SILENT_AFTER_MS, ExitCode
 from .fetch import fetch
 from .models import InstanceAddress, MemberStatus, Outcome, StatusReply
 
@@ -32,9 +32,10 @@
         The operator token; error texts never contain it.
     """
     headers = {"Authorization": f"Bearer {token}"}
+    timeout_s = REQUEST_TIMEOUT_MS / 1000
 
     async def fetch_path(address: InstanceAddress, path: str) -> Result[bytes, str]:
-        reply = await fetch(address["host"], address["port"], path, headers)
+        reply = await fetch(address["host"], address["port"], path, headers, timeout_s)
         if not isinstance(reply, Success):
             return Failure(reply.failure())
         status, body = reply.unwrap()
