Explain with the later attempts of a customer and contradicted reports

Change: the order shows what later attempts get, and the figure that the load adds leaves out the usual load of the service. Tests of explain, of the process and of wisteriactl pass.

--- a/packages/wisteriarock/src/wisteriarock/explain/endpoints.py
+++ b/packages/wisteriarock/src/wisteriarock/explain/endpoints.py
@@ -107,6 +107,7 @@
         endpoint.silent_since_ms = next(iter(endpoint.in_flight.values()), None)
     endpoint.in_flight = {}
     endpoint.usual_load = 0.0
+    endpoint.service_load = None
     if endpoint.load is not None:
         endpoint.load = endpoint.load._replace(running=0, waiting=0)
 
--- a/packages/wisteriarock/src/wisteriarock/explain/request.py
+++ b/packages/wisteriarock/src/wisteriarock/explain/request.py
@@ -250,6 +250,7 @@
         "burst": customer.burst,
         "is_under_order": order is not None,
         "admitted_share": round(order.share, 3) if order else 1.0,
+        "admitted_share_later_attempts": round(order.back_share, 3) if order else 1.0,
         "order_ms_ago": round(now_ms - local.orders_at_ms) if order else None,
         "is_alone": is_alone(local, now_ms) if customer.rate_per_s else False,
         "own_share_tokens": round(usage.share.tokens, 2) if usage else None,
