--- a/packages/wisteriarock/src/wisteriarock/balancing/const.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/const.py
@@ -43,8 +43,9 @@
 # Random share of the expected latency if the estimate knows the load or the speed of endpoints: the
 # news of each instance is of another age, which spreads the choices as well.
 EVEN_JITTER_SHARE = 0.1
-# The same as `STALL_LATENCY_FACTOR` and `STALL_MIN_MS` if the estimate knows the load or the speed:
-# an endpoint that has slowed down for some hundreds of milliseconds is avoided for the rest of it.
+# The same as `STALL_LATENCY_FACTOR` and `STALL_MIN_MS` if the estimate knows the load or the speed,
+# for an endpoint that has replied to nothing since: a slow phase of some hundreds of milliseconds
+# is avoided for its rest.
 EVEN_STALL_LATENCY_FACTOR = 1.3
 EVEN_STALL_MIN_MS = 15.0
 # Endpoints of a service that are compared for a leg, drawn at random from a larger service, so that
--- a/packages/wisteriarock/src/wisteriarock/balancing/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/balancing/decide.py
@@ -68,12 +68,11 @@
     weight = math.exp((endpoint.observed_at_ms - now_ms) / decay_ms)
     ratio = 1.0 + (endpoint.slow_ratio - 1.0) * weight
     jitter_share = JITTER_SHARE
-    stall_factor, stall_min_ms = STALL_LATENCY_FACTOR, STALL_MIN_MS
-    if is_even or endpoint.load is not None:
+    knows_load = is_even or endpoint.load is not None
+    if knows_load:
         ratio = trouble_ratio(endpoint, ratio)
         ratio *= endpoint.speed_ratio * expected_pace(endpoint, now_ms)
         jitter_share = EVEN_JITTER_SHARE
-        stall_factor, stall_min_ms = EVEN_STALL_LATENCY_FACTOR, EVEN_STALL_MIN_MS
     if endpoint.cold_until_ms > now_ms:
         ratio *= COLD_FACTOR
     cost = expected_ms * ratio * (1.0 + expected_load(endpoint, expected_ms, now_ms))
@@ -82,8 +81,13 @@
     if endpoint.error_rate:
         cost += expected_ms * ERROR_PENALTY_FACTOR * endpoint.error_rate * weight
     silent_ms = silence_ms(endpoint, now_ms)
-    if silent_ms > stall_min_ms and silent_ms > stall_factor * expected_ms * ratio:
+    if silent_ms > STALL_MIN_MS and silent_ms > STALL_LATENCY_FACTOR * expected_ms * ratio:
         cost += expected_ms * STALL_PENALTY_FACTOR
+    elif knows_load and silent_ms > EVEN_STALL_MIN_MS:
+        # Large requests do not stall an endpoint that has replied to others meanwhile.
+        has_replied = endpoint.last_reply_at_ms > now_ms - silent_ms
+        if not has_replied and silent_ms > EVEN_STALL_LATENCY_FACTOR * expected_ms * ratio:
+            cost += expected_ms * STALL_PENALTY_FACTOR
     return cost + expected_ms * jitter_share * rng.random()
 
 
--- a/tests/wisteriarock/balancing/test_even_load.py
+++ b/tests/wisteriarock/balancing/test_even_load.py
@@ -195,6 +195,9 @@
 
     assert choose(20.0) is slow
     assert choose(30.0) is other
+    # A large request does not stall an endpoint that replies to others.
+    slow.last_reply_at_ms = 10.0
+    assert choose(30.0) is slow
     slow.in_flight = {}
     observe_reply(slow, 2.5 * EXPECTED_MS, EXPECTED_MS, is_error=False, now_ms=50.0, is_even=True)
     assert choose(51.0) is slow
