Look for unreachable zones only while too few shards are reachable

The inputs of the readiness decision were computed twice every 100 ms, and all endpoints were counted by zone although most instances never lack a shard. No decision changes.

--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -30,7 +30,7 @@
 )
 from .instance import Instance, release_held_requests
 from .pools import pool_of
-from .readiness import zones_to_report
+from .readiness import ReadinessInput, lacks_shards, zones_to_report
 from .rotation import readiness_input, update_readiness
 from .shares import update_instance_count
 
@@ -87,8 +87,9 @@
                 continue
         endpoint.next_probe_at_ms = now_ms + PROBE_INTERVAL_MS
         pool_of(instance, endpoint).probe()
-    _check_store(instance, now_ms)
-    _report_lost_zones(instance)
+    inputs = readiness_input(instance)
+    _check_store(instance, inputs, now_ms)
+    _report_lost_zones(instance, inputs)
 
 
 async def verify_lost_zones(instance: Instance, zones: list[str]) -> None:
@@ -115,10 +116,12 @@
     _spawn(instance, verify_lost_zones(instance, others))
 
 
-def _report_lost_zones(instance: Instance) -> None:
+def _report_lost_zones(instance: Instance, inputs: ReadinessInput) -> None:
     """Report zones that this instance does not reach to the other instances of its zone."""
-    inputs = readiness_input(instance)
-    unreachable = find_unreachable_zones(instance.directory.by_id.values(), instance.settings.zone)
+    unreachable: list[str] = []
+    if lacks_shards(inputs):
+        endpoints = instance.directory.by_id.values()
+        unreachable = find_unreachable_zones(endpoints, instance.settings.zone)
     zones = zones_to_report(inputs, unreachable, instance.reported_zones)
     if set(zones) > set(instance.reported_zones):
         _spawn(instance, report_lost_zones(instance.feed, list(zones)))
@@ -140,11 +143,10 @@
     pool.return_waiting("unreachable")
 
 
-def _check_store(instance: Instance, now_ms: float) -> None:
+def _check_store(instance: Instance, inputs: ReadinessInput, now_ms: float) -> None:
     """Check the store while too few shards are reachable, to detect an isolated instance."""
     state = instance.discovery
-    inputs = readiness_input(instance)
-    if not inputs.is_loaded or inputs.reachable_shards >= inputs.needed_shards:
+    if not inputs.is_loaded or not lacks_shards(inputs):
         return
     if now_ms - state.store_checked_at_ms < STORE_CHECK_INTERVAL_MS:
         return
