Test refusals late in a planned stop without a clock

Cause: the test slept for 2.7 s and then relied on the 240 ms that were left of the stop. Change: the rest of the request is sent once the listener is closed, with the end of the stop set to 200 ms from then; that the stop itself sets its end within the grace time is checked beside it.

--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -15,6 +15,7 @@
 from wisteriarock.front.app import drain
 from wisteriarock.front.housekeeping import verify_lost_zones
 from wisteriarock.front.instance import Instance
+from wisteriarock.front.listeners import ListenerName
 from wisteriarock.front.rotation import update_readiness
 from wisteriarock.http.front import CallerConnection
 from wisteriarock.http.models import Reply
@@ -232,15 +233,21 @@
     """
     async with deployment() as running:
         instance = running.instance
-        instance.settings = instance.settings._replace(drain_grace_ms=3_200.0)
+        grace_ms = 60_000.0
+        instance.settings = instance.settings._replace(drain_grace_ms=grace_ms)
         for number in range(2):
             running.endpoints[f"invoicing.{number}"].service_ms = 1_500.0
         reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
         raw = request_bytes("/book/1", "r-late", "POST", b"body")
         writer.write(raw[:40])
         await wait_until(lambda: any(not each.is_idle() for each in _callers(instance)))
+        before_ms = instance.loop.time() * 1000
         stop = asyncio.create_task(drain(instance, running.listeners))
-        await asyncio.sleep(2.7)
+        await wait_until(lambda: ListenerName.CALLERS not in running.listeners.servers)
+        stops_at_ms = instance.dispatch.stops_at_ms
+        assert stops_at_ms is not None and 0.9 * grace_ms < stops_at_ms - before_ms <= grace_ms
+        # As if the rest came in the last moment of the stop, however busy the machine is.
+        instance.dispatch.stops_at_ms = instance.loop.time() * 1000 + 200.0
         writer.write(raw[40:])
         response = await read_response(reader)
         assert response.status == 503 and response.headers["connection"] == "close"
