Take no exit status of the soak's programs

Sending a signal through the process object polls it first; when it had just ended, that took its exit status, and the watcher of asyncio then reports 255. The soak now signals the process id. The check of exit statuses is as before.

tests.wisteriastandins.soak.test_programs failed before.

--- a/packages/standins/src/wisteriastandins/soak/programs.py
+++ b/packages/standins/src/wisteriastandins/soak/programs.py
@@ -1,6 +1,7 @@
 """The real programs as child processes that the soak starts, signals and kills."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -123,7 +124,9 @@
             return
         if self.process is not None and self.process.returncode is None:
             self.sent_signals.add(signal_number)
-            self.process.send_signal(signal_number)
+            # The method of the process polls it first and so takes the status from its watcher.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal_number)
 
     async def wait(self) -> int:
         """Wait until the process has ended; return its exit status."""
