Wait for a survivor before a fan-out is given up; report lost zones again when isolated

After an endpoint has ended, a fan-out sends nothing more until another leg has survived. The check for parts that can still come took this "not yet" for "never": a fan-out over 4 or 20 shards that all have to answer got 502 after 1 ms instead of 200 after 68 or 56 ms (virtual time), one over 90 with four full shards likewise. And lost zones were reported once, when the store may still have answered the others, and not again when this instance became isolated.

Change: a shard that waits for the outcome of legs under way may still get its part. Becoming isolated is a reason of its own for a report.

--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -17,8 +17,10 @@
 from .decide import (
     answer_margin_ms,
     average_timer_delay_ms,
+    awaits_survivor,
     can_end_before,
     create_latency,
+    has_attempt_left,
     hedge_delay_ms,
     is_hedge_due,
     may_send_another_leg,
@@ -571,7 +573,9 @@
         return True
     if shard.is_held or shard.is_waiting:
         return True
-    return may_send_another_leg(query, shard) and _is_reachable(state, shard.service)
+    if not has_attempt_left(query, shard) or not _is_reachable(state, shard.service):
+        return False
+    return may_send_another_leg(query, shard) or awaits_survivor(query)
 
 
 def _will_retry_later(state: DispatchState, query: Query, shard: Shard) -> bool:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
@@ -3,6 +3,7 @@
 import random
 
 from wisteriarock.catalog.models import Route
+from wisteriarock.quarantine.const import ENDS_MAX
 from wisteriarock.quarantine.decide import may_send_more
 
 from .const import (
@@ -151,8 +152,8 @@
     return len(query.ended_endpoint_ids) + query.ended_elsewhere
 
 
-def may_send_another_leg(query: Query, shard: Shard) -> bool:
-    """Return whether the route allows another leg for a shard.
+def has_attempt_left(query: Query, shard: Shard) -> bool:
+    """Return whether the route allows another leg for a shard, however other shards fare.
 
     A gatherer that withheld a leg is the instance with the share in the rate limits for it.
     """
@@ -160,12 +161,23 @@
         return False
     if shard.is_withheld_by_gatherer or shard.is_held or shard.is_waiting:
         return False
-    ends = count_ends(query)
-    if not may_send_more(ends, query.survivors, is_fan_out=bool(query.route.shards)):
-        return False
     return query.route.idempotent or shard.possible_runs == 0
 
 
+def may_send_another_leg(query: Query, shard: Shard) -> bool:
+    """Return whether another leg may be sent for a shard now."""
+    return has_attempt_left(query, shard) and may_send_more(
+        count_ends(query), query.survivors, is_fan_out=bool(query.route.shards)
+    )
+
+
+def awaits_survivor(query: Query) -> bool:
+    """Return whether further legs wait for the outcome of those under way, as an endpoint ended."""
+    if query.survivors or not 0 < count_ends(query) < ENDS_MAX:
+        return False
+    return any(shard.legs or shard.fragment is not None for shard in query.shards)
+
+
 def is_hedge_due(query: Query, shard: Shard, now_ms: float) -> bool:
     """Return whether a shard's only outstanding leg is slow.
 
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -30,7 +30,7 @@
 )
 from .instance import Instance, release_held_requests
 from .pools import pool_of
-from .readiness import ReadinessInput, lacks_shards, zones_to_report
+from .readiness import ReadinessInput, is_report_due, lacks_shards, zones_to_report
 from .rotation import readiness_input, update_readiness
 from .shares import update_instance_count
 
@@ -123,9 +123,15 @@
         endpoints = instance.directory.by_id.values()
         unreachable = find_unreachable_zones(endpoints, instance.settings.zone)
     zones = zones_to_report(inputs, unreachable, instance.reported_zones)
-    if set(zones) > set(instance.reported_zones):
+    is_isolated = instance.dispatch.isolated_since_ms is not None
+    if is_report_due(
+        zones,
+        instance.reported_zones,
+        was_isolated=instance.was_isolated,
+        is_isolated=is_isolated,
+    ):
         _spawn(instance, report_lost_zones(instance.feed, list(zones)))
-    instance.reported_zones = zones
+    instance.reported_zones, instance.was_isolated = zones, is_isolated
 
 
 def _spawn(instance: Instance, work: Coroutine[Any, Any, None]) -> None:
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -97,6 +97,7 @@
         self.held_requests = HeldRequests(loop.time() * 1000)
         self.was_ready: bool | None = None
         self.reported_zones: tuple[str, ...] = ()
+        self.was_isolated = False
         self.has_allotments = False
         self.explain_limit: TokenBucket | None = None
         self.catalog = Catalog()
--- a/packages/wisteriarock/src/wisteriarock/front/readiness.py
+++ b/packages/wisteriarock/src/wisteriarock/front/readiness.py
@@ -94,3 +94,15 @@
     if not inputs.is_loaded or not lacks_shards(inputs):
         return ()
     return tuple(sorted({*unreachable_zones, *reported_zones}))
+
+
+def is_report_due(
+    zones: Sequence[str], reported_zones: Sequence[str], *, was_isolated: bool, is_isolated: bool
+) -> bool:
+    """Return whether lost zones are to be reported now.
+
+    A first report is ignored by instances that the store still answers, so that another one follows
+    when this instance has become isolated.
+    """
+    has_become_isolated = is_isolated and not was_isolated
+    return bool(zones) and (has_become_isolated or set(zones) > set(reported_zones))
--- a/tests/wisteriarock/dispatch/test_days.py
+++ b/tests/wisteriarock/dispatch/test_days.py
@@ -88,6 +88,37 @@
     assert answer.status == 200 and dict(answer.headers)[b"parts"] == b"3"
 
 
+def _end_the_first_leg(emulator: Emulator) -> None:
+    """End the endpoint that gets the leg of the first shard, before any endpoint replies."""
+    for number in range(2):
+        endpoint = emulator.endpoints[f"shard-0/{number}"]
+        if endpoint.busy:
+            endpoint.end()
+            return
+    emulator.loop.after_ms(0.5, lambda: _end_the_first_leg(emulator))
+
+
+def test_end_of_an_endpoint_before_any_reply_is_no_reason_to_give_up():
+    """Guards against a failure at once while the leg for the ended endpoint waits for a survivor.
+
+    Shards whose endpoints are full for a moment do not change that.
+    """
+    for shards, min_coverage, full in ((4, 1.0, 0), (20, 1.0, 0), (4, 0.75, 1), (90, 0.95, 4)):
+        emulator = Emulator(make_fan_out_route(shards, min_coverage=min_coverage))
+        crowded = [
+            emulator.endpoints[f"shard-{shard}/{number}"]
+            for shard in range(1, full + 1)
+            for number in range(2)
+        ]
+        for endpoint in crowded:
+            endpoint.mode = "shed"
+            emulator.loop.after_ms(25.0, lambda each=endpoint: setattr(each, "mode", "ok"))
+        emulator.loop.after_ms(0.0, lambda each=emulator: _end_the_first_leg(each))
+        emulator.send_requests(1, 100.0)
+        _, answer = emulator.answers[b"r0"]
+        assert answer.status == 200, (shards, min_coverage, full, answer.status)
+
+
 def test_slow_endpoints_of_many_shards():
     """Guards against slow replicas in one zone delaying every fan-out."""
     emulator = Emulator(make_fan_out_route(20))
--- a/tests/wisteriarock/front/test_readiness.py
+++ b/tests/wisteriarock/front/test_readiness.py
@@ -5,6 +5,7 @@
     ReadinessInput,
     is_isolated,
     is_ready,
+    is_report_due,
     zones_to_report,
 )
 
@@ -41,4 +42,17 @@
     assert zones_to_report(CUT_OFF._replace(is_loaded=False), OTHER_ZONES, ()) == ()
 
 
+def test_zones_are_reported_again_when_the_store_is_lost_later():
+    """Guards against a zone that nobody reports after the store still answered the first report."""
+
+    def is_due(zones: tuple[str, ...], reported: tuple[str, ...], was: bool, now: bool) -> bool:
+        return is_report_due(zones, reported, was_isolated=was, is_isolated=now)
+
+    assert is_due(OTHER_ZONES, (), False, False)
+    assert not is_due(OTHER_ZONES, OTHER_ZONES, False, False)
+    assert is_due(OTHER_ZONES, OTHER_ZONES, False, True)
+    assert not is_due(OTHER_ZONES, OTHER_ZONES, True, True)
+    assert not is_due((), (), False, True)
+
+
 load_tests = function_suite(globals())
