Contain an exception of a connection's turn

Cause: an exception of one turn ended the loop over the turns of its iteration, so the other connections lost theirs, and the connection itself stayed open with its reserved memory, as nothing ended it. The event loop closes a connection whose `data_received` raises.

Change: the exception goes to the event loop's handler, which reports it, and the connection is aborted, so that its memory is returned. The others have their turn.

Measured: test_request_that_raises_ends_its_connection_only fails before and passes after.

--- a/packages/wisteriarock/src/wisteriarock/api/protocol.py
+++ b/packages/wisteriarock/src/wisteriarock/api/protocol.py
@@ -203,6 +203,10 @@
         """Go on with the bytes that were received during the request before."""
         self._parse_ahead()
 
+    def abort(self) -> None:
+        """Close the connection without sending what is left."""
+        self.transport.abort()
+
     # Parser callbacks
 
     def on_message_begin(self) -> None:
--- a/packages/wisteriarock/src/wisteriarock/http/turns.py
+++ b/packages/wisteriarock/src/wisteriarock/http/turns.py
@@ -13,6 +13,9 @@
     def take_turn(self) -> None:
         """Handle the next input; add the connection again if there is more."""
 
+    def abort(self) -> None:
+        """Close the connection after a turn that raised."""
+
 
 class TurnQueue:
     """Connections that wait for their turn, a bounded number in each iteration of the event loop.
@@ -57,4 +60,10 @@
         for connection in due:
             del self._waiting[connection]
         for connection in due:
-            connection.take_turn()
+            try:
+                connection.take_turn()
+            except Exception as error:
+                # As the event loop does with an exception of `data_received`.
+                context = {"message": "turn of a connection failed", "exception": error}
+                self._loop.call_exception_handler(context)
+                connection.abort()
--- a/tests/wisteriarock/http/test_front.py
+++ b/tests/wisteriarock/http/test_front.py
@@ -300,6 +300,36 @@
     assert refused_transport.is_aborted and not idle_transport.is_aborted
 
 
+async def test_request_that_raises_ends_its_connection_only():
+    """Guards against callers that wait for ever, as a request in the same iteration has failed."""
+    buffers = BufferBudget(1_000_000, 1_000_000)
+    caller = _Caller(buffers)
+    handled = _refuse(caller)
+    connections = [caller.connect() for _ in range(TURNS_PER_ITERATION)]
+    for connection, _ in connections:
+        connection.data_received(GET % 0)
+    refuse, errors = caller.listener.handle, []
+
+    def fail_once(request: CallerRequest, respond: Any) -> Callable[[], None]:
+        if not errors:
+            raise ValueError("fault of the process")
+        return refuse(request, respond)
+
+    caller.listener.handle = fail_once
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: errors.append(context["exception"]))
+    for connection, _ in connections:
+        connection.data_received(GET % 1)
+    await _turns()
+    assert [type(error) for error in errors] == [ValueError]
+    assert handled.count(b"/1") == TURNS_PER_ITERATION - 1
+    assert [transport.is_aborted for _, transport in connections] == [True] + [False] * (
+        TURNS_PER_ITERATION - 1
+    )
+    connections[0][0].connection_lost(None)
+    assert buffers.reserved_bytes == 0
+
+
 async def test_rejected_connection_leaves_no_cycle():
     """Guards against rejected requests that stay in memory until the next garbage collection."""
     caller = _Caller(BufferBudget(1_000_000, 1_000_000))
