Keep refused callers with a request before idle ones

Cause: above the limit of connections, one whose last request was refused was closed first, even if its whole next request waited for its turn.

Change: it counts as useless only while it is idle.

Measured: test_refused_connection_with_a_request_is_kept_before_idle_ones fails before and passes after.

--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -164,7 +164,7 @@
 
     def usefulness(self) -> tuple[int, float]:
         """Return a key that orders connections without a request under way, useless ones first."""
-        if self.must_close or self.is_refused:
+        if self.must_close or (self.is_refused and self.is_idle()):
             return 0, self.wait_started_at_ms
         if self.is_unread:
             return 1, self.unread_since_ms
--- a/tests/wisteriarock/http/test_front.py
+++ b/tests/wisteriarock/http/test_front.py
@@ -300,6 +300,18 @@
     assert refused_transport.is_aborted and not idle_transport.is_aborted
 
 
+async def test_refused_connection_with_a_request_is_kept_before_idle_ones():
+    """Guards against calm callers whose next request is dropped, as they were refused once."""
+    caller = _Caller(BufferBudget(1_000_000, 1_000_000), max_connections=2)
+    _, idle_transport = caller.connect()
+    _refuse(caller)
+    refused, refused_transport = caller.connect()
+    for number in range(2):
+        refused.data_received(GET % number)
+    caller.connect()
+    assert idle_transport.is_aborted and not refused_transport.is_aborted
+
+
 async def test_request_that_raises_ends_its_connection_only():
     """Guards against callers that wait for ever, as a request in the same iteration has failed."""
     buffers = BufferBudget(1_000_000, 1_000_000)
