Alternate turns of calm refused callers and those that send ahead

Cause: one queue served both, so a caller that was refused once, as most are for a moment after a cut of a zone, waited behind all that send ahead.

Change: two classes of connections, served alternately. A caller that reads its refusal before it sends again is in the first; its wait grows with the number of such callers only.

Measured: test_refused_callers_do_not_wait_for_those_that_send_ahead fails before and passes after.

--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -273,7 +273,7 @@
             self.ahead_position = 0
         elif self.is_refused or self.listener.takes_turns:
             self.ahead = data
-            self.listener.turns.add(self)
+            self.listener.turns.add(self, is_ahead=False)
         else:
             self._parse(data)
         self._after_input()
--- a/packages/wisteriarock/src/wisteriarock/http/turns.py
+++ b/packages/wisteriarock/src/wisteriarock/http/turns.py
@@ -1,7 +1,6 @@
 """Turns of connections whose input costs the process time and brings callers nothing."""
 
 import asyncio
-from itertools import islice
 from typing import Protocol
 
 from .const import TURNS_PER_ITERATION
@@ -20,7 +19,9 @@
 class TurnQueue:
     """Connections that wait for their turn, a bounded number in each iteration of the event loop.
 
-    Other connections are served in between, so that their wait does not grow with this queue.
+    Other connections are served in between, so that their wait does not grow with this queue. Turns
+    alternate between callers that send ahead and those that read their answers first, so that the
+    wait of the latter does not grow with the number of the former.
 
     Attributes
     ----------
@@ -28,37 +29,59 @@
         Number of turns in one iteration of the event loop.
     """
 
-    __slots__ = ("_is_scheduled", "_loop", "_waiting", "per_iteration")
+    __slots__ = ("_ahead", "_is_ahead_next", "_is_scheduled", "_loop", "_polite", "per_iteration")
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, per_iteration: int = TURNS_PER_ITERATION
     ) -> None:
         self.per_iteration = per_iteration
         self._loop = loop
-        self._waiting: dict[TurnTaker, None] = {}
+        self._ahead: dict[TurnTaker, None] = {}
+        self._polite: dict[TurnTaker, None] = {}
+        self._is_ahead_next = False
         self._is_scheduled = False
 
-    def add(self, connection: TurnTaker) -> None:
-        """Let a connection wait for its turn; one that waits already keeps its place."""
-        self._waiting[connection] = None
+    def __contains__(self, connection: object) -> bool:
+        """Return whether a connection waits for its turn."""
+        return connection in self._ahead or connection in self._polite
+
+    def add(self, connection: TurnTaker, *, is_ahead: bool = True) -> None:
+        """Let a connection wait for its turn; one that waits already keeps its place.
+
+        `is_ahead` is false for a caller that has read the answer to its last request.
+        """
+        if connection not in self:
+            waiting = self._ahead if is_ahead else self._polite
+            waiting[connection] = None
         self._schedule()
 
     def discard(self, connection: TurnTaker) -> None:
         """Remove a connection."""
-        self._waiting.pop(connection, None)
+        self._ahead.pop(connection, None)
+        self._polite.pop(connection, None)
 
     def _schedule(self) -> None:
         if not self._is_scheduled:
             self._is_scheduled = True
             self._loop.call_soon(self._run)
 
+    def _take_next(self) -> TurnTaker:
+        """Remove the connection whose turn is next."""
+        first, second = self._polite, self._ahead
+        if self._is_ahead_next:
+            first, second = second, first
+        self._is_ahead_next = not self._is_ahead_next
+        waiting = first or second
+        connection = next(iter(waiting))
+        del waiting[connection]
+        return connection
+
     def _run(self) -> None:
         self._is_scheduled = False
-        due = list(islice(self._waiting, self.per_iteration))
-        if len(self._waiting) > len(due):
+        waiting_count = len(self._ahead) + len(self._polite)
+        due = [self._take_next() for _ in range(min(self.per_iteration, waiting_count))]
+        if waiting_count > len(due):
             self._schedule()
-        for connection in due:
-            del self._waiting[connection]
         for connection in due:
             try:
                 connection.take_turn()
--- a/tests/wisteriarock/http/test_front.py
+++ b/tests/wisteriarock/http/test_front.py
@@ -342,6 +342,24 @@
     assert buffers.reserved_bytes == 0
 
 
+async def test_refused_callers_do_not_wait_for_those_that_send_ahead():
+    """Guards against calm callers, refused once, that wait for thousands that send ahead."""
+    caller = _Caller(BufferBudget(100_000_000, 1_000_000))
+    handled = _refuse(caller)
+    for _ in range(200):
+        caller.connect()[0].data_received(GET % 0 * 20)
+    calm = [caller.connect()[0] for _ in range(2)]
+    for number in range(1, 3):
+        for connection in calm:
+            connection.data_received(GET % number)
+    before = len(handled)
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert handled.count(b"/2") == 2
+    # Those that send ahead have their share.
+    assert handled[before:].count(b"/0") >= TURNS_PER_ITERATION // 2
+
+
 async def test_rejected_connection_leaves_no_cycle():
     """Guards against rejected requests that stay in memory until the next garbage collection."""
     caller = _Caller(BufferBudget(1_000_000, 1_000_000))
