Keep the turn of data received by the servers, and read on afterwards

Cause: data received while a connection waited for its turn was parsed at once, with all that waited before it. Reading was paused while bytes waited for the answer before them, and resumed only by the end of a further request: a request cut in two behind an answer above the write buffer was never read to its end.

Change: data is kept while the connection waits. Once nothing is kept and no request is under way, reading goes on; otherwise uvicorn resumes it when the body is wanted or the answer complete.

Measured: test_data_received_meanwhile_keeps_its_turn and test_reading_goes_on_once_the_answer_is_read fail before and pass after.

--- a/packages/wisteriarock/src/wisteriarock/api/protocol.py
+++ b/packages/wisteriarock/src/wisteriarock/api/protocol.py
@@ -150,8 +150,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Keep received bytes until the request before them is answered, then parse them."""
+        assert self.turns is not None
         self._ahead += data
-        self._parse_ahead()
+        if self in self.turns:
+            self._after_input()
+        else:
+            self._parse_ahead()
 
     def _parse_ahead(self) -> None:
         position = 0
@@ -169,6 +173,10 @@
                 self.on_limit("head")
                 self.transport.abort()
         del self._ahead[:position]
+        self._after_input()
+
+    def _after_input(self) -> None:
+        """Bound the bytes that are not parsed yet; read on once there are none."""
         if self.transport.is_closing():
             self._ahead.clear()
         if len(self._ahead) > AHEAD_MAX_BYTES:
@@ -176,6 +184,9 @@
             self.transport.abort()
         elif self._ahead:
             self.flow.pause_reading()
+        elif self.cycle is None or self.cycle.response_complete:
+            # While a request is under way, uvicorn resumes reading when its body is wanted.
+            self.flow.resume_reading()
         self._count_memory()
 
     def _count_memory(self) -> None:
--- a/tests/wisteriarock/api/test_protocol.py
+++ b/tests/wisteriarock/api/test_protocol.py
@@ -26,6 +26,7 @@
         self.high_water_bytes = high_water_bytes
         self.unread_bytes = 0
         self.is_aborted = False
+        self.is_paused = False
 
     def write(self, data: Any) -> None:
         """Keep the data, as the peer does not read."""
@@ -42,10 +43,17 @@
         return self.is_aborted
 
     def pause_reading(self) -> None:
-        """Ignore flow control."""
+        """Record that reading is paused."""
+        self.is_paused = True
 
     def resume_reading(self) -> None:
-        """Ignore flow control."""
+        """Record that reading goes on."""
+        self.is_paused = False
+
+    def read_all(self) -> None:
+        """Let the peer read what was sent."""
+        self.unread_bytes = 0
+        self.protocol.resume_writing()
 
     def close(self) -> None:
         """Ignore the end."""
@@ -142,4 +150,44 @@
         connection.protocol.connection_lost(None)
 
 
+async def test_data_received_meanwhile_keeps_its_turn():
+    """Guards against callers that send ahead in pieces, and so are served before others."""
+    started = 0
+
+    async def count(scope: Any, receive: Any, send: Any) -> None:
+        nonlocal started
+        started += 1
+        await _app(scope, receive, send)
+
+    connect = _server(BufferBudget(100_000_000), 65_536, count)
+    connections = [connect() for _ in range(20)]
+    for connection in connections:
+        connection.protocol.data_received(GET * 2)
+    await _iterate(5)
+    assert started == 20
+    for connection in connections:
+        connection.transport.read_all()
+        connection.protocol.data_received(GET)
+    await _iterate(2)
+    assert 20 < started <= 20 + 2 * TURNS_PER_ITERATION
+    for connection in connections:
+        connection.protocol.connection_lost(None)
+
+
+async def test_reading_goes_on_once_the_answer_is_read():
+    """Guards against a request cut in two whose second part is never read."""
+    connection = _server(BufferBudget(1_000_000), 65_536)()
+    protocol, transport = connection.protocol, connection.transport
+    protocol.data_received(GET + GET[:20])
+    await _iterate(5)
+    assert transport.is_paused
+    transport.read_all()
+    await _iterate(5)
+    assert not transport.is_paused
+    protocol.data_received(GET[20:])
+    await _iterate(5)
+    assert transport.unread_bytes > ANSWER_BYTES
+    protocol.connection_lost(None)
+
+
 load_tests = function_suite(globals())
