--- a/tests/wisteriarock/http/test_front.py
+++ b/tests/wisteriarock/http/test_front.py
@@ -300,6 +300,66 @@
     assert refused_transport.is_aborted and not idle_transport.is_aborted
 
 
+async def test_refused_connection_with_a_request_is_kept_before_idle_ones():
+    """Guards against calm callers whose next request is dropped, as they were refused once."""
+    caller = _Caller(BufferBudget(1_000_000, 1_000_000), max_connections=2)
+    _, idle_transport = caller.connect()
+    _refuse(caller)
+    refused, refused_transport = caller.connect()
+    for number in range(2):
+        refused.data_received(GET % number)
+    caller.connect()
+    assert idle_transport.is_aborted and not refused_transport.is_aborted
+
+
+async def test_request_that_raises_ends_its_connection_only():
+    """Guards against callers that wait for ever, as a request in the same iteration has failed."""
+    buffers = BufferBudget(1_000_000, 1_000_000)
+    caller = _Caller(buffers)
+    handled = _refuse(caller)
+    connections = [caller.connect() for _ in range(TURNS_PER_ITERATION)]
+    for connection, _ in connections:
+        connection.data_received(GET % 0)
+    refuse, errors = caller.listener.handle, []
+
+    def fail_once(request: CallerRequest, respond: Any) -> Callable[[], None]:
+        if not errors:
+            raise ValueError("fault of the process")
+        return refuse(request, respond)
+
+    caller.listener.handle = fail_once
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: errors.append(context["exception"]))
+    for connection, _ in connections:
+        connection.data_received(GET % 1)
+    await _turns()
+    assert [type(error) for error in errors] == [ValueError]
+    assert handled.count(b"/1") == TURNS_PER_ITERATION - 1
+    assert [transport.is_aborted for _, transport in connections] == [True] + [False] * (
+        TURNS_PER_ITERATION - 1
+    )
+    connections[0][0].connection_lost(None)
+    assert buffers.reserved_bytes == 0
+
+
+async def test_refused_callers_do_not_wait_for_those_that_send_ahead():
+    """Guards against calm callers, refused once, that wait for thousands that send ahead."""
+    caller = _Caller(BufferBudget(100_000_000, 1_000_000))
+    handled = _refuse(caller)
+    for _ in range(200):
+        caller.connect()[0].data_received(GET % 0 * 20)
+    calm = [caller.connect()[0] for _ in range(2)]
+    for number in range(1, 3):
+        for connection in calm:
+            connection.data_received(GET % number)
+    before = len(handled)
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert handled.count(b"/2") == 2
+    # Those that send ahead have their share.
+    assert handled[before:].count(b"/0") >= TURNS_PER_ITERATION // 2
+
+
 async def test_rejected_connection_leaves_no_cycle():
     """Guards against rejected requests that stay in memory until the next garbage collection."""
     caller = _Caller(BufferBudget(1_000_000, 1_000_000))
