Tell later attempts by customer, and leave room for short times

Cause: for admission, a caller counted as coming back if its time left was shorter than the longest one ever seen on the route, over all customers and without a bound. Callers with the shorter of two times were starved the same way.

Change: for admission, the longest time is kept by customer with a limit and route, up to the timeout of the route, for the last one to two minutes, and forgotten with the configuration. Relays learn without an order which share of a customer's requests look like later attempts from the start, and give these room with the first attempts; later attempts have at least 0.25 of the share of first ones, or 0.05 where fewer than 3 in 100 of 20 requests and more looked so. The rate is not changed. The property test plays 300 examples instead of 90, with two times as well.

--- a/packages/wisteriarock/src/wisteriarock/customers/const.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/const.py
@@ -16,6 +16,8 @@
 # Share of the excess that a relay adds while it hears of fewer, to a customer for which the excess
 # lasts at its rate for the longer of these times; none below the shorter one, and between them in
 # proportion. What is admitted unheard in the delay of messages grows with the rate.
+# It may be larger than the share above: that one holds for customers of any size, this one in full
+# only for small ones, of which the delay admits little against the excess.
 INCOMPLETE_RATE_EXCESS_SHARE = 0.25
 INCOMPLETE_EXCESS_MIN_S = 3.5
 INCOMPLETE_EXCESS_FULL_S = 5.0
@@ -34,6 +36,15 @@
 ASKED_TIME_CONSTANT_S = 1.0
 # Time for which a lower rate is paid for at most: the largest debt, in allotments of this time.
 DEBT_MAX_S = 2.0
+# Number of requests without an order, at least and at most, from which a relay learns how many look
+# like later attempts, and their share below which all first attempts count as having the same time.
+CALM_REQUESTS_MIN = 20.0
+CALM_REQUESTS_MAX = 100.0
+UNIFORM_BACK_SHARE_MAX = 0.03
+# Least share of later attempts to admit, as a part of that of first ones, as some of them may be
+# first attempts with a short time; and the same where all have the same time.
+LATER_SHARE_MIN = 0.25
+UNIFORM_LATER_SHARE = 0.05
 # Shortest interval of the reports of an instance, and the addition for each member of its relay.
 REPORT_INTERVAL_MIN_MS = 100.0
 REPORT_INTERVAL_PER_MEMBER_MS = 2.0
--- a/packages/wisteriarock/src/wisteriarock/customers/models.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/models.py
@@ -177,15 +177,25 @@
     """What a relay knows of the requests of one customer at all instances.
 
     `tokens` may be negative. `asked_per_s`, and the part `back_per_s` of callers that have come
-    back, decay with time since `updated_at_ms`.
+    back, decay with time since `updated_at_ms`. `calm_asked` and `calm_back` are the last requests
+    without an order, and those of them that look like later attempts.
     """
 
-    __slots__ = ("asked_per_s", "back_per_s", "tokens", "updated_at_ms")
+    __slots__ = (
+        "asked_per_s",
+        "back_per_s",
+        "calm_asked",
+        "calm_back",
+        "tokens",
+        "updated_at_ms",
+    )
 
     def __init__(self, now_ms: float) -> None:
         self.tokens = 0.0
         self.asked_per_s = 0.0
         self.back_per_s = 0.0
+        self.calm_asked = 0.0
+        self.calm_back = 0.0
         self.updated_at_ms = now_ms
 
 
--- a/packages/wisteriarock/src/wisteriarock/customers/totals.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/totals.py
@@ -12,6 +12,8 @@
 
 from .const import (
     ASKED_TIME_CONSTANT_S,
+    CALM_REQUESTS_MAX,
+    CALM_REQUESTS_MIN,
     CORRECTION_S,
     DEBT_MAX_S,
     EXCESS_HEARD_SHARE_MIN,
@@ -21,6 +23,7 @@
     INCOMPLETE_EXCESS_FULL_S,
     INCOMPLETE_EXCESS_MIN_S,
     INCOMPLETE_RATE_EXCESS_SHARE,
+    LATER_SHARE_MIN,
     MEMBER_TIMEOUT_MS,
     MEMBERS_REUSE_MS,
     ORDER_CHANGE_MIN,
@@ -31,6 +34,8 @@
     REPORT_INTERVAL_MIN_MS,
     REPORT_INTERVAL_PER_MEMBER_MS,
     SETTLE_MS,
+    UNIFORM_BACK_SHARE_MAX,
+    UNIFORM_LATER_SHARE,
 )
 from .decide import add_counts, limit_wait_ms, tolerated_excess
 from .models import Counts, CustomerTotal, Member, Order, OrdersAnswer, Outbox, Report, Totals
@@ -137,6 +142,8 @@
         total.tokens = max(total.tokens - counts.admitted, min(total.tokens, floor))
         total.asked_per_s += counts.asked / ASKED_TIME_CONSTANT_S
         total.back_per_s += counts.back / ASKED_TIME_CONSTANT_S
+        if name not in totals.orders:
+            _record_calm(total, counts)
         if not report.members:
             for outbox in totals.outboxes.values():
                 add_counts(outbox.counts, name, counts)
@@ -144,12 +151,40 @@
                     outbox.since_ms = now_ms
 
 
+def _record_calm(total: CustomerTotal, counts: Counts) -> None:
+    """Count requests of a customer that is not under an order."""
+    total.calm_asked += counts.asked
+    total.calm_back += counts.back
+    if total.calm_asked > CALM_REQUESTS_MAX:
+        total.calm_back *= CALM_REQUESTS_MAX / total.calm_asked
+        total.calm_asked = CALM_REQUESTS_MAX
+
+
+def _short_per_s(total: CustomerTotal) -> float:
+    """Return the rate of first attempts that only look like later ones, as they have less time.
+
+    Without an order little is refused, so that few callers come back: what looks like it then has
+    a short time from the start. Callers with a short time keep a part of the share of the others;
+    it is small only where nearly all requests are known to have the same time.
+    """
+    is_uniform = (
+        total.calm_asked >= CALM_REQUESTS_MIN
+        and total.calm_back < UNIFORM_BACK_SHARE_MAX * total.calm_asked
+    )
+    short_per_s = (UNIFORM_LATER_SHARE if is_uniform else LATER_SHARE_MIN) * total.back_per_s
+    calm_first = total.calm_asked - total.calm_back
+    if calm_first > 0:
+        first_per_s = total.asked_per_s - total.back_per_s
+        short_per_s = max(short_per_s, first_per_s * total.calm_back / calm_first)
+    return min(total.back_per_s, short_per_s)
+
+
 def _make_order(total: CustomerTotal, rate_per_s: float, debt: float) -> Order | None:
     """Return the shares of a customer's requests to admit, None if all of them may be.
 
     They lead the bucket to the allowed debt within the correction time, whatever the delay of
     reports has admitted before. A caller that has come back is answered late in any case, so it
-    gets what first attempts leave.
+    gets what first attempts leave, those with a short time included.
     """
     above_debt = total.tokens + debt
     allowed_per_s = rate_per_s + above_debt / CORRECTION_S
@@ -157,8 +192,8 @@
         return None
     wait_ms = 1000.0 * (1.0 + max(0.0, -above_debt)) / rate_per_s
     first_per_s = total.asked_per_s - total.back_per_s
-    share = _part(allowed_per_s, first_per_s)
-    back_share = _part(allowed_per_s - first_per_s, total.back_per_s)
+    share = _part(allowed_per_s, first_per_s + _short_per_s(total))
+    back_share = _part(allowed_per_s - share * first_per_s, total.back_per_s)
     return Order(share, limit_wait_ms(wait_ms), back_share)
 
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/const.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/const.py
@@ -21,6 +21,9 @@
 # A request counts as a retry by the caller if its time left is at least this much shorter than the
 # longest one seen on the route.
 CALLER_RETRY_MIN_WAIT_MS = 20.0
+# The longest time left that a customer's callers have on a route is that of the current period of
+# this length and of the one before.
+FULL_TIME_PERIOD_MS = 60_000.0
 # Initial backoff before endpoints that shed a leg are tried again; doubled each time.
 SHED_BACKOFF_MS = 40.0
 # Maximum Retry-After, as a share of the time that the caller has left.
--- a/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/controller.py
@@ -21,6 +21,7 @@
     create_latency,
     hedge_delay_ms,
     is_hedge_due,
+    is_later_attempt,
     may_send_another_leg,
     needed_parts,
     record_latency,
@@ -158,7 +159,12 @@
         reason = "too many requests under way"
         refuse_request(state, respond, head.request_id, 503, reason, head.time_left_ms)
         return _do_nothing
-    wait_ms = None if customer is None else state.admit_customer(customer, query.is_caller_back)
+    wait_ms = None
+    if customer is not None:
+        is_later = is_later_attempt(
+            state.full_times, customer, route, head.time_left_ms, loop_time_ms(state)
+        )
+        wait_ms = state.admit_customer(customer, is_later)
     if wait_ms is not None:
         state.return_legs(len(services))
         _refuse_over_allotment(state, query, wait_ms)
--- a/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/decide.py
@@ -1,8 +1,9 @@
 """Decisions on timing, hedges and retries of queries."""
 
 import random
+from collections.abc import Collection, Mapping
 
-from wisteriarock.catalog.models import Route
+from wisteriarock.catalog.models import Customer, Route
 from wisteriarock.quarantine.decide import may_send_more
 
 from .const import (
@@ -16,6 +17,7 @@
     EARLY_ANSWER_MIN_HEDGE_DELAYS,
     EXPECTED_TARGETS,
     EXPECTED_TARGETS_NOT_IDEMPOTENT,
+    FULL_TIME_PERIOD_MS,
     HEDGE_DELAY_MIN_MS,
     HEDGE_QUANTILE,
     HEDGE_QUANTILE_STEP,
@@ -35,7 +37,7 @@
     TIMER_DELAY_MAX_MS,
     TIMER_DELAY_WEIGHT,
 )
-from .models import Query, RouteLatency, Shard
+from .models import FullTime, Query, RouteLatency, Shard
 
 
 def create_latency(route: Route) -> RouteLatency:
@@ -75,6 +77,42 @@
     return waited if waited >= CALLER_RETRY_MIN_WAIT_MS else 0.0
 
 
+def is_later_attempt(
+    full_times: dict[tuple[str, str], FullTime],
+    customer: Customer,
+    route: Route,
+    time_left_ms: float | None,
+    now_ms: float,
+) -> bool:
+    """Return whether a customer's caller has probably come back after an earlier attempt.
+
+    Only requests of the same customer to the route are compared, and those of the last two periods;
+    time beyond the timeout of the route says nothing. A customer without a limit leaves no state.
+    """
+    if time_left_ms is None or customer.rate_per_s <= 0:
+        return False
+    full = full_times.setdefault((customer.name, route.name), FullTime(now_ms))
+    elapsed_ms = now_ms - full.since_ms
+    if elapsed_ms >= FULL_TIME_PERIOD_MS:
+        full.earlier_ms = full.recent_ms if elapsed_ms < 2 * FULL_TIME_PERIOD_MS else 0.0
+        full.since_ms, full.recent_ms = now_ms, 0.0
+    left_ms = min(time_left_ms, route.timeout_ms)
+    full.recent_ms = max(full.recent_ms, left_ms)
+    return max(full.earlier_ms, full.recent_ms) - left_ms >= CALLER_RETRY_MIN_WAIT_MS
+
+
+def forget_full_times(
+    full_times: dict[tuple[str, str], FullTime],
+    customers: Mapping[str, Customer],
+    routes: Collection[str],
+) -> None:
+    """Forget what the configuration names no longer, and customers without a limit."""
+    for name, route in list(full_times):
+        customer = customers.get(name)
+        if customer is None or customer.rate_per_s <= 0 or route not in routes:
+            del full_times[name, route]
+
+
 def answer_margin_ms(
     capacity_cores: float, timer_delay_ms: float, round_trip_ms: float | None = None
 ) -> float:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -132,6 +132,20 @@
         self.samples = 0
 
 
+class FullTime:
+    """Longest time left lately in a customer's requests to a route, as first attempts have it.
+
+    `recent_ms` is that of the period since `since_ms`, `earlier_ms` that of the period before.
+    """
+
+    __slots__ = ("earlier_ms", "recent_ms", "since_ms")
+
+    def __init__(self, now_ms: float) -> None:
+        self.since_ms = now_ms
+        self.recent_ms = 0.0
+        self.earlier_ms = 0.0
+
+
 class LegKind(enum.Enum):
     """Reason for which a leg is sent."""
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/state.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/state.py
@@ -17,7 +17,7 @@
 from wisteriarock.quarantine.models import Notice, Quarantine
 
 from .budget import ExtraLegBudget
-from .models import Leg, Query, RouteLatency, WireFormat
+from .models import FullTime, Leg, Query, RouteLatency, WireFormat
 
 NO_ENDPOINTS: list[Endpoint] = []
 
@@ -41,6 +41,8 @@
         Rooms of the work under way, and the work that waits for them.
     quarantine : Quarantine
         Routes and requests under which endpoints have ended lately.
+    full_times : dict
+        Longest time left lately by customer with a limit and route.
     on_misdirected, on_leaving : callable
         Called with an endpoint whose address belongs to another one, and with one that leaves.
     on_deadly : callable
@@ -110,6 +112,7 @@
         self.capacity_cores = capacity_cores
         self.timer_delay_ms = 0.0
         self.latencies: dict[str, RouteLatency] = {}
+        self.full_times: dict[tuple[str, str], FullTime] = {}
         self.abandoned: dict[Leg, float] = {}
         self.active: set[Query] = set()
         self.gatherers = GathererDirectory()
--- a/packages/wisteriarock/src/wisteriarock/explain/dry_run.py
+++ b/packages/wisteriarock/src/wisteriarock/explain/dry_run.py
@@ -117,6 +117,7 @@
     }
     dry.directory = _copy_directory(state.directory, services)
     dry.latencies = {name: copy.copy(each) for name, each in state.latencies.items()}
+    dry.full_times = {}
     dry.budget = copy.copy(state.budget)
     dry.budget.buckets = {name: copy.copy(each) for name, each in state.budget.buckets.items()}
     dry.overload = _copy_overload(state.overload)
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -15,6 +15,7 @@
 from wisteriarock.discovery.state import DiscoveryState
 from wisteriarock.dispatch.budget import ExtraLegBudget
 from wisteriarock.dispatch.controller import handle_fragment, handle_request
+from wisteriarock.dispatch.decide import forget_full_times
 from wisteriarock.dispatch.models import WireFormat
 from wisteriarock.dispatch.state import DispatchState
 from wisteriarock.feed.allotments import PATH_PREFIX as ALLOTMENTS_PATH
@@ -327,4 +328,5 @@
     latencies = instance.dispatch.latencies
     for name in [name for name in latencies if name not in names]:
         del latencies[name]
+    forget_full_times(instance.dispatch.full_times, instance.catalog.customers, names)
     update_readiness(instance)
--- a/tests/wisteriaplatform/test_requests.py
+++ b/tests/wisteriaplatform/test_requests.py
@@ -1,11 +1,24 @@
 """Tests of the decoding of the platform's HTTP messages."""
 
-from wisteriaplatform.requests import read_reply
+from wisteriaplatform.requests import TIME_LEFT_MAX_MS, read_reply, read_request
 from wisteriarock.balancing.models import LoadReport
+from wisteriarock.http.models import CallerRequest
 
 from tests.common import function_suite
 
 
+def test_time_left_is_bounded():
+    """Guards against a time left that is infinite, or longer than any request."""
+    for value, expected_ms in (
+        (b"1500", 1_500.0),
+        (b"9" * 12, TIME_LEFT_MAX_MS),
+        (b"9" * 400, TIME_LEFT_MAX_MS),
+    ):
+        headers = [(b"Host", b"x"), (b"Request-Id", b"r"), (b"Deadline-Ms", value)]
+        head = read_request(CallerRequest(b"GET", b"/a", headers, b"", 0.0, False))
+        assert head is not None and head.time_left_ms == expected_ms, value
+
+
 def test_rate_limit_is_decoded():
     """Guards against ignoring the rate limit that an endpoint names."""
     for value, expected in ((b"16.3", 16.3), (b" 4 ", 4.0), (b"0", 0.0), (b".5", 0.5)):
--- a/tests/wisteriarock/customers/emulator.py
+++ b/tests/wisteriarock/customers/emulator.py
@@ -66,8 +66,10 @@
         Part of a divided network by instance; instances of one part reach each other.
     admitted, asked : list of float
         Times of the requests.
-    all_back : bool
-        Whether all requests look like later attempts.
+    back_share : float
+        Share of the first attempts that look like later ones, as they have less time.
+    asked_short, admitted_short : int
+        Number of these that were asked for, and admitted at the first attempt.
     comes_back : bool
         Whether the caller of a refused request sends it once again.
     admitted_later : int
@@ -98,7 +100,9 @@
         self.messages = 0
         self.asked: list[float] = []
         self.admitted: list[float] = []
-        self.all_back = False
+        self.back_share = 0.0
+        self.asked_short = 0
+        self.admitted_short = 0
         self.comes_back = False
         self.admitted_later = 0
         self.refused_below = 0
@@ -236,7 +240,7 @@
                 expected = self.per_s(zone, self.now_ms) * TICK_MS / 1000
                 while nodes and expected > 0:
                     if self.rng.random() < expected:
-                        self._ask(self.rng.choice(nodes), is_back=self.all_back)
+                        self._ask_first(self.rng.choice(nodes))
                     expected -= 1
             for node in self.nodes:
                 if node.is_up:
@@ -245,7 +249,14 @@
                 for node in self.nodes:
                     self._exchange_totals(node)
 
-    def _ask(self, node: Node, *, is_back: bool = False) -> None:
+    def _ask_first(self, node: Node) -> None:
+        is_short = self.back_share > 0 and self.rng.random() < self.back_share
+        admitted = len(self.admitted)
+        self._ask(node, is_back=is_short)
+        self.asked_short += is_short
+        self.admitted_short += is_short and len(self.admitted) > admitted
+
+    def _ask(self, node: Node, *, is_back: bool = False, is_again: bool = False) -> None:
         self.asked.append(self.now_ms)
         wait_ms = try_admit(
             node.local, self.customer, len(self.nodes), self.now_ms, self.rng, is_back=is_back
@@ -257,10 +268,12 @@
             self._allotment.tokens -= 1.0
             return
         self.refused_below += self._allotment.tokens >= 1.0
-        if self.comes_back and not is_back:
+        if self.comes_back and not is_again:
             again = self.rng.choice(self.nodes)
             back_at_ms = self.now_ms + min(wait_ms, BACK_WITHIN_MS)
-            self.at(back_at_ms, lambda: again.is_up and self._ask(again, is_back=True))
+            self.at(
+                back_at_ms, lambda: again.is_up and self._ask(again, is_back=True, is_again=True)
+            )
 
     def worst_window(self, from_ms: float = 0.0) -> int:
         """Return the largest number of requests admitted in a window."""
--- a/tests/wisteriarock/customers/test_allotments.py
+++ b/tests/wisteriarock/customers/test_allotments.py
@@ -109,12 +109,29 @@
 def test_customer_whose_requests_all_look_like_second_attempts():
     """Guards against a customer with little time for each request that is served nothing."""
     emulator = Emulator(ZONES, _customer(), _hot)
-    emulator.all_back = True
+    emulator.back_share = 1.0
     emulator.run(18_000)
     assert emulator.worst_window() <= emulator.allowed()
     assert len(emulator.admitted) > 0.95 * (RATE_PER_S * 12.0 + USUAL_PER_S * 6.0)
 
 
+def test_hot_customer_whose_callers_have_two_times():
+    """Guards against callers with the shorter of two times that are served nothing."""
+    for comes_back in (False, True):
+        for back_share in (0.1, 0.5, 0.9):
+            emulator = Emulator(ZONES, _customer(), lambda zone, now_ms: _hot(zone, now_ms - 14e3))
+            emulator.back_share, emulator.comes_back = back_share, comes_back
+            emulator.run(20_500)
+            asked, admitted = len(emulator.asked), len(emulator.admitted)
+            asked_short, admitted_short = emulator.asked_short, emulator.admitted_short
+            emulator.run(18_000)
+            share = (len(emulator.admitted) - admitted) / (len(emulator.asked) - asked)
+            admitted_short = emulator.admitted_short - admitted_short
+            short = admitted_short / (emulator.asked_short - asked_short)
+            assert short > 0.25 * share, (short, share)
+            assert emulator.worst_window() <= emulator.allowed()
+
+
 def test_first_attempts_alone_are_decided_as_before():
     """Guards against other decisions for customers whose callers do not come back."""
     total = CustomerTotal(0.0)
@@ -306,17 +323,19 @@
 
 
 @seed(39)
-@settings(max_examples=90, deadline=None, suppress_health_check=list(HealthCheck))
+@settings(max_examples=300, deadline=None, suppress_health_check=list(HealthCheck))
 @given(
     events=_EVENTS,
     hot_at_s=st.integers(4, 10),
     comes_back=st.booleans(),
+    back_share=st.sampled_from((0.0, 0.5)),
     rate_per_s=st.sampled_from((RATE_PER_S, 1.0, 3.0)),
 )
 def test_sum_holds_under_any_interleaving(
     events: list[tuple[str, int, int]],
     hot_at_s: int,
     comes_back: bool,  # noqa: FBT001
+    back_share: float,
     rate_per_s: float,
 ):
     """Guards against a loss, pause, cut or restart that gives an allotment twice."""
@@ -326,6 +345,7 @@
 
     emulator = Emulator((3, 3, 3), _customer(rate_per_s), per_s)
     emulator.comes_back = comes_back
+    emulator.back_share = back_share
     for kind, number, at_s in events:
         emulator.at(at_s * 1_000.0, lambda kind=kind, number=number: _apply(emulator, kind, number))
     emulator.run(18_000)
