Count an instance at a new relay at once if the former one refused it

Cause: an instance tells a relay for how long others may still count it, so that it has no two shares of an allotment. It took this from its own attempts: after a restart of all, instances first call the relays of the old leases, which refuse them as they are no relays any more, and were then counted nowhere for 2.4 s.

Change: calls that were not sent, and those that a relay refused from which this instance has no orders, do not count. The time is kept by relay, so that an attempt at one does not hide the others.

--- a/packages/wisteriarock/src/wisteriarock/customers/const.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/const.py
@@ -66,6 +66,8 @@
 PEER_TIMEOUT_MS = 750.0
 # Age of the last message of a member above which it counts as silent.
 MEMBER_TIMEOUT_MS = 1_600.0
+# Time after a call for which the called relay, and those that it tells, may count the caller.
+COUNTED_MS = MEMBER_TIMEOUT_MS + PEER_TIMEOUT_MS
 # Time for which the number of members is not counted again.
 MEMBERS_REUSE_MS = 100.0
 # Time without a request, after its bucket has filled, from which a relay forgets a customer.
--- a/packages/wisteriarock/src/wisteriarock/customers/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/decide.py
@@ -4,6 +4,7 @@
 orders; without contact to a relay it keeps to its equal share.
 """
 
+import math
 import random
 from collections.abc import Iterable
 
@@ -15,10 +16,9 @@
     ALONE_EXCESS_SHARE,
     ALONE_RATE_SHARE,
     ALONE_TOLERATED_SHARE,
+    COUNTED_MS,
     HEARD_MAX_MS,
-    MEMBER_TIMEOUT_MS,
     ORDER_MAX_AGE_MS,
-    PEER_TIMEOUT_MS,
     START_SHARE,
     UNCONFIRMED_MAX_MS,
     WAIT_MAX_MS,
@@ -120,16 +120,38 @@
     return in_window - ALONE_RATE_SHARE * window
 
 
-def bind(state: LocalAllotments, relay: str, now_ms: float) -> float:
+def begin_call(state: LocalAllotments, relay: str, now_ms: float) -> float:
     """Note a call to a relay; return the time for which other ones may still count this instance.
 
     Counted at two relays, an instance would have two shares of each allotment.
     """
-    if relay != state.bound_to:
-        state.others_until_ms = max(state.others_until_ms, state.bound_until_ms)
-        state.bound_to = relay
-    state.bound_until_ms = now_ms + MEMBER_TIMEOUT_MS + PEER_TIMEOUT_MS
-    return max(0.0, state.others_until_ms - now_ms)
+    state.calls.setdefault(relay, []).append(now_ms)
+    untils_ms = [until for name, until in state.counted_until_ms.items() if name != relay]
+    for name, starts_ms in state.calls.items():
+        if name != relay:
+            untils_ms.append(max(starts_ms) + COUNTED_MS)
+    return max(0.0, max(untils_ms, default=now_ms) - now_ms)
+
+
+def end_call(
+    state: LocalAllotments, relay: str, started_at_ms: float, now_ms: float, *, is_counted: bool
+) -> None:
+    """Note the end of a call to a relay.
+
+    Parameters
+    ----------
+    is_counted : bool
+        Whether the relay may have counted this instance for the call.
+    """
+    state.calls[relay].remove(started_at_ms)
+    if not state.calls[relay]:
+        del state.calls[relay]
+    if is_counted:
+        until_ms = max(started_at_ms + COUNTED_MS, state.counted_until_ms.get(relay, -math.inf))
+        state.counted_until_ms[relay] = until_ms
+    state.counted_until_ms = {
+        name: until for name, until in state.counted_until_ms.items() if until > now_ms
+    }
 
 
 def take_pending(state: LocalAllotments) -> dict[str, Counts]:
--- a/packages/wisteriarock/src/wisteriarock/customers/models.py
+++ b/packages/wisteriarock/src/wisteriarock/customers/models.py
@@ -146,10 +146,10 @@
         Time of the last answer of a relay.
     interval_ms : float
         Shortest interval of reports.
-    bound_to, bound_until_ms
-        The relay that this instance last called, and the time until which it may count this one.
-    others_until_ms : float
-        Time until which other relays may do so.
+    counted_until_ms : dict
+        Time until which a relay that was called may count this instance, by its name.
+    calls : dict
+        Start times of the calls under way, by the relay.
     started_at_ms : float
         Time at which the process started.
     relay, version
@@ -167,9 +167,8 @@
         self.heard_at_ms = float("-inf")
         self.interval_ms = 0.0
         self.relay = ""
-        self.bound_to = ""
-        self.bound_until_ms = float("-inf")
-        self.others_until_ms = float("-inf")
+        self.counted_until_ms: dict[str, float] = {}
+        self.calls: dict[str, list[float]] = {}
         self.version = 0
 
 
--- a/packages/wisteriarock/src/wisteriarock/feed/allotments.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/allotments.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from urllib.parse import parse_qsl, quote, urlsplit
 
 from wisteriarock.catalog.models import Customer
@@ -17,8 +17,9 @@
 )
 from wisteriarock.customers.decide import (
     apply_answer,
-    bind,
+    begin_call,
     confirm_pending,
+    end_call,
     return_pending,
     take_pending,
 )
@@ -240,7 +241,7 @@
     if report is None:
         return
     answer = await _call_report(exchange, relay, "totals", report)
-    if answer is None:
+    if isinstance(answer, StoreError):
         now_ms = loop_time_ms(exchange.feed)
         return_totals(totals, relay.instance, report.counts, since_ms or now_ms, now_ms)
 
@@ -281,8 +282,7 @@
             relay = _choose_relay(exchange)
             answer = None
             if relay is not None:
-                report = report._replace(bound_ms=bind(local, relay.instance, reported_at_ms))
-                answer = await _call_report(exchange, relay, "report", report)
+                answer = await _report_to(exchange, relay, report)
         if answer is None:
             return_pending(local, counts)
             exchange.has_news.set()
@@ -301,21 +301,67 @@
         if current_totals(exchange) is not None or relay is None or not exchange.customers():
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
             continue
-        after = f"{quote(local.relay)}-{local.version}"
-        bound_ms = math.ceil(bind(local, relay.instance, loop_time_ms(feed)))
-        sender = f"instance={quote(feed.instance)}&zone={quote(feed.zone)}&bound={bound_ms}"
-        target = f"{_WATCH_PATH}?after={after}&{sender}"
-        call = f"GET {target} HTTP/1.1\r\nHost: {relay.instance}\r\n\r\n".encode()
-        answer = await _call(exchange, relay, "watch", call, WATCH_WAIT_MS + WATCH_SLACK_MS)
+        answer = await _watch_at(exchange, relay)
         if answer is None:
             await asyncio.sleep(RETRY_PAUSE_MS * (0.5 + feed.rng.random()) / 1000)
         else:
             apply_answer(local, answer, loop_time_ms(feed))
 
 
+async def _report_to(
+    exchange: AllotmentExchange, relay: Relay, report: Report
+) -> OrdersAnswer | None:
+    async def call(bound_ms: float) -> OrdersAnswer | StoreError:
+        return await _call_report(exchange, relay, "report", report._replace(bound_ms=bound_ms))
+
+    return await _call_as_member(exchange, relay, call)
+
+
+async def _watch_at(exchange: AllotmentExchange, relay: Relay) -> OrdersAnswer | None:
+    feed, local = exchange.feed, exchange.local
+
+    async def call(bound_ms: float) -> OrdersAnswer | StoreError:
+        after = f"{quote(local.relay)}-{local.version}"
+        bound = math.ceil(bound_ms)
+        sender = f"instance={quote(feed.instance)}&zone={quote(feed.zone)}&bound={bound}"
+        target = f"{_WATCH_PATH}?after={after}&{sender}"
+        data = f"GET {target} HTTP/1.1\r\nHost: {relay.instance}\r\n\r\n".encode()
+        return await _call(exchange, relay, "watch", data, WATCH_WAIT_MS + WATCH_SLACK_MS)
+
+    return await _call_as_member(exchange, relay, call)
+
+
+async def _call_as_member(
+    exchange: AllotmentExchange,
+    relay: Relay,
+    call: Callable[[float], Awaitable[OrdersAnswer | StoreError]],
+) -> OrdersAnswer | None:
+    """Make a call for which a relay counts this instance.
+
+    Parameters
+    ----------
+    call : callable
+        Makes the call, given the time in ms for which other relays may still count this instance.
+    """
+    local, started_at_ms = exchange.local, loop_time_ms(exchange.feed)
+    bound_ms = begin_call(local, relay.instance, started_at_ms)
+    is_counted = True
+    try:
+        answer = await call(bound_ms)
+        if isinstance(answer, StoreError):
+            # A relay refuses a call after it has counted it only at the end of a watch that it has
+            # held, which it does for members that have its last orders.
+            is_refused = answer.kind is StoreErrorKind.REFUSED and relay.instance != local.relay
+            is_counted = answer.is_sent and not is_refused
+    finally:
+        now_ms = loop_time_ms(exchange.feed)
+        end_call(local, relay.instance, started_at_ms, now_ms, is_counted=is_counted)
+    return None if isinstance(answer, StoreError) else answer
+
+
 async def _call_report(
     exchange: AllotmentExchange, relay: Relay, purpose: str, report: Report
-) -> OrdersAnswer | None:
+) -> OrdersAnswer | StoreError:
     body = encode_report(report)
     head = (
         f"POST {_REPORT_PATH} HTTP/1.1\r\nHost: {relay.instance}\r\n"
@@ -326,7 +372,7 @@
 
 async def _call(
     exchange: AllotmentExchange, relay: Relay, purpose: str, call: bytes, timeout_ms: float
-) -> OrdersAnswer | None:
+) -> OrdersAnswer | StoreError:
     """Call a relay on the connection for a purpose; a relay that fails is avoided for a while."""
     feed = exchange.feed
     key = (purpose, relay.zone)
@@ -336,23 +382,21 @@
             client.close("relay changed")
         client = StoreClient(feed.loop, relay.host, relay.port, classify_relay_status, Counters())
         exchange.clients[key] = client
-    answer, kind = None, StoreErrorKind.BAD_REPLY
     try:
         # Also bounds the time to connect, which is longer than a report may take.
         async with asyncio.timeout(timeout_ms / 1000):
             outcome = await client.call(call, timeout_ms)
     except TimeoutError:
         client.close("no answer in time")
-        kind = StoreErrorKind.TIMEOUT
-    else:
-        if isinstance(outcome, StoreError):
-            kind = outcome.kind
-        else:
-            answer = decode_answer(outcome.body)
-    if answer is None:
-        feed.counters.count("allotment_failures", kind.value)
-        exchange.avoided_until_ms[relay.instance] = loop_time_ms(feed) + RELAY_AVOIDED_MS
-    return answer
+        outcome = StoreError(StoreErrorKind.TIMEOUT, "no answer in time")
+    if not isinstance(outcome, StoreError):
+        answer = decode_answer(outcome.body)
+        if answer is not None:
+            return answer
+        outcome = StoreError(StoreErrorKind.BAD_REPLY, "cannot decode orders")
+    feed.counters.count("allotment_failures", outcome.kind.value)
+    exchange.avoided_until_ms[relay.instance] = loop_time_ms(feed) + RELAY_AVOIDED_MS
+    return outcome
 
 
 def _do_nothing() -> None:
--- a/packages/wisteriarock/src/wisteriarock/store/client.py
+++ b/packages/wisteriarock/src/wisteriarock/store/client.py
@@ -72,9 +72,10 @@
                 async with asyncio.timeout(min(CONNECT_TIMEOUT_MS, timeout_ms) / 1000):
                     connection = await self._connect()
             except TimeoutError:
-                return StoreError(StoreErrorKind.UNREACHABLE, "connect timed out")
+                return StoreError(StoreErrorKind.UNREACHABLE, "connect timed out", False)
             except OSError as error:
-                return StoreError(StoreErrorKind.UNREACHABLE, f"connect failed: {error.strerror}")
+                detail = f"connect failed: {error.strerror}"
+                return StoreError(StoreErrorKind.UNREACHABLE, detail, False)
         future: asyncio.Future[Reply | ExchangeFailure] = self.loop.create_future()
 
         def on_end(outcome: Reply | ExchangeFailure) -> None:
--- a/packages/wisteriarock/src/wisteriarock/store/models.py
+++ b/packages/wisteriarock/src/wisteriarock/store/models.py
@@ -22,10 +22,11 @@
 
 
 class StoreError(NamedTuple):
-    """A failed call to the store."""
+    """A failed call to the store; `is_sent` tells whether the call may have arrived."""
 
     kind: StoreErrorKind
     detail: str
+    is_sent: bool = True
 
 
 class Item(NamedTuple):
--- a/tests/wisteriarock/customers/emulator.py
+++ b/tests/wisteriarock/customers/emulator.py
@@ -12,8 +12,9 @@
 )
 from wisteriarock.customers.decide import (
     apply_answer,
-    bind,
+    begin_call,
     confirm_pending,
+    end_call,
     return_pending,
     take_pending,
     tolerated_excess,
@@ -183,6 +184,11 @@
                     self.messages += 1
                     apply_answer(node.local, make_answer(totals, self.now_ms), self.now_ms)
 
+    def _call(self, local: LocalAllotments, relay: Node) -> float:
+        bound_ms = begin_call(local, relay.name, self.now_ms)
+        end_call(local, relay.name, self.now_ms, self.now_ms, is_counted=True)
+        return bound_ms
+
     def _exchange(self, node: Node) -> None:
         local = node.local
         if local.pending and self.now_ms >= node.reports_at_ms:
@@ -193,7 +199,7 @@
                 return_pending(local, counts)
                 node.reports_at_ms = self.now_ms + RETRY_PAUSE_MS
             else:
-                bound_ms = bind(local, relay.name, self.now_ms)
+                bound_ms = self._call(local, relay)
                 report = Report(node.name, str(node.zone), {}, counts, bound_ms)
                 self._take_report(relay, report)
                 confirm_pending(local, reported_at_ms)
@@ -203,7 +209,7 @@
             relay = self._relay_for(node)
             node.watches_at_ms = self.now_ms + (WATCH_WAIT_MS if relay else RETRY_PAUSE_MS)
             if relay is not None and relay.totals is not None:
-                bound_ms = bind(local, relay.name, self.now_ms)
+                bound_ms = self._call(local, relay)
                 self._take_report(relay, Report(node.name, str(node.zone), {}, {}, bound_ms))
                 apply_answer(local, make_answer(relay.totals, self.now_ms), self.now_ms)
 
--- a/tests/wisteriarock/customers/test_allotments.py
+++ b/tests/wisteriarock/customers/test_allotments.py
@@ -7,11 +7,12 @@
 from wisteriarock.catalog.models import Customer
 from wisteriarock.customers.const import (
     CORRECTION_S,
+    COUNTED_MS,
     HEARD_MAX_MS,
     RELAY_DEBT_SHARE,
     RELAY_RATE_EXCESS_SHARE,
 )
-from wisteriarock.customers.decide import try_admit
+from wisteriarock.customers.decide import begin_call, end_call, try_admit
 from wisteriarock.customers.messages import (
     decode_answer,
     decode_report,
@@ -381,4 +382,29 @@
     assert decode_report(body) == Report("a", "z", {}, {"c": Counts(2, 1)})
 
 
+def test_former_relays_that_refuse_after_a_restart_of_all_count_nobody():
+    """Guards against seconds in which new relays count no instance and give calm customers nothing.
+
+    Instances that have just started know the former relays first, which are no relays any more.
+    """
+    local = LocalAllotments(TOLERANCE, 0.0)
+    for former, at_ms in (("former-1", 0.0), ("former-2", 50.0)):
+        assert begin_call(local, former, at_ms) == 0.0
+        end_call(local, former, at_ms, at_ms + 10.0, is_counted=False)
+    assert begin_call(local, "relay", 100.0) == 0.0
+
+
+def test_calls_that_may_have_arrived_keep_an_instance_from_being_counted_twice():
+    """Guards against two shares of each allotment for an instance that changes its relay."""
+    local = LocalAllotments(TOLERANCE, 0.0)
+    begin_call(local, "former", 0.0)
+    assert begin_call(local, "relay", 400.0) == COUNTED_MS - 400.0
+    end_call(local, "relay", 400.0, 410.0, is_counted=True)
+    end_call(local, "former", 0.0, 1_000.0, is_counted=True)
+    begin_call(local, "former", 1_200.0)
+    end_call(local, "former", 1_200.0, 1_210.0, is_counted=False)
+    assert begin_call(local, "relay", 1_300.0) == COUNTED_MS - 1_300.0
+    assert begin_call(local, "relay", COUNTED_MS + 1.0) == 0.0
+
+
 load_tests = function_suite(globals())
