--- a/packages/wisteriarock/src/wisteriarock/http/turns.py
+++ b/packages/wisteriarock/src/wisteriarock/http/turns.py
@@ -29,21 +29,28 @@
         Number of turns in one iteration of the event loop.
     """
 
-    __slots__ = ("_ahead", "_is_ahead_next", "_is_scheduled", "_loop", "_polite", "per_iteration")
+    __slots__ = (
+        "_pipelined",
+        "_is_pipelined_next",
+        "_is_scheduled",
+        "_loop",
+        "_sequential",
+        "per_iteration",
+    )
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, per_iteration: int = TURNS_PER_ITERATION
     ) -> None:
         self.per_iteration = per_iteration
         self._loop = loop
-        self._ahead: dict[TurnTaker, None] = {}
-        self._polite: dict[TurnTaker, None] = {}
-        self._is_ahead_next = False
+        self._pipelined: dict[TurnTaker, None] = {}
+        self._sequential: dict[TurnTaker, None] = {}
+        self._is_pipelined_next = False
         self._is_scheduled = False
 
     def __contains__(self, connection: object) -> bool:
         """Return whether a connection waits for its turn."""
-        return connection in self._ahead or connection in self._polite
+        return connection in self._pipelined or connection in self._sequential
 
     def add(self, connection: TurnTaker, *, is_ahead: bool = True) -> None:
         """Let a connection wait for its turn; one that waits already keeps its place.
@@ -51,14 +58,14 @@
         `is_ahead` is false for a caller that has read the answer to its last request.
         """
         if connection not in self:
-            waiting = self._ahead if is_ahead else self._polite
+            waiting = self._pipelined if is_ahead else self._sequential
             waiting[connection] = None
         self._schedule()
 
     def discard(self, connection: TurnTaker) -> None:
         """Remove a connection."""
-        self._ahead.pop(connection, None)
-        self._polite.pop(connection, None)
+        self._pipelined.pop(connection, None)
+        self._sequential.pop(connection, None)
 
     def _schedule(self) -> None:
         if not self._is_scheduled:
@@ -67,10 +74,10 @@
 
     def _take_next(self) -> TurnTaker:
         """Remove the connection whose turn is next."""
-        first, second = self._polite, self._ahead
-        if self._is_ahead_next:
+        first, second = self._sequential, self._pipelined
+        if self._is_pipelined_next:
             first, second = second, first
-        self._is_ahead_next = not self._is_ahead_next
+        self._is_pipelined_next = not self._is_pipelined_next
         waiting = first or second
         connection = next(iter(waiting))
         del waiting[connection]
@@ -78,7 +85,7 @@
 
     def _run(self) -> None:
         self._is_scheduled = False
-        waiting_count = len(self._ahead) + len(self._polite)
+        waiting_count = len(self._pipelined) + len(self._sequential)
         due = [self._take_next() for _ in range(min(self.per_iteration, waiting_count))]
         if waiting_count > len(due):
             self._schedule()
