--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,7 +12,7 @@
 # Share of the requests that the server fails, as in the site file's `srv_grey` (x = 0.45).
 FAILED_SHARE = 0.45
 CLIENTS = 6
-REQUESTS = 15
+REQUESTS = 60
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -51,7 +51,7 @@
                 instance, "POST", f"/book/{number}", headers, b"lot"
             )
             answers[request_id] = reply.status
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.05)
 
     await asyncio.gather(*(client(number) for number in range(CLIENTS)))
     await asyncio.sleep(1)
