--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,10 +6,10 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from samples import HOST, configuration, plain_route  # noqa: E402
-from world import CannotRunError, World, play  # noqa: E402
+from samples_2 import HOST, configuration, plain_route  # noqa: E402
+from standins_2 import CannotRunError, World, play  # noqa: E402
 
 # The slowest link of a machine on the sheet, and the largest value of the store.
 LINK_MBPS = 10.0
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -4,10 +4,10 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from samples import HOST, configuration, plain_route  # noqa: E402
-from world import Run, Server, World, encode, play  # noqa: E402
+from samples_2 import HOST, configuration, plain_route  # noqa: E402
+from standins_2 import Run, Server, World, encode, play  # noqa: E402
 
 # Share of the requests that the server fails, as in the site file's `srv_grey` (x = 0.45).
 FAILED_SHARE = 0.45
--- a/review/standins2/world.py
+++ b/review/standins_2.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from urllib.parse import parse_qsl, unquote, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 # Requests that an instance may send again are marked by the route's kind.
 GRACE_S = 6
 START_TIMEOUT_S = 20.0
