Wait for replies of the store that are still arriving

Cause: a call to the store had a total time (600 ms a page, 501 ms the first watch after a failure) and dropped what had arrived when it ended. The time-out is the longest time without a byte now; a rate of 40 KB/s on average bounds a store that sends a byte now and then. The check whether the store answers, whose reply waits behind the large one, no longer takes a store that is sending for silent.

--- a/packages/wisteriarock/src/wisteriarock/discovery/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/controller.py
@@ -77,11 +77,10 @@
 
 async def _follow_store(state: DiscoveryState) -> None:
     """Load a snapshot and follow changes until the task is cancelled."""
-    client = state.create_client()
     try:
-        await _load_and_watch(state, client)
+        await _load_and_watch(state, state.client)
     finally:
-        client.close("not followed")
+        state.client.close("not followed")
 
 
 async def _load_and_watch(state: DiscoveryState, client: StoreClient) -> None:
--- a/packages/wisteriarock/src/wisteriarock/discovery/reads.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/reads.py
@@ -18,8 +18,9 @@
     Returns
     -------
     bool
-        Whether the read succeeded. A refusal returns False, but shows that the store is reachable,
-        and so clears `is_store_silent`.
+        Whether the read succeeded, or timed out while the store was sending the reply to another
+        call. A refusal returns False, but shows that the store is reachable, and so clears
+        `is_store_silent`.
     """
     if state.running_check is not None:
         return await asyncio.shield(state.running_check)
@@ -44,6 +45,10 @@
     if outcome.kind is StoreErrorKind.REFUSED:
         state.is_store_silent = False
         return False
+    if state.client.data_at_ms >= state.store_checked_at_ms:
+        # The reply to the check waits behind a large one on the link of this machine.
+        state.is_store_silent = False
+        return True
     if not state.is_store_silent:
         state.log.record("store_silent", kind=outcome.kind.value, detail=outcome.detail)
     state.is_store_silent = True
--- a/packages/wisteriarock/src/wisteriarock/discovery/state.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/state.py
@@ -21,6 +21,8 @@
 
     Attributes
     ----------
+    client, check_client : StoreClient
+        Clients of the calls that follow the store, and of the checks whether it answers.
     last_answer_at_ms : float
         Time of the last answer of the store, to this instance or to the relay that it follows.
     last_direct_answer_at_ms : float
@@ -64,7 +66,6 @@
     ) -> None:
         self.loop = loop
         self.format = format_
-        self.create_client = create_client
         self.catalog = catalog
         self.directory = directory
         self.feed = feed
@@ -79,6 +80,7 @@
         self.is_store_down = False
         self.is_store_silent = False
         self.store_checked_at_ms = 0.0
+        self.client = create_client()
         self.check_client = create_client()
         self.running_check: asyncio.Future[bool] | None = None
         self.last_direct_answer_at_ms = 0.0
--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -165,8 +165,11 @@
             self._deliver_reply()
         elif self._is_reply_too_large():
             self.close(REASON_TOO_LARGE)
-        elif self.buffers is not None:
-            self.buffers.hold(self, self.received_bytes)
+        else:
+            if self.buffers is not None:
+                self.buffers.hold(self, self.received_bytes)
+            if self.exchange is not None and self.exchange.on_data is not None:
+                self.exchange.on_data(len(data))
 
     def _is_reply_too_large(self) -> bool:
         """Return whether the body, or what surrounds it, exceeds its limit."""
--- a/packages/wisteriarock/src/wisteriarock/http/models.py
+++ b/packages/wisteriarock/src/wisteriarock/http/models.py
@@ -83,6 +83,8 @@
     on_continue : callable or None
         Returns the body of a request that was sent without it, once the peer asks for it with
         status 100; None if it must no longer be sent.
+    on_data : callable or None
+        Called with the number of bytes received while the reply is incomplete.
     reply_max_bytes : int
         Largest body of a reply.
     is_reply_named : bool
@@ -97,6 +99,7 @@
         "is_cancelled",
         "is_reply_named",
         "on_continue",
+        "on_data",
         "on_end",
         "on_sent",
         "reply_max_bytes",
@@ -115,6 +118,7 @@
         self.on_end = on_end
         self.on_sent = on_sent
         self.on_continue = on_continue
+        self.on_data: Callable[[int], None] | None = None
         self.reply_max_bytes = REPLY_MAX_BYTES
         self.is_reply_named = True
         self.is_cancelled = False
@@ -132,6 +136,7 @@
         self.on_end = _ignore
         self.on_sent = _do_nothing
         self.on_continue = None
+        self.on_data = None
         on_end(outcome)
 
 
--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -194,12 +194,12 @@
         def on_chunk(size_bytes: int) -> None:
             nonlocal received_bytes
             received_bytes += size_bytes
-            on_data()
+            on_data(size_bytes)
 
         async with inactivity_timeout(tunables.peer_timeout_ms / 1000) as on_data:
             try:
                 response = await request(channel, "POST", LEGS_PATH, body, headers, stream=True)
-                on_data()
+                on_data(0)
                 if response.status_code != 200:
                     await read_content(response)
                     return False
--- a/packages/wisteriarock/src/wisteriarock/store/client.py
+++ b/packages/wisteriarock/src/wisteriarock/store/client.py
@@ -1,12 +1,14 @@
 """Client of the store: one connection, one call at a time."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 from wisteriarock.http.const import CONNECT_TIMEOUT_MS, REASON_TOO_LARGE
 from wisteriarock.http.link import OutgoingConnection
 from wisteriarock.http.models import Exchange, ExchangeFailure, Reply
 from wisteriarock.observability.counters import Counters
+from wisteriarock.wire.silence import REPLY_MIN_BYTES_PER_S, inactivity_timeout
 
 from .models import StoreError, StoreErrorKind
 
@@ -20,9 +22,23 @@
     ----------
     classify : callable
         Maps an HTTP status to a kind of error, or to None for success.
+
+    Attributes
+    ----------
+    data_at_ms : float
+        Time at which a part of a reply last arrived.
     """
 
-    __slots__ = ("_lock", "classify", "connection", "counters", "host", "loop", "port")
+    __slots__ = (
+        "_lock",
+        "classify",
+        "connection",
+        "counters",
+        "data_at_ms",
+        "host",
+        "loop",
+        "port",
+    )
 
     def __init__(
         self,
@@ -37,6 +53,7 @@
         self.port = port
         self.classify = classify
         self.connection: OutgoingConnection | None = None
+        self.data_at_ms = float("-inf")
         self._lock = asyncio.Lock()
         self.counters = counters
 
@@ -49,6 +66,10 @@
         if self.connection is connection:
             self.connection = None
 
+    def _on_data(self, on_data: Callable[[int], None], size_bytes: int) -> None:
+        self.data_at_ms = self.loop.time() * 1000
+        on_data(size_bytes)
+
     async def _connect(self) -> OutgoingConnection:
         _, connection = await self.loop.create_connection(
             lambda: OutgoingConnection(self.loop, lambda _: None, self._on_closed, lambda *_: None),
@@ -61,7 +82,11 @@
         return connection
 
     async def call(self, data: bytes, timeout_ms: float) -> Reply | StoreError:
-        """Send a call and return its reply or an error; concurrent calls are queued."""
+        """Send a call and return its reply or an error; concurrent calls are queued.
+
+        The timeout is the longest time without any byte of the reply. A reply whose parts keep
+        arriving takes as long as its size needs on a slow link.
+        """
         async with self._lock:
             return await self._call_locked(data, timeout_ms)
 
@@ -83,9 +108,11 @@
                 future.set_result(outcome)
 
         self.counters.count("store_calls")
-        connection.start(Exchange(lambda: data, lambda _: True, on_end, lambda: None), data)
+        exchange = Exchange(lambda: data, lambda _: True, on_end, lambda: None)
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with inactivity_timeout(timeout_ms / 1000, REPLY_MIN_BYTES_PER_S) as on_data:
+                exchange.on_data = functools.partial(self._on_data, on_data)
+                connection.start(exchange, data)
                 outcome = await future
         except TimeoutError:
             connection.close("no reply")
--- a/tests/wisteriaplatform/fixtures.py
+++ b/tests/wisteriaplatform/fixtures.py
@@ -16,6 +16,7 @@
 from wisteriarock.observability.event_log import EventLog
 from wisteriastandins.users.endpoint import StubEndpoint
 from wisteriastandins.users.response import Response, read_response
+from wisteriastandins.users.slow_link import SlowLink
 from wisteriastandins.users.store_server import StoreServer
 
 HOST = "shop.example"
@@ -175,8 +176,13 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(replicas: int = 2) -> AsyncIterator[Deployment]:
-    """Start a deployment and wait until it is ready."""
+async def deployment(
+    replicas: int = 2, store_bits_per_s: float | None = None
+) -> AsyncIterator[Deployment]:
+    """Start a deployment and wait until it is ready.
+
+    With `store_bits_per_s`, the store's replies reach the instance over a link of that rate.
+    """
     loop = asyncio.get_running_loop()
     store = StoreServer(loop)
     await store.start()
@@ -190,7 +196,11 @@
             store.put(f"servers/{endpoint.endpoint_id}", endpoint.make_entry())
     store.put("op/config", operator_configuration(3))
     reading, writing = os.pipe()
-    instance = _create_instance("front-1", store.port, EventLog(writing, loop.time))
+    link = SlowLink(store.port, store_bits_per_s or 0.0)
+    if store_bits_per_s is not None:
+        await link.start()
+    store_port = link.port or store.port
+    instance = _create_instance("front-1", store_port, EventLog(writing, loop.time))
     listeners = await start(instance)
     ports = [_port_of(listeners, name) for name in ListenerName]
     instance.feed.address = ("127.0.0.1", ports[2])
@@ -201,6 +211,7 @@
         _stop(instance, listeners)
         for endpoint in endpoints.values():
             await endpoint.stop()
+        await link.stop()
         await store.stop()
         os.close(reading)
         os.close(writing)
--- a/tests/wisteriarock/wire/test_silence.py
+++ b/tests/wisteriarock/wire/test_silence.py
@@ -26,7 +26,7 @@
         async with inactivity_timeout(0.05) as on_data:
             while reports < 5:
                 await asyncio.sleep(0.02)
-                on_data()
+                on_data(1)
                 reports += 1
             await asyncio.sleep(60)
     except TimeoutError:
@@ -34,4 +34,27 @@
     assert (timed_out, reports) == (True, 5)
 
 
+async def test_trickling_peer_is_given_up() -> None:
+    """Guards against a peer that holds up its caller for ever with a byte now and then."""
+    reports = 0
+    try:
+        async with inactivity_timeout(0.05, min_bytes_per_s=100.0) as on_data:
+            while reports < 1_000:
+                await asyncio.sleep(0.02)
+                on_data(1)
+                reports += 1
+    except TimeoutError:
+        pass
+    # Each byte gives 10 ms, but takes 20 ms or more.
+    assert 0 < reports < 1_000
+
+
+async def test_data_at_the_least_rate_is_awaited() -> None:
+    """Guards against replies given up although they arrive as fast as a slow link carries them."""
+    async with inactivity_timeout(0.05, min_bytes_per_s=1.0) as on_data:
+        for _ in range(10):
+            await asyncio.sleep(0.02)
+            on_data(1)
+
+
 load_tests = function_suite(globals())
