Answer 502 where an endpoint's failure would deny that it ran

Cause: answer_failure forwarded the failure of an endpoint whatever its status, before it looked whether the request may have run.

--- a/packages/standins/src/wisteriastandins/users/endpoint.py
+++ b/packages/standins/src/wisteriastandins/users/endpoint.py
@@ -30,6 +30,8 @@
         Returns the body of the reply for a request id, in place of `reply_body`.
     mode : str
         `ok`, `shed`, `error` or `silent` (no reply).
+    error_status : int
+        Status of its replies in mode `error`, in which it runs the requests.
     requests : list of CallerRequest
         Requests that it received and ran.
     on_arrival : callable
@@ -71,6 +73,7 @@
         self.on_deadly_end: Callable[[bytes], None] = lambda _: None
         self.service_ms = 1.0
         self.mode = "ok"
+        self.error_status = 500
         self.requests: list[CallerRequest] = []
         self.reply_faults = ReplyFaults(endpoint_id)
         self.rate_limit_per_s: float | None = None
@@ -134,7 +137,7 @@
                 headers.append((b"Server-Limit", b"%.1f" % self.rate_limit_per_s))
                 if self.reply_faults.current is None:
                     self.on_limit_named(request_id)
-            respond(Answer(500 if self.mode == "error" else 200, headers, body))
+            respond(Answer(self.error_status if self.mode == "error" else 200, headers, body))
 
         return self.loop.call_later(self.service_ms / 1000, reply).cancel
 
--- a/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/answers.py
@@ -1,4 +1,4 @@
-"""Answers to callers. Instances generate status 503 only if no endpoint has run the request."""
+"""Answers to callers. A status that promises "not run" is sent only if no endpoint has run it."""
 
 from wisteriarock.http.front import Answer, Respond
 from wisteriarock.http.models import Headers
@@ -67,21 +67,26 @@
 def answer_failure(state: DispatchState, query: Query, reason: str) -> None:
     """Answer a failed query.
 
-    For a single service, the failure reply of the endpoint is forwarded. Otherwise the status is
-    503 if no leg can have run, 504 if the query has expired and 502 in all other cases. A fragment
-    is answered with the parts that it has.
+    For a single service, the failure reply of the endpoint is forwarded, unless its status would
+    tell the caller that a request which has run did not. Otherwise the status is 503 if no leg can
+    have run, 504 if the query has expired and 502 in all other cases. A fragment is answered with
+    the parts that it has.
     """
     if query.is_fragment:
         answer_success(state, query, reason)
         return
     shard = query.shards[0]
-    failure = shard.failure_reply
-    may_have_run = any(each.possible_runs > 0 for each in query.shards)
-    if not query.route.shards and failure is not None and not shard.legs:
+    failure = None if query.route.shards or shard.legs else shard.failure_reply
+    may_have_run = (
+        failure is not None
+        or query.may_have_run
+        or any(each.possible_runs > 0 for each in query.shards)
+    )
+    if failure is not None and failure.status not in state.wire_format.not_run_statuses:
         answer = Answer(
             failure.status, state.wire_format.forwarded_headers(failure.headers), failure.body
         )
-    elif not may_have_run and not query.may_have_run:
+    elif not may_have_run:
         if query.retry_after_ms:
             headers = state.wire_format.retry_headers(query.retry_after_ms)
         else:
--- a/packages/wisteriarock/src/wisteriarock/dispatch/models.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/models.py
@@ -90,6 +90,8 @@
         any that the caller gave; without a name on a public route.
     challenge_headers : list of tuple
         Headers of the answer to a request without a known key.
+    not_run_statuses : frozenset of int
+        Statuses by which a caller takes its request for one that has not run and never will.
     """
 
     read_request: Callable[[CallerRequest], RequestHead | None]
@@ -101,6 +103,7 @@
     retry_headers: Callable[[float], Headers]
     replace_key: Callable[[CallerRequest, str | None], CallerRequest]
     challenge_headers: Headers
+    not_run_statuses: frozenset[int]
 
 
 class Timer(Protocol):
--- a/tests/wisteriarock/dispatch/emulator.py
+++ b/tests/wisteriarock/dispatch/emulator.py
@@ -346,6 +346,7 @@
         lambda after_ms: [(b"retry", b"%.0f" % after_ms)],
         lambda request, customer: request,
         [],
+        frozenset({429, 503}),
     )
 
 
