Require a key as soon as the configuration contains customers

Cause: decode_configuration asked for keys only if a customer, sound or malformed, was left in the list, so that an empty list counted as an absent one. A field that is there, and not null, requires a key now.

--- a/packages/wisteriarock/src/wisteriarock/catalog/models.py
+++ b/packages/wisteriarock/src/wisteriarock/catalog/models.py
@@ -106,8 +106,9 @@
     Attributes
     ----------
     needs_key : bool
-        Whether requests on routes that are not public need the key of a customer. Malformed
-        customers are left out of `customers`, but do not open the routes to callers without a key.
+        Whether requests on routes that are not public need the key of a customer, even if no
+        customer is left to hold one. Malformed customers are left out of `customers`, but do not
+        open the routes to callers without a key.
     odd_customers : tuple of str
         Why entries of customers, or keys of them, were left out.
     """
--- a/tests/wisteriaplatform/test_customers.py
+++ b/tests/wisteriaplatform/test_customers.py
@@ -93,12 +93,19 @@
 
 def test_configuration_without_customers_needs_no_key():
     """Guards against a deployment without customers that refuses its callers."""
-    for tenants in ({}, {"tenants": None}, {"tenants": []}):
+    for tenants in ({}, {"tenants": None}):
         value = {"version": 3, "routes": [], **tenants}
         configuration = decode_configuration(json.dumps(value).encode())
         assert isinstance(configuration, Configuration) and not configuration.needs_key
-    configuration = decode_configuration(b'{"version": 3, "routes": [], "tenants": "x"}')
-    assert isinstance(configuration, Configuration) and configuration.needs_key
+
+
+def test_configuration_with_customers_needs_a_key_whatever_they_are():
+    """Guards against routes open to callers without a key once the last customer has left."""
+    for tenants in ([], {}, "", "x", 0, False):
+        value = {"version": 3, "routes": [], "tenants": tenants}
+        configuration = decode_configuration(json.dumps(value).encode())
+        assert isinstance(configuration, Configuration)
+        assert configuration.customers == () and configuration.needs_key, tenants
 
 
 def test_key_and_names_of_the_caller_are_not_passed_on():
--- a/tests/wisteriaplatform/test_keys.py
+++ b/tests/wisteriaplatform/test_keys.py
@@ -95,6 +95,26 @@
         assert len(_arrived(running)) == 3
 
 
+async def test_no_key_is_valid_once_the_last_customer_has_left():
+    """Guards against routes open to any caller, and keys at endpoints, after that, review/7.
+
+    An empty list of customers was taken for an absent one.
+    """
+    async with deployment() as running:
+        await _put(running, 4, _TENANTS)
+        assert (await send(running.port, request_bytes("/blend/x", more=_KEY))).status == 200
+        _arrived(running)
+        await _put(running, 5, [])
+        for more in (_KEY, "Authorization: Token never-held\r\n", ""):
+            for path in ("/blend/x", "/book/x"):
+                assert (await send(running.port, request_bytes(path, more=more))).status == 401
+            assert (await send(running.port, request_bytes("/lookup/x", more=more))).status == 200
+        ran = _arrived(running)
+        assert len(ran) == 3 and not any(b"authorization" in each for each in ran)
+        await _put(running, 6, _TENANTS)
+        assert (await send(running.port, request_bytes("/blend/x", more=_KEY))).status == 200
+
+
 async def test_unknown_key_may_be_new_while_the_news_is_old():
     """Guards against a 401 for a key that was added after this instance lost the store."""
     async with deployment() as running:
