Wait for bundles that are still arriving, on wisteriarock's own interface

The time-out is the longest time without a byte of the body now, with the same least rate as for the users' store.

--- a/packages/wisteriarock/src/wisteriarock/peers/client.py
+++ b/packages/wisteriarock/src/wisteriarock/peers/client.py
@@ -28,9 +28,10 @@
     close_channel,
     read_content,
     read_lines,
+    read_long_content,
     request,
 )
-from wisteriarock.wire.silence import inactivity_timeout
+from wisteriarock.wire.silence import REPLY_MIN_BYTES_PER_S, inactivity_timeout
 
 from .auth import sign
 from .const import LEGS_PATH, PURPOSE_CONTROL, PURPOSE_LEGS, PURPOSE_QUERY, QUERY_PATH
@@ -140,11 +141,16 @@
         return member is None or not is_live(member, now_ms(), tunables.suspect_after_ms)
 
     async def exchange(
-        channel: HttpChannel, method: str, path: str, body: bytes
+        channel: HttpChannel, method: str, path: str, body: bytes, on_data: Callable[[int], None]
     ) -> tuple[int, bytes]:
-        response = await request(channel, method, path, body, sign_request(method, path, body))
+        # Only replies to GET, which are bundles, are so long that their parts matter.
+        is_long = method == "GET"
+        headers = sign_request(method, path, body)
+        response = await request(channel, method, path, body, headers, stream=is_long)
         control_bytes_sent.inc(len(body))
-        content = await read_content(response)
+        content = await (
+            read_long_content(response, on_data) if is_long else read_content(response)
+        )
         control_bytes_received.inc(len(content))
         return response.status_code, content
 
@@ -158,9 +164,9 @@
             return Failure(PeerError.SUSPECTED)
         channel: HttpChannel | None = None
         try:
-            async with inactivity_timeout(timeout_ms / 1000):
+            async with inactivity_timeout(timeout_ms / 1000, REPLY_MIN_BYTES_PER_S) as on_data:
                 channel = await acquire_channel(pool, now_ms())
-                status, content = await exchange(channel, method, path, body)
+                status, content = await exchange(channel, method, path, body, on_data)
         except Exception as error:
             written = channel is not None and channel.connection.written
             if isinstance(error, TimeoutError) and written:
--- a/packages/wisteriarock/src/wisteriarock/platform/client.py
+++ b/packages/wisteriarock/src/wisteriarock/platform/client.py
@@ -17,6 +17,7 @@
 from wisteriarock.limits.token_bucket import create_bucket, try_consume
 from wisteriarock.observability.metrics import Metrics
 from wisteriarock.wire.connection import BoundedConnection
+from wisteriarock.wire.silence import REPLY_MIN_BYTES_PER_S, inactivity_timeout
 
 from .const import (
     MAX_IDLE_CONNECTIONS,
@@ -96,16 +97,22 @@
 async def _exchange(
     connection: HTTPClient, method: str, url: str, body: bytes | None, timeout_s: float
 ) -> _Reply | None:
-    """Send a request and read the whole reply; return None if the reply is too long."""
+    """Send a request and read the whole reply; return None if the reply is too long.
+
+    The timeout is the longest time without any byte of the body.
+    """
     headers = {"Content-Type": "application/json"} if body is not None else {}
-    async with asyncio.timeout(timeout_s):
-        async with connection.stream(method, url, headers=headers, data=body or b"") as response:
-            body_bytes = bytearray()
-            async for chunk in response.iter_bytes():
-                body_bytes += chunk
-                if len(body_bytes) > MAX_REPLY_BYTES:
-                    return None
-            return _Reply(response.status_code, bytes(body_bytes))
+    async with (
+        inactivity_timeout(timeout_s, REPLY_MIN_BYTES_PER_S) as on_data,
+        connection.stream(method, url, headers=headers, data=body or b"") as response,
+    ):
+        body_bytes = bytearray()
+        async for chunk in response.iter_bytes():
+            on_data(len(chunk))
+            body_bytes += chunk
+            if len(body_bytes) > MAX_REPLY_BYTES:
+                return None
+        return _Reply(response.status_code, bytes(body_bytes))
 
 
 def _classify_read_status(status: int) -> PlatformError:
@@ -141,7 +148,7 @@
     base_url : str
         URL of the platform, without a path.
     timeout_ms : float
-        Timeout of a call; for a watch, its waiting time is added.
+        Longest time without a part of the reply; for a watch, its waiting time is added.
     calls_per_s : float
         Rate limit. A call that exceeds it fails at once with `OVER_RATE`.
     metrics : Metrics
--- a/packages/wisteriarock/src/wisteriarock/wire/connection.py
+++ b/packages/wisteriarock/src/wisteriarock/wire/connection.py
@@ -253,6 +253,30 @@
     return content
 
 
+async def read_long_content(response: HttpResponse, on_chunk: Callable[[int], None]) -> bytes:
+    """Read the body of a reply to a request with `stream` set.
+
+    Parameters
+    ----------
+    response : HttpResponse
+        Reply whose body is unread.
+    on_chunk : callable
+        Called with the number of bytes of each chunk as it arrives.
+
+    Raises
+    ------
+    MalformedReplyError
+        The body is too long.
+    """
+    content = bytearray()
+    async for chunk in response.read_chunks():
+        on_chunk(len(chunk))
+        content += chunk
+        if len(content) > BODY_MAX_BYTES:
+            raise MalformedReplyError("the body is too long")
+    return bytes(content)
+
+
 async def read_lines(
     response: HttpResponse, on_chunk: Callable[[int], None]
 ) -> AsyncIterator[bytes]:
--- a/tests/wisteriarock/platform/test_client.py
+++ b/tests/wisteriarock/platform/test_client.py
@@ -10,6 +10,7 @@
 from wisteriarock.observability.metrics import Metrics, create_metrics
 from wisteriarock.platform.client import PlatformClient, create_platform_client
 from wisteriarock.platform.models import KeyValue, PlatformError
+from wisteriastandins.users.slow_link import SlowLink
 
 from tests.bundle_samples import make_rng
 from tests.common import function_suite
@@ -216,4 +217,21 @@
         assert isinstance(await run.client.get("a"), Success)
 
 
+async def test_value_that_arrives_slowly_is_read() -> None:
+    """Guards against bundles that never arrive, as the transfer takes longer than the timeout."""
+    text = "v" * 200_000
+
+    async def handle(*_: object) -> bytes:
+        return reply(200, {"value": text, "revision": 3})
+
+    async with serve_http(handle) as (port, _):
+        link = SlowLink(port, 1_600_000)
+        await link.start()
+        url, metrics = f"http://127.0.0.1:{link.port}", create_metrics()
+        client = create_platform_client(url, 500, 1_000, metrics, lambda: 0.0, make_rng())
+        assert await client.get("bundle") == Success(KeyValue(text, 3))
+        await client.close()
+        await link.stop()
+
+
 load_tests = function_suite(globals())
