Reject replies whose status HTTP does not define

Cause: the parser takes any three digits, and OutgoingConnection only compared them with 200. A status outside 100 to 599 is no response now: the connection is closed, and the request is sent elsewhere or answered 502.

--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -16,6 +16,12 @@
 from .read_buffer import SharedBufferProtocol
 
 _FRAMING = (b"content-length", b"transfer-encoding")
+# Statuses that HTTP defines; the parser takes any three digits.
+_STATUSES = range(100, 600)
+
+
+class UndefinedStatusError(ValueError):
+    """A reply has a status that HTTP does not define."""
 
 
 def keep_alive_ms(headers: Headers) -> float | None:
@@ -205,7 +211,15 @@
             self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Record whether a framing header delimits the body."""
+        """Record whether a framing header delimits the body.
+
+        Raises
+        ------
+        UndefinedStatusError
+            The bytes received are no response. The parser passes this on as an error of its own.
+        """
+        if self.parser.get_status_code() not in _STATUSES:
+            raise UndefinedStatusError
         if self.reply is None:
             self.has_headers = True
             self.has_framing = any(name.lower() in _FRAMING for name, _ in self.headers)
