Count the objects of incomplete replies towards the bound on memory

Here the bytes were bounded, but not what holds them: eight endpoints that send headers of 5 bytes, or chunks of 6, took a process with a limit of 40 MB to 38.8 and 43.4 MB.

Cause: a connection charged the received bytes only, and kept the headers of a reply that it had given up until the next garbage collection. Headers and pieces of a body are charged with their objects now, and headers are dropped with their reply.

--- a/packages/standins/src/wisteriastandins/users/faulty.py
+++ b/packages/standins/src/wisteriastandins/users/faulty.py
@@ -18,13 +18,21 @@
     CUT_OFF = "cut_off"
     COPY = "copy"
     ENDLESS = "endless"
+    UNFINISHED = "unfinished"
 
 
 class ReplyFaults:
-    """The current fault of an endpoint's replies, None if they are sound."""
+    """The current fault of an endpoint's replies, None if they are sound.
+
+    Attributes
+    ----------
+    unfinished : bytes
+        What an endpoint sends in place of each reply, with nothing after it.
+    """
 
     def __init__(self, seed: str) -> None:
         self.current: ReplyFault | None = None
+        self.unfinished = b""
         self.rng = random.Random(seed)
 
 
@@ -48,7 +56,9 @@
             return
         self.cancel_request = None
         self.must_close = True
-        if fault is ReplyFault.CUT_OFF:
+        if fault is ReplyFault.UNFINISHED:
+            transport.write(self._faults.unfinished)
+        elif fault is ReplyFault.CUT_OFF:
             transport.write(encoded[: self._faults.rng.randrange(len(encoded))])
             transport.close()
         else:
--- a/packages/wisteriarock/src/wisteriarock/http/const.py
+++ b/packages/wisteriarock/src/wisteriarock/http/const.py
@@ -27,6 +27,8 @@
 COUNTED_MIN_BYTES = 16 * 1024
 # Memory of a header beside its bytes: two objects, their pair and its place in the list.
 HEADER_COST_BYTES = 160
+# Memory of a piece of a body beside its bytes: an object and its place in the list.
+PIECE_COST_BYTES = 64
 # Memory of a caller's request under way beside its bytes, and the copies that are made of these: as
 # received, as sent to an endpoint, and in a buffer of the connection.
 REQUEST_COST_BYTES = 4 * 1024
--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -7,8 +7,10 @@
 
 from .buffers import BufferBudget
 from .const import (
+    HEADER_COST_BYTES,
     IDLE_LIMIT_DEFAULT_MS,
     IDLE_TIMEOUT_SHARE,
+    PIECE_COST_BYTES,
     REASON_TOO_LARGE,
     REPLY_OVERHEAD_MAX_BYTES,
 )
@@ -173,10 +175,15 @@
             self.close(REASON_TOO_LARGE)
         else:
             if self.buffers is not None:
-                self.buffers.hold(self, self.received_bytes)
+                self.buffers.hold(self, self._held_bytes())
             if self.exchange is not None and self.exchange.on_data is not None:
                 self.exchange.on_data(len(data))
 
+    def _held_bytes(self) -> int:
+        """Return the memory of the incomplete reply: its bytes, and the objects that hold them."""
+        headers_bytes = HEADER_COST_BYTES * len(self.headers)
+        return self.received_bytes + headers_bytes + PIECE_COST_BYTES * len(self.body)
+
     def _is_reply_too_large(self) -> bool:
         """Return whether the body, or what surrounds it, exceeds its limit."""
         if self.exchange is None:
@@ -263,6 +270,7 @@
         if self.buffers is not None:
             self.buffers.release(self)
         self.reply = None
+        self.headers = []
         self.body = []
         self.size_bytes = 0
         if exchange is None:
@@ -296,7 +304,8 @@
             return
         if self.buffers is not None:
             self.buffers.release(self)
-        # Releases the received bytes, although the connection may be referenced for longer.
+        # Releases what was received, although the connection may be referenced for longer.
+        self.headers = []
         self.body = []
         self.exchange = None
         exchange.connection = None
--- a/tests/wisteriaplatform/process_fixtures.py
+++ b/tests/wisteriaplatform/process_fixtures.py
@@ -206,6 +206,11 @@
         await asyncio.sleep(0.05)
 
 
+def peak_memory_bytes(running: InstanceProcess) -> int:
+    """Return the highest memory of the process since its start."""
+    return _measure(running.process.pid, Usage(0, 0)).memory_bytes
+
+
 def _measure(process_id: int, highest: Usage) -> Usage:
     status = Path(f"/proc/{process_id}/status").read_text(encoding="utf-8")
     line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
