Answer a request that offers an upgrade once

A caller that offered an upgrade with a request that was refused at once got two answers.

Cause: the parser reports the offer after it has taken the request for complete, so that the request was started and its bytes were rejected as well. It also skips the body of such a request. The offer is ignored now, as HTTP allows: the head is parsed again without it, and then the body. CONNECT is rejected with its head.

--- a/packages/wisteriarock/src/wisteriarock/http/request_reader.py
+++ b/packages/wisteriarock/src/wisteriarock/http/request_reader.py
@@ -44,6 +44,7 @@
 
     __slots__ = (
         "_body",
+        "_head_without_offer",
         "_headers",
         "_is_head_complete",
         "_is_http_10",
@@ -84,6 +85,7 @@
         self._target = b""
         self._headers: Headers = []
         self._body: bytes | bytearray = b""
+        self._head_without_offer = b""
         self._is_head_complete = False
         self._kept_bytes = 0
         self.body_bytes = 0
@@ -139,14 +141,26 @@
             raise RejectedRequestError(431, "request headers too large")
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise RejectedRequestError(400, "upgrade is not supported") from None
+        except httptools.HttpParserUpgrade as offer:
+            self._ignore_offer(data[offer.args[0] :])
         except httptools.HttpParserError:
             status, reason = self._rejected or (400, "not a proper request")
             raise RejectedRequestError(status, reason) from None
         if self.raw_bytes > limits.header_bytes + HEAD_OVERHEAD_MAX_BYTES and self.is_receiving:
             raise RejectedRequestError(431, "request headers too large")
 
+    def _ignore_offer(self, rest: bytes) -> None:
+        """Go on with a request that offers another protocol, as if it did not.
+
+        The parser ends at the head of such a request, and skips its body.
+        """
+        head = self._head_without_offer
+        self._parser = httptools.HttpRequestParser(self)
+        self._clear()
+        self.feed(head, self._limits)
+        if rest:
+            self.feed(rest, self._limits)
+
     def _reject(self, status: int, reason: str) -> NoReturn:
         # The parser replaces an exception of a callback by its own. The exception is not kept, as
         # its traceback refers back to this object and to the received bytes.
@@ -177,7 +191,12 @@
             self._kept_bytes = self.head_bytes
 
     def on_headers_complete(self) -> None:
-        """Check limits and `Expect` before the body is received."""
+        """Check the method, limits and `Expect` before the body is received."""
+        if self._parser.get_method() == b"CONNECT":
+            self._reject(400, "CONNECT is not supported")
+        if self._parser.should_upgrade():
+            self._head_without_offer = self._encode_head_without_offer()
+            return
         if self.head_bytes > self._limits.header_bytes:
             self._reject(431, "request headers too large")
         self.head_bytes = 0
@@ -207,8 +226,16 @@
             self._body = bytearray(self._body)
         self._body += data
 
+    def _encode_head_without_offer(self) -> bytes:
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (self._parser.get_method(), self._target, version)]
+        lines += [b"%b: %b" % each for each in self._headers if each[0].lower() != b"upgrade"]
+        return b"\r\n".join(lines) + _EMPTY_LINE
+
     def on_message_complete(self) -> None:
         """Pass on the complete request."""
+        if self._parser.should_upgrade():
+            return
         request = CallerRequest(
             self._parser.get_method(),
             self._target,
