Frame answers to HEAD without a body

A HEAD request that was passed on ended with 504, as the body of the endpoint's reply was awaited.

Cause: neither the answer to the caller nor the connection to the endpoint knew the method. Answers to HEAD have no body and no length now, and a reply to HEAD is complete with its headers.

--- a/packages/standins/src/wisteriastandins/users/faulty.py
+++ b/packages/standins/src/wisteriastandins/users/faulty.py
@@ -43,14 +43,14 @@
         super().__init__(listener)
         self._faults = faults
 
-    def _answer(self, answer: Answer, is_keep_alive: bool) -> None:
+    def _answer(self, answer: Answer, is_keep_alive: bool, *, is_head: bool) -> None:
         fault, transport = self._faults.current, self.transport
         if fault is None or transport is None or transport.is_closing():
-            super()._answer(answer, is_keep_alive)
+            super()._answer(answer, is_keep_alive, is_head=is_head)
             return
-        encoded = encode_answer(answer, with_close=False)
+        encoded = encode_answer(answer, with_close=False, is_head=is_head)
         if fault is ReplyFault.COPY:
-            super()._answer(answer, is_keep_alive)
+            super()._answer(answer, is_keep_alive, is_head=is_head)
             delay_s = self._faults.rng.uniform(*COPY_DELAY_RANGE_S)
             self.listener.loop.call_later(delay_s, _write_if_open, transport, encoded)
             return
--- a/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
+++ b/packages/wisteriarock/src/wisteriarock/dispatch/legs.py
@@ -60,6 +60,7 @@
 
     exchange = Exchange(encode, accepts, lambda outcome: on_end(leg, outcome), on_sent)
     leg.exchange = exchange
+    exchange.is_head = query.request.method == b"HEAD"
     if query.route.shards:
         exchange.reply_max_bytes = PART_MAX_BYTES
     place = "own" if endpoint.zone == state.zone else "other"
--- a/packages/wisteriarock/src/wisteriarock/http/answer.py
+++ b/packages/wisteriarock/src/wisteriarock/http/answer.py
@@ -19,15 +19,17 @@
 }
 
 
-def encode_answer(answer: Answer, *, with_close: bool) -> bytes:
-    """Encode an answer; it has a Content-Length header unless the status forbids a body."""
+def encode_answer(answer: Answer, *, with_close: bool, is_head: bool = False) -> bytes:
+    """Encode an answer; it has a Content-Length header unless status or method forbid a body."""
     reason = REASON_PHRASES.get(answer.status, b"Status")
     parts = [b"HTTP/1.1 %d %s\r\n" % (answer.status, reason)]
     parts += [b"%s: %s\r\n" % header for header in answer.headers]
-    if answer.status not in (204, 304):
-        parts.append(b"Content-Length: %d\r\n" % len(answer.body))
+    body = b""
+    if not is_head and answer.status not in (204, 304):
+        body = answer.body
+        parts.append(b"Content-Length: %d\r\n" % len(body))
     if with_close:
         parts.append(b"Connection: close\r\n")
     parts.append(b"\r\n")
-    parts.append(answer.body)
+    parts.append(body)
     return b"".join(parts)
--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -33,6 +33,9 @@
 ]
 
 
+_HEAD = b"HEAD"
+
+
 def request_cost_bytes(request: CallerRequest) -> int:
     """Return the memory that a request takes while it is under way."""
     return (
@@ -383,7 +386,8 @@
             if not buffers.reserve(cost_bytes):
                 self.listener.on_limit(CallerLimit.REQUESTS)
                 self.is_refused = True
-                self._answer(Answer(503, [], b"too many requests under way"), is_keep_alive)
+                answer = Answer(503, [], b"too many requests under way")
+                self._answer(answer, is_keep_alive, is_head=request.method == _HEAD)
                 return
             self.reserved_bytes = cost_bytes
         self._start_request(request, is_keep_alive)
@@ -403,20 +407,21 @@
             is_answered = True
             self.is_refused = answer.status >= 400 and self.cancel_request is _do_nothing
             self._return_reserved()
-            self._answer(answer, is_keep_alive and not request.is_http_10)
+            is_last = not is_keep_alive or request.is_http_10
+            self._answer(answer, not is_last, is_head=request.method == _HEAD)
 
         self.cancel_request = _do_nothing
         cancel_request = self.listener.handle(request, respond)
         if not is_answered:
             self.cancel_request = cancel_request
 
-    def _answer(self, answer: Answer, is_keep_alive: bool) -> None:
+    def _answer(self, answer: Answer, is_keep_alive: bool, *, is_head: bool) -> None:
         self.cancel_request = None
         if self.is_closed or self.transport is None:
             return
         with_close = self.listener.closes_connections or self.must_close or not is_keep_alive
         self.wait_started_at_ms = self.listener.loop.time() * 1000
-        self.transport.write(encode_answer(answer, with_close=with_close))
+        self.transport.write(encode_answer(answer, with_close=with_close, is_head=is_head))
         if with_close:
             self.must_close = True
             self.queue.clear()
--- a/packages/wisteriarock/src/wisteriarock/http/link.py
+++ b/packages/wisteriarock/src/wisteriarock/http/link.py
@@ -230,6 +230,11 @@
         if self.reply is None:
             self.has_headers = True
             self.has_framing = any(name.lower() in _FRAMING for name, _ in self.headers)
+            status = self.parser.get_status_code()
+            if status >= 200 and self.exchange is not None and self.exchange.is_head:
+                # The parser would await the body that the length announces, so that the connection
+                # cannot be used again.
+                self.reply = Reply(status, self.headers, b"", False)
 
     def on_body(self, data: bytes) -> None:
         """Append a piece of the body."""
--- a/packages/wisteriarock/src/wisteriarock/http/models.py
+++ b/packages/wisteriarock/src/wisteriarock/http/models.py
@@ -87,6 +87,8 @@
         Called with the number of bytes received while the reply is incomplete.
     reply_max_bytes : int
         Largest body of a reply.
+    is_head : bool
+        Whether the method of the request is HEAD, so that its reply has no body.
     is_reply_named : bool
         Whether the accepted reply names this request. After one that does not, a late copy of it
         could not be told from the next reply, so that its connection is not used again.
@@ -97,6 +99,7 @@
         "connection",
         "encode",
         "is_cancelled",
+        "is_head",
         "is_reply_named",
         "on_continue",
         "on_data",
@@ -120,6 +123,7 @@
         self.on_continue = on_continue
         self.on_data: Callable[[int], None] | None = None
         self.reply_max_bytes = REPLY_MAX_BYTES
+        self.is_head = False
         self.is_reply_named = True
         self.is_cancelled = False
         self.connection: object | None = None
--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -208,6 +208,18 @@
         writer.close()
 
 
+async def test_head_is_answered_without_a_body():
+    """Guards against a HEAD request that waits for a body until its time is up."""
+    async with deployment() as running:
+        reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
+        for number, path in enumerate(("/lookup/x", "/none/x", "/lookup/x")):
+            method = "GET" if number == 2 else "HEAD"
+            writer.write(request_bytes(path, f"r-{number}", method))
+        statuses = [(await read_response(reader)).status for _ in range(3)]
+        assert statuses == [200, 404, 200]
+        writer.close()
+
+
 async def test_drain_cuts_no_request():
     """Guards against a planned stop that cuts a running request or refuses new ones too early."""
     async with deployment() as running:
