Answer the requests sent ahead of a planned stop

A request that was sent ahead and read whole ended without an answer when its instance was stopped or took itself out (LOST, review/10).

Cause: while a listener closes its connections, the first answer closed the connection and dropped what had been read. It closes now with the last complete request that was read; reading stops meanwhile, so that a caller that keeps sending ahead does not hold up the stop.

--- a/packages/wisteriarock/src/wisteriarock/http/front.py
+++ b/packages/wisteriarock/src/wisteriarock/http/front.py
@@ -239,6 +239,9 @@
             return
         ahead_bytes = len(self.ahead) - self.ahead_position
         must_pause = ahead_bytes > (0 if self.is_unread else AHEAD_MAX_BYTES)
+        if self.listener.closes_connections:
+            # Only what was read by now is still answered.
+            must_pause = must_pause or bool(self.queue or self.ahead)
         if must_pause != self.is_reading_paused:
             self.is_reading_paused = must_pause
             self.transport.pause_reading() if must_pause else self.transport.resume_reading()
@@ -386,6 +389,7 @@
             if not buffers.reserve(cost_bytes):
                 self.listener.on_limit(CallerLimit.REQUESTS)
                 self.is_refused = True
+                self.cancel_request = _do_nothing
                 answer = Answer(503, [], b"too many requests under way")
                 self._answer(answer, is_keep_alive, is_head=request.method == _HEAD)
                 return
@@ -415,20 +419,48 @@
         if not is_answered:
             self.cancel_request = cancel_request
 
+    def _has_request_ahead(self) -> bool:
+        """Parse what was sent ahead; return whether another request is complete.
+
+        The request before it is still under way, so that it does not start yet.
+        """
+        if not self.queue and self.ahead:
+            data, position = self.ahead, self.ahead_position
+            self.ahead, self.ahead_position = b"", 0
+            self._parse(data, position, len(data))
+        return bool(self.queue)
+
     def _answer(self, answer: Answer, is_keep_alive: bool, *, is_head: bool) -> None:
-        self.cancel_request = None
         if self.is_closed or self.transport is None:
+            self.cancel_request = None
             return
-        with_close = self.listener.closes_connections or self.must_close or not is_keep_alive
+        with_close = self.must_close or not is_keep_alive
+        if self.listener.closes_connections and not with_close:
+            with_close = not self._has_request_ahead()
+        self.cancel_request = None
         self.wait_started_at_ms = self.listener.loop.time() * 1000
         self.transport.write(encode_answer(answer, with_close=with_close, is_head=is_head))
         if with_close:
             self.must_close = True
             self.queue.clear()
             self._drop_input()
-            self.transport.close()
+            self._close_after_answer()
             return
         self._resume_soon()
+        if self.listener.closes_connections:
+            self._update_reading()
+
+    def _close_after_answer(self) -> None:
+        """Close the connection; keep reading for a while if the caller has sent more.
+
+        Closing with unread bytes would reset the connection and lose the answer.
+        """
+        assert self.transport is not None
+        if not self.is_reading_paused:
+            self.transport.close()
+        elif self.transport.can_write_eof():
+            self.transport.write_eof()
+            self._update_reading()
 
     def _reject(self, status: int, reason: str) -> None:
         """Answer a bad request with an error, and close the connection."""
--- a/tests/wisteriarock/http/test_answers_of_requests.py
+++ b/tests/wisteriarock/http/test_answers_of_requests.py
@@ -211,4 +211,55 @@
     asyncio.run(_play(requests, cuts, is_refusing=is_refusing))
 
 
+async def test_requests_sent_ahead_of_a_planned_stop_are_answered():
+    """Guards against requests that were read and end without an answer in a stop, review/10.
+
+    The answer to the first one closed the connection. The last answer announces the close.
+    """
+    for is_split in (False, True):
+        caller = Caller(is_refusing=False)
+        pieces = [b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % number for number in range(3)]
+        for data in pieces if is_split else [b"".join(pieces)]:
+            await caller.send(data)
+        caller.listener.closes_connections = True
+        await caller.answer_all()
+        statuses, is_last = parse_answers(caller.transport.sent, [b"GET"] * 3)
+        assert statuses == [200] * 3 and is_last
+        assert caller.transport.is_ended
+
+
+async def test_caller_that_keeps_sending_ahead_does_not_hold_up_a_stop():
+    """Guards against a connection that is never closed as its caller always sends ahead."""
+    caller = Caller(is_refusing=False)
+    request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    await caller.send(request * 2)
+    caller.listener.closes_connections = True
+    for _ in range(50):
+        if not caller.responds:
+            break
+        caller.responds.pop(0)(Answer(200, [], BODY))
+        await caller.send(request)
+    assert caller.transport.is_ended
+    statuses, is_last = parse_answers(caller.transport.sent, [b"GET"] * 50)
+    assert statuses == [200] * 2 and is_last
+
+
+async def test_incomplete_request_does_not_hold_up_a_stop():
+    """Guards against a connection that stays open for a request that was not read."""
+    caller = Caller(is_refusing=False)
+    await caller.send(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHo")
+    caller.listener.closes_connections = True
+    await caller.answer_all()
+    assert parse_answers(caller.transport.sent, [b"GET"]) == ([200], True)
+
+
+async def test_malformed_request_sent_ahead_gets_no_answer_in_a_stop():
+    """Guards against an answer after the one that announces the close."""
+    caller = Caller(is_refusing=False)
+    await caller.send(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nno request\r\n\r\n")
+    caller.listener.closes_connections = True
+    await caller.answer_all()
+    assert parse_answers(caller.transport.sent, [b"GET"]) == ([200], True)
+
+
 load_tests = function_suite(globals())
