--- a/packages/standins/src/wisteriastandins/users/store.py
+++ b/packages/standins/src/wisteriastandins/users/store.py
@@ -22,11 +22,22 @@
     row: Row | None
 
 
+class StoreCopy(NamedTuple):
+    """What a copy of the store holds."""
+
+    rows: dict[str, Row]
+    history: list[Change]
+    revision: int
+    leases: dict[int, float]
+
+
 class StoreState:
     """Content of the store.
 
     Attributes
     ----------
+    era : int or None
+        Era that the replies name; None to name none.
     discarded_revision : int
         Changes up to and including this revision were discarded from the history.
     page_size : int
@@ -41,6 +52,7 @@
         self.page_size = page_size
         self.leases: dict[int, float] = {}
         self.next_lease = 77_000
+        self.era: int | None = None
 
 
 def encode_row(row: Row, **extra_fields: Any) -> dict[str, Any]:
@@ -106,8 +118,8 @@
 
 
 def changes_after(state: StoreState, prefix: str, after: int) -> dict[str, Any] | None:
-    """Return the changes after a revision, or None if that part of the history was discarded."""
-    if after < state.discarded_revision:
+    """Return the changes after a revision, or None if the history does not have it."""
+    if after < state.discarded_revision or after > state.revision:
         return None
     events = [
         (
@@ -147,3 +159,24 @@
     """End the leases whose lifetime has passed."""
     for lease in [lease for lease, end_ms in state.leases.items() if end_ms <= now_ms]:
         end_lease(state, lease)
+
+
+def take_copy(state: StoreState) -> StoreCopy:
+    """Return a copy of the store as it is now."""
+    return StoreCopy(dict(state.rows), list(state.history), state.revision, dict(state.leases))
+
+
+def return_from_copy(state: StoreState, copy: StoreCopy, revisions_ahead: int = 0) -> None:
+    """Lose all that was written since a copy was taken; the era rises by one.
+
+    Parameters
+    ----------
+    revisions_ahead : int
+        Number of revisions that are given out at once, by writes of keys that nobody reads.
+    """
+    state.rows, state.history = dict(copy.rows), list(copy.history)
+    state.leases = dict(copy.leases)
+    state.revision = copy.revision
+    state.era = (state.era or 0) + 1
+    for number in range(revisions_ahead):
+        apply_writes(state, {f"other/{number}": (b"", 0)}, [])
--- a/packages/standins/src/wisteriastandins/users/store_server.py
+++ b/packages/standins/src/wisteriastandins/users/store_server.py
@@ -10,6 +10,7 @@
 
 from .listener import Listener
 from .store import (
+    StoreCopy,
     StoreState,
     apply_writes,
     changes_after,
@@ -19,6 +20,8 @@
     end_lease,
     expire_leases,
     list_page,
+    return_from_copy,
+    take_copy,
     transact,
 )
 
@@ -57,6 +60,21 @@
         """Remove a key."""
         apply_writes(self.state, {}, [key])
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of the store as it is now."""
+        return take_copy(self.state)
+
+    def return_from_copy(self, copy: StoreCopy, revisions_ahead: int = 0) -> None:
+        """Come back from an older copy; watches that wait are cut."""
+        return_from_copy(self.state, copy, revisions_ahead)
+        self.cut_watches()
+
+    def cut_watches(self) -> None:
+        """Close the connections of watches that wait."""
+        for connection in list(self._listener_state.connections):
+            if connection.cancel_request is not None:
+                connection.abort()
+
     def discard_history(self) -> None:
         """Discard the history of changes."""
         discard_history(self.state)
@@ -68,6 +86,7 @@
         expire_leases(self.state, self.loop.time() * 1000)
         if self.mode == "silent":
             return lambda: None
+        respond = _name_era(self.state, respond)
         if self.mode == "lost":
             respond = _discard_reply
         elif self.delay_ms:
@@ -132,3 +151,13 @@
 
 def _reply(respond: Respond, status: int, body: dict[str, Any]) -> None:
     respond(Answer(status, [(b"Content-Type", b"application/json")], json.dumps(body).encode()))
+
+
+def _name_era(state: StoreState, respond: Respond) -> Respond:
+    """Return a function that sends an answer with the era that the store is in by then."""
+
+    def respond_with_era(answer: Answer) -> None:
+        era = b"%d" % (state.era or 0)
+        respond(answer._replace(headers=[*answer.headers, (b"Store-Era", era)]))
+
+    return respond if state.era is None else respond_with_era
--- a/packages/wisteriarock/src/wisteriarock/discovery/const.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/const.py
@@ -25,6 +25,16 @@
 RETRY_BACKOFF_LIMIT_MS = 2_500.0
 # Wait of the first watch after a full load, which returns at once with what has changed since.
 CATCH_UP_WAIT_MS = 1
+# Longest random time that an instance which is no relay waits for one to read the store after its
+# return from an older copy, so that the instances do not all read it at once.
+RETURN_SPREAD_MS = 1_000.0
+# Time after such a return for which an evacuation that the copy does not show is still obeyed. What
+# operators and endpoints wrote is written again by then.
+RETURN_SETTLE_MS = 2_000.0
+# Time for which it is remembered that an endpoint has left or an evacuation has ended, as a copy of
+# the store may show them again.
+DEPARTED_TTL_MS = 60_000.0
+DEPARTED_MAX = 2_000
 # Interval at which an instance that follows relays checks that it still receives changes from them.
 FEED_CHECK_INTERVAL_MS = 100.0
 # Share of the time allowed for an evacuation over which the services of the zone move. The news of
--- a/packages/wisteriarock/src/wisteriarock/discovery/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/controller.py
@@ -2,29 +2,46 @@
 
 import asyncio
 
-from wisteriarock.feed.const import RELAY_KEY_PREFIX, RELAY_WAIT_MS
+from wisteriarock.feed.const import RELAY_WAIT_MS
 from wisteriarock.feed.decide import count_instances
 from wisteriarock.observability.failures import run_supervised
 from wisteriarock.store.client import StoreClient
 from wisteriarock.store.models import StoreError, StoreErrorKind
 
-from .changes import apply_changes, apply_first_snapshot
+from .changes import (
+    apply_changes,
+    apply_first_snapshot,
+    apply_returned_copy,
+    known_keys,
+)
 from .const import (
     CATCH_UP_WAIT_MS,
     COALESCE_MS,
     FEED_CHECK_INTERVAL_MS,
     RETRY_BACKOFF_MIN_MS,
+    RETURN_SPREAD_MS,
     WATCH_SLACK_MS,
     WATCH_WAIT_MS,
 )
-from .decide import changes_since, retry_backoff_max_ms
+from .decide import changes_since, retry_backoff_max_ms, snapshot_items
 from .reads import read_snapshot
-from .state import DiscoveryState, loop_time_ms, record_answer, record_failure
+from .state import (
+    DiscoveryState,
+    is_loading_return,
+    loop_time_ms,
+    record_answer,
+    record_failure,
+)
 
 # Errors of a watch after which only a full load brings this instance up to date: the changes are
 # gone, too many at once, or malformed.
 _UNREADABLE_WATCH = frozenset(
-    {StoreErrorKind.HISTORY_GONE, StoreErrorKind.TOO_LARGE, StoreErrorKind.BAD_REPLY}
+    {
+        StoreErrorKind.HISTORY_GONE,
+        StoreErrorKind.TOO_LARGE,
+        StoreErrorKind.BAD_REPLY,
+        StoreErrorKind.RETURNED,
+    }
 )
 
 
@@ -37,14 +54,14 @@
     snapshot = await read_snapshot(state, client, is_stale=is_stale)
     if isinstance(snapshot, StoreError):
         return snapshot
-    if not state.feed.revision:
+    if not state.feed.position.revision:
         apply_first_snapshot(state, snapshot)
-        return None
-    keys = [state.format.endpoints_prefix + name for name in state.directory.by_id]
-    keys += [RELAY_KEY_PREFIX + zone for zone in state.feed.relays]
-    keys += [state.format.evacuations_prefix + zone for zone in state.directory.evacuations]
-    changes = changes_since(state.feed.revision, keys, snapshot)
-    apply_changes(state, changes, snapshot.revision, is_news=False)
+    elif snapshot.position.era > state.feed.position.era:
+        position = snapshot.position
+        apply_returned_copy(state, snapshot_items(snapshot), position, position.revision)
+    else:
+        changes = changes_since(state.feed.position, known_keys(state), snapshot)
+        apply_changes(state, changes, snapshot.position, is_news=False)
     return None
 
 
@@ -53,15 +70,17 @@
 
     One watch covers all keys, because each watch call counts towards the load on the store.
     """
-    call = state.format.encode_watch("", state.feed.revision, wait_ms)
+    call = state.format.encode_watch("", state.feed.position.revision, wait_ms)
     outcome = await client.call(call, wait_ms + WATCH_SLACK_MS)
     if isinstance(outcome, StoreError):
         return outcome
-    events = state.format.decode_events(outcome.body)
+    if is_loading_return(state):
+        return StoreError(StoreErrorKind.RETURNED, "the store returned from a copy")
+    events = state.format.decode_events(outcome.body, state.eras.known)
     if events is None:
         return StoreError(StoreErrorKind.BAD_REPLY, "cannot decode events")
     record_answer(state)
-    apply_changes(state, events.items, events.revision)
+    apply_changes(state, events.items, events.position)
     state.is_loaded = True
     if events.items:
         await asyncio.sleep(COALESCE_MS / 1000)
@@ -75,6 +94,20 @@
         await asyncio.sleep(FEED_CHECK_INTERVAL_MS / 1000)
 
 
+async def _wait_for_returned_copy(state: DiscoveryState) -> bool:
+    """Wait a random time for a relay to pass on the copy that the store has returned from.
+
+    Returns
+    -------
+    bool
+        Whether this instance has got it.
+    """
+    end_ms = loop_time_ms(state) + RETURN_SPREAD_MS * state.rng.random()
+    while loop_time_ms(state) < end_ms and is_loading_return(state) and not state.is_relay():
+        await asyncio.sleep(FEED_CHECK_INTERVAL_MS / 1000)
+    return not is_loading_return(state)
+
+
 async def _follow_store(state: DiscoveryState) -> None:
     """Load a snapshot and follow changes until the task is cancelled."""
     try:
@@ -86,7 +119,7 @@
 async def _load_and_watch(state: DiscoveryState, client: StoreClient) -> None:
     """Load a snapshot and follow changes; reload when the store no longer has the history."""
     # A stale snapshot may be older than what an earlier run of this task has loaded.
-    needs_load, is_stale = True, not state.feed.revision
+    needs_load, is_stale = True, not state.feed.position.revision
     backoff_ms = RETRY_BACKOFF_MIN_MS
     has_reloaded = False
     while True:
@@ -98,7 +131,7 @@
                 error = await _watch(state, client, CATCH_UP_WAIT_MS)
             if error is None:
                 await _wait_for_relays(state)
-        elif state.has_live_feed():
+        elif state.has_live_feed() and not is_loading_return(state):
             await asyncio.sleep(FEED_CHECK_INTERVAL_MS / 1000)
             continue
         else:
@@ -109,9 +142,15 @@
             backoff_ms, has_reloaded = RETRY_BACKOFF_MIN_MS, False
             continue
         if error.kind in _UNREADABLE_WATCH:
-            state.log.record("watch_reset", revision=state.feed.revision, detail=error.detail)
+            position = state.feed.position
+            state.log.record(
+                "watch_reset", era=position.era, revision=position.revision, detail=error.detail
+            )
             # A stale snapshot may be older than the oldest change that the store still has.
             needs_load, is_stale = True, False
+            if is_loading_return(state) and await _wait_for_returned_copy(state):
+                needs_load = False
+                continue
             if not has_reloaded:
                 has_reloaded = True
                 state.counters.count("store_failures", error.kind.value)
--- a/packages/wisteriarock/src/wisteriarock/discovery/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/decide.py
@@ -3,16 +3,18 @@
 from collections.abc import Iterable
 
 from wisteriarock.balancing.models import Endpoint
-from wisteriarock.store.models import Item, Snapshot
+from wisteriarock.store.models import Item, Position, Snapshot
 
 from .const import (
+    DEPARTED_MAX,
+    DEPARTED_TTL_MS,
     LAPSE_GRACE_MS,
     RETRY_BACKOFF_INSTANCES,
     RETRY_BACKOFF_LIMIT_MS,
     RETRY_BACKOFF_MAX_MS,
 )
 from .listing import list_endpoint, unlist_endpoint
-from .models import Directory, DirectoryChange, EndpointEntry
+from .models import Departed, Directory, DirectoryChange, EndpointEntry
 
 
 def _create_endpoint(entry: EndpointEntry, now_ms: float) -> Endpoint:
@@ -100,10 +102,11 @@
     if may_have_lapsed and not endpoint.is_draining:
         directory.lapsed_until_ms.setdefault(endpoint_id, now_ms + LAPSE_GRACE_MS)
         return [DirectoryChange("lapsed", endpoint, False)]
-    return [_drop_endpoint(directory, endpoint)]
+    return [_drop_endpoint(directory, endpoint, now_ms)]
 
 
-def _drop_endpoint(directory: Directory, endpoint: Endpoint) -> DirectoryChange:
+def _drop_endpoint(directory: Directory, endpoint: Endpoint, now_ms: float) -> DirectoryChange:
+    _remember_departed(directory, endpoint, now_ms)
     directory.by_id.pop(endpoint.endpoint_id, None)
     directory.lapsed_until_ms.pop(endpoint.endpoint_id, None)
     unlist_endpoint(directory, endpoint)
@@ -118,7 +121,10 @@
         for endpoint_id, until_ms in directory.lapsed_until_ms.items()
         if until_ms <= now_ms
     ]
-    return [_drop_endpoint(directory, directory.by_id[endpoint_id]) for endpoint_id in expired_ids]
+    return [
+        _drop_endpoint(directory, directory.by_id[endpoint_id], now_ms)
+        for endpoint_id in expired_ids
+    ]
 
 
 def resync(
@@ -149,19 +155,66 @@
     return min(RETRY_BACKOFF_LIMIT_MS, RETRY_BACKOFF_MAX_MS * factor)
 
 
-def changes_since(revision: int, known_keys: Iterable[str], snapshot: Snapshot) -> list[Item]:
-    """Return the changes between the known keys at a revision and a snapshot.
+def changes_since(position: Position, known_keys: Iterable[str], snapshot: Snapshot) -> list[Item]:
+    """Return the changes between the known keys at a position and a snapshot.
 
-    A key that is missing from the snapshot counts as removed at the snapshot's revision, because
+    A key that is missing from the snapshot counts as removed at the snapshot's position, because
     the store's history no longer tells when it was removed.
     """
-    items = [
+    items = snapshot_items(snapshot)
+    changed = [item for item in items if item.position > position]
+    return changed + missing_items(known_keys, items, snapshot.position)
+
+
+def snapshot_items(snapshot: Snapshot) -> list[Item]:
+    """Return all items of a snapshot."""
+    return [
         *snapshot.configuration,
         *snapshot.evacuations,
         *snapshot.relays,
         *snapshot.endpoints,
     ]
-    changed = [item for item in items if item.revision > revision]
-    current_keys = {item.key for item in items}
-    removed = [Item(key, None, snapshot.revision) for key in known_keys if key not in current_keys]
-    return changed + removed
+
+
+def missing_items(
+    known_keys: Iterable[str], items: Iterable[Item], position: Position
+) -> list[Item]:
+    """Return the removal, at a position, of each known key that is not among items."""
+    current_keys = {item.key for item in items if item.value is not None}
+    return [Item(key, None, position) for key in known_keys if key not in current_keys]
+
+
+def is_outdated_copy(directory: Directory, entry: EndpointEntry) -> bool:
+    """Return whether a copy of the store shows an endpoint as it no longer is.
+
+    The endpoint has left, drains or has been started anew since; it writes its entry again if it
+    lives.
+    """
+    known = directory.by_id.get(entry.endpoint_id)
+    if known is not None:
+        if _is_older(entry.started_at_unix_ms, known.started_at_unix_ms):
+            return True
+        return known.is_draining and not entry.is_draining
+    departed = directory.departed.get(entry.endpoint_id)
+    return departed is not None and not _is_older(
+        departed.started_at_unix_ms, entry.started_at_unix_ms
+    )
+
+
+def _is_older(started_at_unix_ms: int | None, other_unix_ms: int | None) -> bool:
+    """Return whether a process was started before another one, as far as both are known."""
+    if started_at_unix_ms is None or other_unix_ms is None:
+        return False
+    return started_at_unix_ms < other_unix_ms
+
+
+def _remember_departed(directory: Directory, endpoint: Endpoint, now_ms: float) -> None:
+    departed = directory.departed
+    departed.pop(endpoint.endpoint_id, None)
+    departed[endpoint.endpoint_id] = Departed(endpoint.started_at_unix_ms, now_ms)
+    while departed:
+        oldest_id = next(iter(departed))
+        age_ms = now_ms - departed[oldest_id].at_ms
+        if age_ms < DEPARTED_TTL_MS and len(departed) <= DEPARTED_MAX:
+            break
+        del departed[oldest_id]
--- a/packages/wisteriarock/src/wisteriarock/discovery/evacuation.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/evacuation.py
@@ -8,7 +8,12 @@
 
 from wisteriarock.balancing.models import Endpoint
 
-from .const import EVACUATION_SPREAD_SHARE, EVACUATION_WAIT_SHARE
+from .const import (
+    DEPARTED_TTL_MS,
+    EVACUATION_SPREAD_SHARE,
+    EVACUATION_WAIT_SHARE,
+    RETURN_SETTLE_MS,
+)
 from .listing import list_endpoint, unlist_endpoint
 from .models import Directory, DirectoryChange, Evacuation
 
@@ -31,6 +36,7 @@
     list of DirectoryChange
         The endpoints that have moved at once.
     """
+    directory.unconfirmed_evacuations.pop(zone, None)
     if zone not in directory.evacuations:
         directory.evacuations[zone] = Evacuation(now_ms, within_ms)
     return advance_evacuations(directory, now_ms)
@@ -82,6 +88,9 @@
 ) -> tuple[Evacuation | None, list[DirectoryChange]]:
     """End the evacuation of a zone; return it, None if it is not known, and the changes."""
     evacuation = directory.evacuations.pop(zone, None)
+    directory.unconfirmed_evacuations.pop(zone, None)
+    if evacuation is not None:
+        directory.ended_evacuations[zone] = now_ms
     changes = []
     for endpoint in directory.by_id.values():
         if endpoint.zone == zone and endpoint.is_evacuated:
@@ -89,3 +98,22 @@
             list_endpoint(directory, endpoint)
             changes.append(DirectoryChange("returned", endpoint, False))
     return evacuation, changes
+
+
+def has_ended_lately(directory: Directory, zone: str, now_ms: float) -> bool:
+    """Return whether a copy of the store may show an evacuation that has ended since."""
+    ended_at_ms = directory.ended_evacuations.get(zone)
+    return ended_at_ms is not None and now_ms - ended_at_ms < DEPARTED_TTL_MS
+
+
+def keep_unconfirmed(directory: Directory, zone: str, now_ms: float) -> None:
+    """Obey an evacuation for a while that a copy of the store does not show."""
+    if zone in directory.evacuations:
+        directory.unconfirmed_evacuations[zone] = now_ms + RETURN_SETTLE_MS
+
+
+def expired_unconfirmed(directory: Directory, now_ms: float) -> list[str]:
+    """Return the zones whose evacuation was not written again in time."""
+    return [
+        zone for zone, until_ms in directory.unconfirmed_evacuations.items() if until_ms <= now_ms
+    ]
--- a/packages/wisteriarock/src/wisteriarock/discovery/models.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/models.py
@@ -48,6 +48,13 @@
         self.obeyed_since_ms: float | None = None
 
 
+class Departed(NamedTuple):
+    """An endpoint that has left: when its process had started, and when it left."""
+
+    started_at_unix_ms: int | None
+    at_ms: float
+
+
 class Directory:
     """Known endpoints, indexed by id and by service.
 
@@ -57,8 +64,15 @@
         All endpoints, including draining and evacuated ones.
     by_service : dict
         Endpoints that may get new requests, by service.
+    departed : dict
+        Endpoints that have left lately, by id, the latest ones last.
     evacuations : dict
         Evacuations by availability zone.
+    ended_evacuations : dict
+        Time at which the evacuation of a zone has ended.
+    unconfirmed_evacuations : dict
+        For each evacuation that a copy of the store does not show, the time until which it is
+        obeyed all the same.
     lapsed_until_ms : dict
         For each endpoint whose entry disappeared around an outage of the store, the time until
         which the entry may reappear.
@@ -66,12 +80,24 @@
         Incremented with every change of `by_service`.
     """
 
-    __slots__ = ("by_id", "by_service", "evacuations", "lapsed_until_ms", "version")
+    __slots__ = (
+        "by_id",
+        "by_service",
+        "departed",
+        "ended_evacuations",
+        "evacuations",
+        "lapsed_until_ms",
+        "unconfirmed_evacuations",
+        "version",
+    )
 
     def __init__(self) -> None:
         self.by_id: dict[str, Endpoint] = {}
         self.by_service: dict[str, list[Endpoint]] = {}
+        self.departed: dict[str, Departed] = {}
         self.evacuations: dict[str, Evacuation] = {}
+        self.ended_evacuations: dict[str, float] = {}
+        self.unconfirmed_evacuations: dict[str, float] = {}
         self.lapsed_until_ms: dict[str, float] = {}
         self.version = 0
 
--- a/packages/wisteriarock/src/wisteriarock/discovery/reads.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/reads.py
@@ -4,11 +4,13 @@
 
 from wisteriarock.feed.const import RELAY_KEY_PREFIX
 from wisteriarock.store.client import StoreClient
-from wisteriarock.store.models import Item, Snapshot, StoreError, StoreErrorKind
+from wisteriarock.store.models import Item, Position, Snapshot, StoreError, StoreErrorKind
 
 from .const import READ_TIMEOUT_MS
 from .state import DiscoveryState, loop_time_ms
 
+_RETURNED = StoreError(StoreErrorKind.RETURNED, "the store returned from a copy while it was read")
+
 
 async def check_store(state: DiscoveryState, timeout_ms: float) -> bool:
     """Check with a cheap read whether the store answers this instance.
@@ -57,26 +59,28 @@
 
 async def _list_prefix(
     state: DiscoveryState, client: StoreClient, prefix: str, *, is_stale: bool
-) -> tuple[list[Item], int] | StoreError:
-    """List a prefix page by page; return its items and the lowest revision of the pages.
+) -> tuple[list[Item], Position] | StoreError:
+    """List a prefix page by page; return its items and the lowest position of the pages.
 
-    The pages are not one consistent snapshot, so changes must be followed from that revision.
+    The pages are not one consistent snapshot, so changes must be followed from that position.
     """
     items: list[Item] = []
-    revision: int | None = None
+    position: Position | None = None
     while True:
         after = items[-1].key if items else ""
         call = state.format.encode_list(prefix, after, is_stale)
         outcome = await client.call(call, READ_TIMEOUT_MS)
         if isinstance(outcome, StoreError):
             return outcome
-        page = state.format.decode_listing(outcome.body)
+        page = state.format.decode_listing(outcome.body, state.eras.known)
         if page is None:
             return StoreError(StoreErrorKind.BAD_REPLY, "cannot decode listing")
-        revision = page.revision if revision is None else min(revision, page.revision)
+        if position is not None and page.position.era != position.era:
+            return _RETURNED
+        position = page.position if position is None else min(position, page.position)
         items += page.items
         if not page.has_more or not page.items:
-            return items, revision
+            return items, position
 
 
 async def read_snapshot(
@@ -85,7 +89,7 @@
     """Read the configuration, the evacuations, the relays and the endpoints.
 
     One listing of the operator's keys costs as much as a read of the configuration alone. A stale
-    read costs a tenth of a consistent one. It returns the revision that it reflects, from which a
+    read costs a tenth of a consistent one. It returns the position that it reflects, from which a
     watch delivers the later changes.
     """
     format_ = state.format
@@ -102,5 +106,7 @@
     endpoints = await _list_prefix(state, client, format_.endpoints_prefix, is_stale=is_stale)
     if isinstance(endpoints, StoreError):
         return endpoints
-    revision = min(operator[1], relays[1], endpoints[1])
-    return Snapshot(configuration, evacuations, relays[0], endpoints[0], revision)
+    positions = [operator[1], relays[1], endpoints[1]]
+    if len({position.era for position in positions}) > 1:
+        return _RETURNED
+    return Snapshot(configuration, evacuations, relays[0], endpoints[0], min(positions))
--- a/packages/wisteriarock/src/wisteriarock/discovery/state.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/state.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 
 from wisteriarock.catalog.models import Catalog, Configuration
+from wisteriarock.feed.decide import lacks_era
 from wisteriarock.feed.models import FeedState
 from wisteriarock.observability.counters import Counters
 from wisteriarock.observability.event_log import EventLog
 from wisteriarock.observability.failures import FailureReporter
 from wisteriarock.store.client import StoreClient
+from wisteriarock.store.eras import StoreEras
 from wisteriarock.store.models import StoreError, StoreErrorKind, StoreFormat
 
 from .const import LAPSE_WINDOW_MS
@@ -23,6 +25,8 @@
     ----------
     client, check_client : StoreClient
         Clients of the calls that follow the store, and of the checks whether it answers.
+    eras : StoreEras
+        Highest era of the store that is known.
     last_answer_at_ms : float
         Time of the last answer of the store, to this instance or to the relay that it follows.
     last_direct_answer_at_ms : float
@@ -63,6 +67,7 @@
         log: EventLog,
         counters: Counters,
         rng: random.Random,
+        eras: StoreEras,
     ) -> None:
         self.loop = loop
         self.format = format_
@@ -75,6 +80,7 @@
         self.counters = counters
         self.failures = FailureReporter(log, counters)
         self.rng = rng
+        self.eras = eras
         self.last_answer_at_ms = 0.0
         self.outage_ended_at_ms = -LAPSE_WINDOW_MS
         self.is_store_down = False
@@ -119,6 +125,11 @@
         state.log.record("store_lost", kind=error.kind.value, detail=error.detail)
 
 
+def is_loading_return(state: DiscoveryState) -> bool:
+    """Return whether the store has returned from a copy that this instance has not read yet."""
+    return lacks_era(state.feed, state.eras.known)
+
+
 def is_near_outage(state: DiscoveryState, now_ms: float) -> bool:
     """Return whether entries may have expired because the store had an outage."""
     return state.is_store_down or now_ms - state.outage_ended_at_ms < LAPSE_WINDOW_MS
--- a/packages/wisteriarock/src/wisteriarock/feed/const.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/const.py
@@ -22,6 +22,9 @@
 STORE_CALL_TIMEOUT_MS = 600.0
 # Longest random delay before an instance claims the lease of a zone without a relay.
 CLAIM_DELAY_MAX_MS = 1_000.0
+# Time after the store's return from an older copy in which no instance claims a lease. The former
+# relay notices within a renewal interval and a call that its lease is gone.
+CLAIM_AFTER_RETURN_MS = 2_500.0
 # Longest time that an instance waits for a relay after its first load.
 RELAY_WAIT_MS = 1_500.0
 # Backoff after a failed call to a relay.
--- a/packages/wisteriarock/src/wisteriarock/feed/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/decide.py
@@ -10,7 +10,7 @@
 from wisteriarock.http.address import parse_ip_address
 from wisteriarock.quarantine.const import NOTICE_TTL_MS, NOTICES_MAX
 from wisteriarock.quarantine.models import Notice
-from wisteriarock.store.models import Item
+from wisteriarock.store.models import Item, Position
 
 from .const import (
     ANSWER_MAX_BYTES,
@@ -26,44 +26,67 @@
 )
 from .models import FeedAnswer, FeedState, Relay, RelayValue
 
+_POSITION_MAX_DIGITS = 18
 
-def reset_history(state: FeedState, revision: int) -> None:
-    """Clear the history and start it at the revision of a full load."""
+
+def reset_history(state: FeedState, position: Position) -> None:
+    """Clear the history and start it at the position of a full load."""
     state.history.clear()
     state.history_bytes = 0
-    state.history_start_revision = revision
-    state.revision = revision
+    state.history_start = position
+    state.position = position
 
 
-def record_changes(state: FeedState, items: list[Item], revision: int) -> list[Item]:
-    """Add the changes up to a revision to the history; return those that are new.
+def record_changes(state: FeedState, items: list[Item], position: Position) -> list[Item]:
+    """Add the changes up to a position to the history; return those that are new.
 
     Several sources deliver the same changes, each of them completely and in order.
     """
-    new_items = [item for item in items if item.revision > state.revision]
+    new_items = [item for item in items if item.position > state.position]
     state.history.extend(new_items)
     state.history_bytes += sum(len(item.value or b"") for item in new_items)
     while len(state.history) > HISTORY_MAX_CHANGES or state.history_bytes > HISTORY_MAX_BYTES:
         oldest = state.history.popleft()
         state.history_bytes -= len(oldest.value or b"")
-        state.history_start_revision = oldest.revision
-    state.revision = max(state.revision, revision)
+        state.history_start = oldest.position
+    state.position = max(state.position, position)
     return new_items
 
 
+def lacks_era(state: FeedState, known_era: int) -> bool:
+    """Return whether the store has returned from a copy that this instance has not read yet."""
+    return state.position.revision > 0 and known_era > state.position.era
+
+
 def changes_after(
-    state: FeedState, after: int, store_age_ms: float, failure_free_ms: float, now_ms: float = 0.0
+    state: FeedState,
+    after: Position,
+    store_age_ms: float,
+    failure_free_ms: float,
+    now_ms: float = 0.0,
 ) -> FeedAnswer | None:
-    """Return the changes after a revision, or None if the history starts later."""
-    if after < state.history_start_revision:
+    """Return the changes after a position, or None if the history starts later.
+
+    A follower of a former era gets everything, if the history holds all of this era.
+    """
+    is_full = after.era < state.position.era
+    start = Position(state.position.era, 0) if is_full else after
+    if start < state.history_start:
         return None
     changes = [
-        (item.key, item.revision, None if item.value is None else item.value.decode("latin-1"))
+        (
+            item.key,
+            item.position.revision,
+            None if item.value is None else item.value.decode("latin-1"),
+        )
         for item in state.history
-        if item.revision > after
+        if item.position > start
     ]
     return {
-        "revision": state.revision,
+        "era": state.position.era,
+        "revision": state.position.revision,
+        "copy_revision": state.copy_revision,
+        "is_full": is_full,
         "store_age_ms": store_age_ms,
         "calm_ms": failure_free_ms,
         "changes": changes,
@@ -81,9 +104,12 @@
 def standby_answer(
     state: FeedState, store_age_ms: float, failure_free_ms: float, lost_zones: Sequence[str] = ()
 ) -> FeedAnswer:
-    """Return an answer with the revision of the relay, without changes."""
+    """Return an answer with the position of the relay, without changes."""
     return {
-        "revision": state.revision,
+        "era": state.position.era,
+        "revision": state.position.revision,
+        "copy_revision": state.copy_revision,
+        "is_full": False,
         "store_age_ms": store_age_ms,
         "calm_ms": failure_free_ms,
         "changes": None,
@@ -125,6 +151,23 @@
     return [notice for notice, at_ms in state.notices.items() if now_ms - at_ms < NOTICE_TTL_MS]
 
 
+def encode_position(position: Position) -> str:
+    """Return a position as a follower names it in its call."""
+    return f"{position.era}.{position.revision}"
+
+
+def parse_position(text: str) -> Position | None:
+    """Return the position that a follower names; without an era, the era is 0."""
+    era, dot, revision = text.partition(".")
+    if not dot:
+        era, revision = "0", era
+    if not (era.isdecimal() and revision.isdecimal() and text.isascii()):
+        return None
+    if max(len(era), len(revision)) > _POSITION_MAX_DIGITS:
+        return None
+    return Position(int(era), int(revision))
+
+
 def encode_answer(answer: FeedAnswer) -> bytes:
     """Encode an answer as compressed JSON."""
     text = json.dumps(answer, separators=(",", ":"))
@@ -132,15 +175,15 @@
 
 
 def encoded_changes(
-    state: FeedState, after: int, store_age_ms: float, failure_free_ms: float, now_ms: float
+    state: FeedState, after: Position, store_age_ms: float, failure_free_ms: float, now_ms: float
 ) -> bytes | None:
-    """Return the encoded changes after a revision, or None if the history starts later.
+    """Return the encoded changes after a position, or None if the history starts later.
 
     Followers woken at the same time ask for the same changes, so the encoded answer is cached.
     """
-    if now_ms - state.encoded_at_ms > ANSWER_REUSE_MS or state.encoded_revision != state.revision:
+    if now_ms - state.encoded_at_ms > ANSWER_REUSE_MS or state.encoded_position != state.position:
         state.encoded_answers.clear()
-        state.encoded_at_ms, state.encoded_revision = now_ms, state.revision
+        state.encoded_at_ms, state.encoded_position = now_ms, state.position
     body = state.encoded_answers.get(after)
     if body is None:
         answer = changes_after(state, after, store_age_ms, failure_free_ms, now_ms)
@@ -164,16 +207,24 @@
         text = zlib.decompressobj().decompress(body, ANSWER_MAX_BYTES)
         data = parse_json(text)
         changes = data["changes"]
+        era = int(data.get("era", 0))
         items = (
             None
             if changes is None
             else [
-                Item(str(key), None if value is None else value.encode("latin-1"), int(revision))
+                Item(
+                    str(key),
+                    None if value is None else value.encode("latin-1"),
+                    Position(era, int(revision)),
+                )
                 for key, revision, value in changes
             ]
         )
         answer: FeedAnswer = {
+            "era": era,
             "revision": int(data["revision"]),
+            "copy_revision": int(data.get("copy_revision", 0)),
+            "is_full": bool(data.get("is_full", False)),
             "store_age_ms": float(data["store_age_ms"]),
             "calm_ms": float(data["calm_ms"]),
             "changes": None,
@@ -195,7 +246,7 @@
     if not item.key.startswith(RELAY_KEY_PREFIX):
         return False
     zone = item.key.removeprefix(RELAY_KEY_PREFIX)
-    relay = None if item.value is None else _decode_relay_value(zone, item.value, item.revision)
+    relay = None if item.value is None else _decode_relay_value(zone, item.value, item.position)
     if relay is None:
         state.relays.pop(zone, None)
     else:
@@ -206,7 +257,7 @@
     return True
 
 
-def _decode_relay_value(zone: str, value: bytes, revision: int) -> Relay | None:
+def _decode_relay_value(zone: str, value: bytes, position: Position) -> Relay | None:
     try:
         data: RelayValue = parse_json(value)
         address = parse_ip_address(data["address"])
@@ -217,7 +268,7 @@
         return None
     if address is None or not is_printable(instance):
         return None
-    return Relay(zone, instance, *address, instances, gatherers, revision)
+    return Relay(zone, instance, *address, instances, gatherers, position.revision)
 
 
 def encode_relay_value(
--- a/packages/wisteriarock/src/wisteriarock/feed/following.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/following.py
@@ -4,13 +4,14 @@
 
 from wisteriarock.observability.counters import Counters
 from wisteriarock.store.client import StoreClient
-from wisteriarock.store.models import StoreError
+from wisteriarock.store.models import Position, StoreError
 
 from .const import POLL_SLACK_MS, POLL_WAIT_MS, RELAY_RETRY_BACKOFF_MS
 from .decide import (
     accept_gatherers,
     choose_relays,
     decode_answer,
+    encode_position,
     has_live_relay,
     record_lost_zones,
 )
@@ -50,7 +51,7 @@
     is_behind = False
     while True:
         relays = choose_relays(feed.state, feed.zone, feed.instance)
-        if len(relays) <= rank or feed.state.revision == 0:
+        if len(relays) <= rank or feed.state.position.revision == 0:
             feed.state.relay_answered_at_ms.pop(rank, None)
             await asyncio.sleep(RELAY_RETRY_BACKOFF_MS / 1000)
             continue
@@ -64,27 +65,29 @@
         current = relay
         has_own_relay = has_live_relay(feed.state, 0, loop_time_ms(feed))
         is_standby = rank > 0 and not is_behind and has_own_relay
-        revision = await _poll(feed, client, relay, is_standby=is_standby)
-        is_behind = revision is not None and revision > feed.state.revision
+        position = await _poll(feed, client, relay, is_standby=is_standby)
+        is_behind = position is not None and position > feed.state.position
         if is_behind:
             continue
-        if revision is not None:
+        if position is not None:
             feed.state.relay_answered_at_ms[rank] = loop_time_ms(feed)
         else:
             feed.state.relay_answered_at_ms.pop(rank, None)
             await asyncio.sleep(RELAY_RETRY_BACKOFF_MS * (0.5 + feed.rng.random()) / 1000)
 
 
-async def _poll(feed: Feed, client: StoreClient, relay: Relay, *, is_standby: bool) -> int | None:
-    """Poll a relay once and apply its changes; a standby relay sends only its revision.
+async def _poll(
+    feed: Feed, client: StoreClient, relay: Relay, *, is_standby: bool
+) -> Position | None:
+    """Poll a relay once and apply its changes; a standby relay sends only its position.
 
     Returns
     -------
-    int or None
-        The revision of the relay; None if there is no useful answer.
+    Position or None
+        The position of the relay; None if there is no useful answer.
     """
     target = (
-        f"/feed?after={feed.state.revision}&instance={feed.instance}&zone={feed.zone}"
+        f"/feed?after={encode_position(feed.state.position)}&instance={feed.instance}&zone={feed.zone}"
         f"&address={feed.address[0]}:{feed.address[1]}&capacity={offered_capacity_cores(feed):g}"
     )
     if is_standby:
@@ -103,6 +106,10 @@
     if answer["lost_zones"]:
         feed.on_lost_zones(answer["lost_zones"])
         return None
+    feed.eras.learn(answer["era"])
+    if answer["era"] < feed.eras.known:
+        feed.log.detail("feed_former_era", relay=relay.instance, era=answer["era"])
+        return None
     for notice in answer["notices"]:
         receive_notice(feed, notice)
     if not accept_gatherers(feed.state, answer):
@@ -110,4 +117,4 @@
         return None
     if items is not None:
         feed.apply_answer(items, answer)
-    return answer["revision"]
+    return Position(answer["era"], answer["revision"])
--- a/packages/wisteriarock/src/wisteriarock/feed/lease.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/lease.py
@@ -6,6 +6,7 @@
 from wisteriarock.store.models import StoreError, StoreErrorKind
 
 from .const import (
+    CLAIM_AFTER_RETURN_MS,
     CLAIM_DELAY_MAX_MS,
     LEASE_RENEWAL_INTERVAL_MS,
     LEASE_TTL_MS,
@@ -20,6 +21,7 @@
     count_instances,
     count_own_zone_instances,
     encode_relay_value,
+    lacks_era,
     update_gatherers,
 )
 from .state import Feed, is_relay, loop_time_ms, offered_capacity_cores, wake_followers
@@ -33,7 +35,13 @@
             continue
         registered = feed.state.relays.get(feed.zone)
         is_taken = registered is not None and registered.instance != feed.instance
-        if is_taken or feed.state.revision == 0 or not feed.is_callable:
+        since_return_ms = loop_time_ms(feed) - feed.returned_at_ms
+        if (
+            is_taken
+            or feed.state.position.revision == 0
+            or not feed.is_callable
+            or since_return_ms < CLAIM_AFTER_RETURN_MS
+        ):
             await asyncio.sleep(RELAY_RETRY_BACKOFF_MS / 1000)
             continue
         await asyncio.sleep(CLAIM_DELAY_MAX_MS * feed.rng.random() / 1000)
@@ -52,7 +60,9 @@
     """
     call = feed.format.encode_list(RELAY_KEY_PREFIX, "", False)
     outcome = await feed.store.call(call, STORE_CALL_TIMEOUT_MS)
-    listing = None if isinstance(outcome, StoreError) else feed.format.decode_listing(outcome.body)
+    if isinstance(outcome, StoreError):
+        return False
+    listing = feed.format.decode_listing(outcome.body, feed.eras.known)
     if listing is None:
         return False
     now_ms = loop_time_ms(feed)
@@ -107,6 +117,9 @@
             feed.state.lease = None
             feed.log.record("relay_lost", zone=feed.zone, lease=lease)
         return
+    if feed.state.is_registration_unsure and not lacks_era(feed.state, feed.eras.known):
+        await _confirm_registration(feed, lease)
+        return
     instances = count_own_zone_instances(feed.state, feed.zone, loop_time_ms(feed))
     gatherers = len(feed.state.gatherers or ())
     published = (feed.state.published_count, feed.state.published_gatherers)
@@ -114,6 +127,20 @@
         await _write_registration(feed, lease, instances, None)
 
 
+async def _confirm_registration(feed: Feed, lease: int) -> None:
+    """Write the registration again after the store's return, or step down if another one has it."""
+    registered = feed.state.relays.get(feed.zone)
+    expected_revision = registered.revision if registered is not None else 0
+    is_taken = registered is not None and registered.instance != feed.instance
+    instances = count_own_zone_instances(feed.state, feed.zone, loop_time_ms(feed))
+    if not is_taken and await _write_registration(feed, lease, instances, expected_revision):
+        feed.state.is_registration_unsure = False
+        return
+    feed.state.lease = None
+    feed.state.is_registration_unsure = False
+    feed.log.record("relay_lost", zone=feed.zone, lease=lease)
+
+
 def _update_gatherers(feed: Feed) -> None:
     now_ms = loop_time_ms(feed)
     instances = count_instances(feed.state, now_ms)
--- a/packages/wisteriarock/src/wisteriarock/feed/models.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/models.py
@@ -5,7 +5,7 @@
 
 from wisteriarock.gathering.models import Gatherer
 from wisteriarock.quarantine.models import Notice
-from wisteriarock.store.models import Item
+from wisteriarock.store.models import Item, Position
 
 
 class Relay(NamedTuple):
@@ -40,10 +40,18 @@
 
 
 class FeedAnswer(TypedDict):
-    """Answer of a relay to a follower: all changes between two revisions.
+    """Answer of a relay to a follower: all changes between two positions.
 
     Attributes
     ----------
+    era, revision : int
+        Position of the relay; all changes are of its era.
+    copy_revision : int
+        Revision up to which changes of this era are what the store's copy showed as it returned; 0
+        in the first era that the relay knows.
+    is_full : bool
+        Whether the changes list everything, so that a follower of a former era drops what is not
+        among them.
     store_age_ms : float
         Time since the last answer of the store to the relay.
     calm_ms : float
@@ -62,7 +70,10 @@
         Requests that ended endpoints lately.
     """
 
+    era: int
     revision: int
+    copy_revision: int
+    is_full: bool
     store_age_ms: float
     calm_ms: float
     changes: list[tuple[str, int, str | None]] | None
@@ -92,16 +103,23 @@
         Number of gatherers by zone, as the relays published it.
     published_gatherers : int
         Number of gatherers in the last registration that this relay wrote.
-    history_start_revision : int
-        Revision after which the history has all changes.
+    position : Position
+        Position up to which this instance knows the content of the store.
+    copy_revision : int
+        Revision up to which content of this era is what the store's copy showed as it returned; 0
+        in the first era that this instance knows.
+    history_start : Position
+        Position after which the history has all changes.
     relay_answered_at_ms : dict
         Time of the last useful answer of each followed relay, by its rank in `choose_relays`. A
         relay that refuses or does not answer has no entry.
     lost_zones : tuple of str
         Zones that an instance of the local zone reported as lost, at `lost_zones_at_ms`.
     encoded_answers : dict
-        Cache of encoded answers by requested revision, valid for `encoded_revision` and started at
+        Cache of encoded answers by requested position, valid for `encoded_position` and started at
         `encoded_at_ms`.
+    is_registration_unsure : bool
+        Whether the store has returned from a copy since this relay last wrote its registration.
     lease : int or None
         The lease under which this instance is the relay of its zone, since `relay_since_ms`.
     notices : dict
@@ -112,26 +130,28 @@
 
     __slots__ = (
         "candidates",
+        "copy_revision",
         "gatherer_counts",
         "gatherers",
         "instance_counts",
         "encoded_answers",
         "encoded_at_ms",
-        "encoded_revision",
+        "encoded_position",
         "relay_answered_at_ms",
         "followers",
         "history",
         "history_bytes",
-        "history_start_revision",
+        "history_start",
+        "is_registration_unsure",
         "lease",
         "lost_zones",
         "lost_zones_at_ms",
         "notices",
+        "position",
         "published_count",
         "published_gatherers",
         "relay_since_ms",
         "relays",
-        "revision",
         "zone",
     )
 
@@ -146,15 +166,17 @@
         self.followers: dict[str, float] = {}
         self.history: deque[Item] = deque()
         self.history_bytes = 0
-        self.history_start_revision = 0
-        self.revision = 0
+        self.history_start = Position(0, 0)
+        self.position = Position(0, 0)
+        self.copy_revision = 0
         self.lost_zones: tuple[str, ...] = ()
         self.lost_zones_at_ms = 0.0
         self.notices: dict[Notice, float] = {}
-        self.encoded_answers: dict[int, bytes] = {}
+        self.encoded_answers: dict[Position, bytes] = {}
         self.encoded_at_ms = 0.0
-        self.encoded_revision = 0
+        self.encoded_position = Position(0, 0)
         self.relay_answered_at_ms: dict[int, float] = {}
         self.lease: int | None = None
+        self.is_registration_unsure = False
         self.published_count = 0
         self.relay_since_ms = 0.0
--- a/packages/wisteriarock/src/wisteriarock/feed/serving.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/serving.py
@@ -6,12 +6,15 @@
 from wisteriarock.gathering.decide import parse_gatherer
 from wisteriarock.http.front import Answer, CallerRequest, Respond
 from wisteriarock.quarantine.models import Notice
+from wisteriarock.store.models import Position
 
 from .const import POLL_WAIT_MS, RELAY_STORE_AGE_MAX_MS, STANDBY_DELAY_MS
 from .decide import (
     current_lost_zones,
     encode_answer,
     encoded_changes,
+    lacks_era,
+    parse_position,
     record_lost_zones,
     standby_answer,
 )
@@ -46,12 +49,14 @@
     if lost_zones:
         respond(_lost_zones_answer(feed, lost_zones))
         return _do_nothing
-    after_text = query.get("after", "")
+    after = parse_position(query.get("after", ""))
+    if after is None:
+        respond(Answer(400, [], b"no position"))
+        return _do_nothing
     is_serving = is_relay(feed) and not feed.is_stopping and not _is_behind(feed)
-    if not after_text.isdigit() or not is_serving:
-        respond(Answer(503 if after_text.isdigit() else 400, [], b"no relay"))
+    if not is_serving or after.era > feed.state.position.era:
+        respond(Answer(503, [], b"no relay"))
         return _do_nothing
-    after = int(after_text)
     is_standby = query.get("standby") == "1"
     if is_own_zone:
         _record_follower(feed, query)
@@ -76,7 +81,8 @@
         if wake in feed.waiting_followers:
             feed.waiting_followers.remove(wake)
 
-    if feed.state.revision > after or after < feed.state.history_start_revision:
+    is_current = after >= max(feed.state.position, feed.state.history_start)
+    if not is_current and not lacks_era(feed.state, feed.eras.known):
         wake()
     else:
         feed.waiting_followers.append(wake)
@@ -117,11 +123,15 @@
     return Answer(200, [], encode_answer(answer))
 
 
-def _answer_follower(feed: Feed, after: int, *, is_standby: bool, is_own_zone: bool) -> Answer:
+def _answer_follower(feed: Feed, after: Position, *, is_standby: bool, is_own_zone: bool) -> Answer:
     lost_zones = current_lost_zones(feed.state, loop_time_ms(feed)) if is_own_zone else ()
     if lost_zones:
         return _lost_zones_answer(feed, lost_zones)
-    if _is_behind(feed) or feed.store_age_ms() > RELAY_STORE_AGE_MAX_MS:
+    if (
+        _is_behind(feed)
+        or lacks_era(feed.state, feed.eras.known)
+        or feed.store_age_ms() > RELAY_STORE_AGE_MAX_MS
+    ):
         return Answer(503, [], b"store is away")
     if is_standby:
         answer = standby_answer(feed.state, feed.store_age_ms(), feed.failure_free_ms())
--- a/packages/wisteriarock/src/wisteriarock/feed/state.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/state.py
@@ -9,6 +9,7 @@
 from wisteriarock.observability.event_log import EventLog
 from wisteriarock.quarantine.models import Notice
 from wisteriarock.store.client import StoreClient
+from wisteriarock.store.eras import StoreEras
 from wisteriarock.store.models import Item, StoreErrorKind, StoreFormat
 
 from .models import FeedAnswer, FeedState
@@ -41,6 +42,10 @@
         Processing capacity of this instance.
     fan_out_shape : callable
         Returns the size of the largest fan-out of the configuration in force.
+    eras : StoreEras
+        Highest era of the store that is known.
+    returned_at_ms : float
+        Time at which this instance learnt that the store has returned from an older copy.
     """
 
     def __init__(
@@ -61,6 +66,7 @@
         rng: random.Random,
         capacity_cores: float,
         fan_out_shape: Callable[[], FanOutShape],
+        eras: StoreEras,
     ) -> None:
         self.loop = loop
         self.state = state
@@ -78,6 +84,8 @@
         self.rng = rng
         self.capacity_cores = capacity_cores
         self.fan_out_shape = fan_out_shape
+        self.eras = eras
+        self.returned_at_ms = float("-inf")
         self.is_stopping = False
         self.is_callable = False
         self.is_cut_off = False
@@ -101,6 +109,15 @@
     return feed.state.lease is not None
 
 
+def note_return(feed: Feed) -> None:
+    """Take note that the store has returned from an older copy.
+
+    The registration of this relay may be gone, or be that of another one.
+    """
+    feed.returned_at_ms = loop_time_ms(feed)
+    feed.state.is_registration_unsure = is_relay(feed)
+
+
 def wake_followers(feed: Feed) -> None:
     """Wake the followers whose poll waits for changes."""
     waiting_followers, feed.waiting_followers = feed.waiting_followers, []
--- a/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
+++ b/packages/wisteriarock/src/wisteriarock/front/diagnostics.py
@@ -21,6 +21,8 @@
         "is_ready": instance.was_ready,
         "configuration_version": configuration.version if configuration else None,
         "store_age_ms": round(now_ms - instance.discovery.last_answer_at_ms),
+        "store_era": instance.eras.known,
+        "store_position": list(instance.feed_state.position),
         "active": len(instance.dispatch.active),
         "connections": len(instance.caller_listener.connections),
         "routes": {
@@ -96,6 +98,11 @@
             "Time since the store answered",
             now_s - instance.discovery.last_answer_at_ms / 1000,
         ),
+        "store_era": ("Highest era of the store that is known", float(instance.eras.known)),
+        "store_return_age_seconds": (
+            "Time since the store's return from an older copy was noticed, -1 if it never was",
+            now_s - instance.feed.returned_at_ms / 1000 if instance.feed.returned_at_ms > 0 else -1,
+        ),
         "active_requests": ("Requests in progress", float(len(instance.dispatch.active))),
         "caller_connections": (
             "Open connections",
--- a/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
+++ b/packages/wisteriarock/src/wisteriarock/front/housekeeping.py
@@ -11,7 +11,11 @@
     mark_lost_zones,
 )
 from wisteriarock.balancing.models import Endpoint
-from wisteriarock.discovery.changes import drop_lapsed_endpoints, move_evacuated_services
+from wisteriarock.discovery.changes import (
+    drop_lapsed_endpoints,
+    end_unconfirmed_evacuations,
+    move_evacuated_services,
+)
 from wisteriarock.discovery.reads import check_store
 from wisteriarock.dispatch.controller import apply_notice
 from wisteriarock.dispatch.legs import close_abandoned_legs
@@ -60,6 +64,7 @@
     release_held_requests(instance)
     expire_quarantine(instance.dispatch.quarantine, now_ms)
     drop_lapsed_endpoints(instance.discovery)
+    end_unconfirmed_evacuations(instance.discovery)
     move_evacuated_services(instance.discovery)
     endpoints = list(instance.directory.by_id.values())
     for zone in mark_lost_zones(endpoints, now_ms):
--- a/packages/wisteriarock/src/wisteriarock/front/instance.py
+++ b/packages/wisteriarock/src/wisteriarock/front/instance.py
@@ -24,7 +24,7 @@
 from wisteriarock.feed.decide import has_live_feed
 from wisteriarock.feed.models import FeedState
 from wisteriarock.feed.serving import handle_follower_request
-from wisteriarock.feed.state import Feed, is_relay, wake_followers
+from wisteriarock.feed.state import Feed, is_relay, note_return, wake_followers
 from wisteriarock.gathering.const import FRAGMENT_PATH
 from wisteriarock.gathering.decide import find_fan_out_shape
 from wisteriarock.gathering.models import Gatherer
@@ -43,6 +43,7 @@
 from wisteriarock.observability.failures import FailureReporter
 from wisteriarock.observability.limit_reporter import LimitReporter
 from wisteriarock.store.client import StoreClient
+from wisteriarock.store.eras import StoreEras
 from wisteriarock.store.models import StoreFormat
 
 from .answers import answer_metrics, answer_readiness, do_nothing
@@ -118,6 +119,12 @@
         self.gathered_services: frozenset[str] = frozenset()
         self.gatherer_pools: dict[Gatherer, Pool] = {}
         self.feed_state = FeedState(settings.zone)
+        self.eras = StoreEras(store_format.decode_era)
+        self.invalid_era_reporter = LimitReporter(
+            lambda: loop.time() * 1000,
+            lambda reason: self.counters.count("invalid_eras"),
+            lambda reason, count: log.record("store_era_invalid", reason=reason, count=count),
+        )
         self.dispatch = DispatchState(
             loop,
             settings.instance,
@@ -138,7 +145,7 @@
         self.discovery = DiscoveryState(
             loop,
             store_format,
-            lambda: StoreClient(loop, *settings.store, store_format.classify, self.counters),
+            lambda: create_store_client(self, store_format),
             self.catalog,
             self.directory,
             self.feed_state,
@@ -147,6 +154,7 @@
             log,
             self.counters,
             rng,
+            self.eras,
         )
         self.dispatch.is_loaded = lambda: self.discovery.is_loaded
         self.dispatch.news_age_ms = lambda: loop.time() * 1000 - self.discovery.last_answer_at_ms
@@ -160,7 +168,7 @@
             loop,
             self.feed_state,
             store_format,
-            StoreClient(loop, *settings.store, store_format.classify, self.counters),
+            create_store_client(self, store_format),
             settings.zone,
             settings.instance,
             settings.peer,
@@ -173,7 +181,10 @@
             rng,
             settings.cpu_share * settings.cpu_speed,
             lambda: find_fan_out_shape(self.catalog),
+            self.eras,
         )
+        self.eras.on_return = lambda former, era: on_store_return(self, former, era)
+        self.eras.on_invalid = self.invalid_era_reporter.report
         self.allotments = AllotmentExchange(
             self.feed,
             Tolerance(settings.quota_window_s, settings.quota_overshoot, settings.quota_slack),
@@ -214,6 +225,29 @@
         self.metrics_listener.turns.per_iteration = METRICS_TURNS_PER_ITERATION
 
 
+def create_store_client(instance: Instance, store_format: StoreFormat) -> StoreClient:
+    """Return a client of the store, which learns the era of its replies."""
+    return StoreClient(
+        instance.loop,
+        *instance.settings.store,
+        store_format.classify,
+        instance.counters,
+        instance.eras,
+    )
+
+
+def on_store_return(instance: Instance, former: int, era: int) -> None:
+    """Take note that the store has returned from an older copy.
+
+    The first era that this instance learns before its first load is no return.
+    """
+    if not instance.feed_state.position.revision:
+        return
+    instance.counters.count("store_returns")
+    instance.log.record("store_era_changed", former=former, era=era)
+    note_return(instance.feed)
+
+
 def create_listener(
     instance: Instance, handle: RequestHandler, descriptor_share: float
 ) -> ListenerState:
--- a/packages/wisteriarock/src/wisteriarock/observability/exposition.py
+++ b/packages/wisteriarock/src/wisteriarock/observability/exposition.py
@@ -55,6 +55,9 @@
     "listen_failures": ("Attempts to listen on an address in use", ("listener",)),
     "evicted_messages": ("Incomplete messages given up as the buffers were full", ()),
     "malformed_entries": ("Entries of the store that name no endpoint", ()),
+    "invalid_eras": ("Replies of the store whose era is no whole number, or named twice", ()),
+    "outdated_copies": ("Items of an older copy of the store that were not used", ("kind",)),
+    "store_returns": ("Returns of the store from an older copy that were noticed", ()),
     "unexpected_errors": ("Exceptions that were contained", ("part",)),
     "log_lines_dropped": ("Log lines dropped to keep the bound", ()),
 }
--- a/packages/wisteriarock/src/wisteriarock/store/client.py
+++ b/packages/wisteriarock/src/wisteriarock/store/client.py
@@ -10,6 +10,7 @@
 from wisteriarock.observability.counters import Counters
 from wisteriarock.wire.silence import REPLY_MIN_BYTES_PER_S, inactivity_timeout
 
+from .eras import StoreEras
 from .models import StoreError, StoreErrorKind
 
 
@@ -23,6 +24,9 @@
     classify : callable
         Maps an HTTP status to a kind of error, or to None for success.
 
+    eras : StoreEras or None
+        Learns the era of each reply; None for a peer whose replies name none.
+
     Attributes
     ----------
     data_at_ms : float
@@ -35,6 +39,7 @@
         "connection",
         "counters",
         "data_at_ms",
+        "eras",
         "host",
         "loop",
         "port",
@@ -47,6 +52,7 @@
         port: int,
         classify: Callable[[int], StoreErrorKind | None],
         counters: Counters,
+        eras: StoreEras | None = None,
     ) -> None:
         self.loop = loop
         self.host = host
@@ -56,6 +62,7 @@
         self.data_at_ms = float("-inf")
         self._lock = asyncio.Lock()
         self.counters = counters
+        self.eras = eras
 
     def close(self, reason: str) -> None:
         """Close the connection; a call in progress fails."""
@@ -121,6 +128,8 @@
             is_too_large = outcome.reason == REASON_TOO_LARGE
             kind = StoreErrorKind.TOO_LARGE if is_too_large else StoreErrorKind.UNREACHABLE
             return StoreError(kind, outcome.reason)
+        if self.eras is not None and not self.eras.observe(outcome.headers):
+            return StoreError(StoreErrorKind.FORMER_ERA, "reply of a former era")
         error_kind = self.classify(outcome.status)
         if error_kind is not None:
             return StoreError(error_kind, f"status {outcome.status}")
--- a/packages/wisteriarock/src/wisteriarock/store/models.py
+++ b/packages/wisteriarock/src/wisteriarock/store/models.py
@@ -6,6 +6,7 @@
 
 from wisteriarock.catalog.models import Configuration
 from wisteriarock.discovery.models import EndpointEntry
+from wisteriarock.http.models import Headers
 
 
 class StoreErrorKind(enum.Enum):
@@ -19,6 +20,19 @@
     HISTORY_GONE = "history_gone"
     TOO_LARGE = "too_large"
     BAD_REPLY = "bad_reply"
+    RETURNED = "returned"
+    FORMER_ERA = "former_era"
+
+
+class Position(NamedTuple):
+    """How new content of the store is.
+
+    The era rises when the store comes back from an older copy; it gives out revisions again then,
+    so that only those of one era can be compared. It is 0 if the store names none.
+    """
+
+    era: int
+    revision: int
 
 
 class StoreError(NamedTuple):
@@ -34,25 +48,25 @@
 
     key: str
     value: bytes | None
-    revision: int
+    position: Position
 
 
 class Listing(NamedTuple):
-    """A page of items, with the store's revision from which to follow changes."""
+    """A page of items, with the store's position from which to follow changes."""
 
     items: list[Item]
     has_more: bool
-    revision: int
+    position: Position
 
 
 class Snapshot(NamedTuple):
-    """All data of interest in the store, with the revision from which to follow changes."""
+    """All data of interest in the store, with the position from which to follow changes."""
 
     configuration: list[Item]
     evacuations: list[Item]
     relays: list[Item]
     endpoints: list[Item]
-    revision: int
+    position: Position
 
 
 class StoreFormat(NamedTuple):
@@ -68,11 +82,15 @@
         Returns the bytes of a write. The last argument is the revision that the key must have for
         the write to succeed: 0 if the key must not exist, None for no condition.
     decode_item, decode_listing, decode_events : callable
-        Return the content of a successful reply, or None if it is malformed.
+        Return the content of a successful reply, given its body and era, or None if it is
+        malformed.
     decode_lease : callable
         Returns the id of a lease, or None if the reply is malformed.
     decode_configuration, decode_endpoint : callable
         Return the decoded value, or the reason why it is invalid.
+    decode_era : callable
+        Returns the era from the headers of a reply: None if they name none, and the reason why it
+        is invalid.
     classify : callable
         Maps an HTTP status to a kind of error, or to None for success.
     configuration_key : str
@@ -92,12 +110,13 @@
     encode_lease: Callable[[int], bytes]
     encode_renewal: Callable[[int], bytes]
     encode_release: Callable[[int], bytes]
-    decode_item: Callable[[bytes], Listing | None]
-    decode_listing: Callable[[bytes], Listing | None]
-    decode_events: Callable[[bytes], Listing | None]
+    decode_item: Callable[[bytes, int], Listing | None]
+    decode_listing: Callable[[bytes, int], Listing | None]
+    decode_events: Callable[[bytes, int], Listing | None]
     decode_lease: Callable[[bytes], int | None]
     decode_configuration: Callable[[bytes], Configuration | str]
     decode_endpoint: Callable[[str, bytes], EndpointEntry | str]
+    decode_era: Callable[[Headers], int | str | None]
     classify: Callable[[int], StoreErrorKind | None]
     configuration_key: str
     endpoints_prefix: str
--- a/tests/wisteriaplatform/test_fuzz.py
+++ b/tests/wisteriaplatform/test_fuzz.py
@@ -33,6 +33,7 @@
 from wisteriarock.store.models import Item
 
 from tests.common import function_suite
+from tests.wisteriarock.samples import at
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "300"))
 fuzz = settings(
@@ -141,7 +142,7 @@
 @example(NESTED)
 def test_registrations_of_relays(value: bytes):
     """Guards against a registration of a relay that raises."""
-    apply_relay_item(FeedState(), Item(RELAY_KEY_PREFIX + "zone-a", value, 5), 0.0)
+    apply_relay_item(FeedState(), Item(RELAY_KEY_PREFIX + "zone-a", value, at(5)), 0.0)
 
 
 @fuzz
--- a/tests/wisteriaplatform/test_whole_path.py
+++ b/tests/wisteriaplatform/test_whole_path.py
@@ -359,7 +359,7 @@
             running.store.discard_history()
             await wait_until(lambda: second.catalog.configuration.version == 51)
             await wait_until(lambda: len(second.directory.by_service["shard-1"]) == 1)
-            assert second.feed_state.history_start_revision < running.store.state.discarded_revision
+            assert second.feed_state.history_start.revision < running.store.state.discarded_revision
 
 
 async def test_isolation_is_reported_to_other_instances_of_the_zone():
--- a/tests/wisteriarock/discovery/test_decide.py
+++ b/tests/wisteriarock/discovery/test_decide.py
@@ -17,7 +17,7 @@
 from wisteriarock.store.models import Item, Snapshot
 
 from tests.common import function_suite
-from tests.wisteriarock.samples import make_entry
+from tests.wisteriarock.samples import at, make_entry
 
 
 def _listed_endpoint_ids(directory: Directory, service: str = "shard-0") -> list[str]:
@@ -107,14 +107,14 @@
 def test_snapshot_after_lost_history_is_converted_to_changes():
     """Guards against missed removals, and against followers that need a full load."""
     old, new, other = (
-        Item("servers/old", b"a", 5),
-        Item("servers/new", b"b", 12),
-        Item("op/config", b"c", 14),
+        Item("servers/old", b"a", at(5)),
+        Item("servers/new", b"b", at(12)),
+        Item("op/config", b"c", at(14)),
     )
-    snapshot = Snapshot([other], [], [], [old, new], 15)
-    changes = changes_since(10, ["servers/old", "servers/gone"], snapshot)
-    assert changes == [other, new, Item("servers/gone", None, 15)]
-    assert changes_since(15, ["servers/old", "servers/new"], snapshot) == []
+    snapshot = Snapshot([other], [], [], [old, new], at(15))
+    changes = changes_since(at(10), ["servers/old", "servers/gone"], snapshot)
+    assert changes == [other, new, Item("servers/gone", None, at(15))]
+    assert changes_since(at(15), ["servers/old", "servers/new"], snapshot) == []
 
 
 def test_many_instances_retry_more_slowly():
--- a/tests/wisteriarock/discovery/test_evacuation.py
+++ b/tests/wisteriarock/discovery/test_evacuation.py
@@ -14,7 +14,7 @@
 from tests.common import function_suite
 from tests.wisteriarock.discovery.test_changes import make_answer, make_state
 from tests.wisteriarock.dispatch.emulator import Emulator
-from tests.wisteriarock.samples import make_entry, make_fan_out_route
+from tests.wisteriarock.samples import at, make_entry, make_fan_out_route
 
 WITHIN_MS = 5_000.0
 KEY = "op/evacuate/zone-a"
@@ -100,22 +100,22 @@
 
     The items arrive one by one, together, and as the difference of two snapshots.
     """
-    first, end, second = Item(KEY, b"{}", 12), Item(KEY, None, 13), Item(KEY, b"{}", 14)
-    snapshot = Snapshot([], [second], [], [], 14)
+    first, end, second = Item(KEY, b"{}", at(12)), Item(KEY, None, at(13)), Item(KEY, b"{}", at(14))
+    snapshot = Snapshot([], [second], [], [], at(14))
     for batches in ([[first], [end], [second]], [[first, end, second]]):
         state, loop = make_state()
         apply_entry(state.directory, make_entry("e1"), 0.0)
         for items in batches:
-            apply_changes(state, items, items[-1].revision)
+            apply_changes(state, items, items[-1].position)
             loop.run_until_ms(loop.time() * 1000 + 300.0)
         assert list(state.directory.evacuations) == ["zone-a"]
         assert _listed(state.directory, "zone-a") == 0
     state, _ = make_state()
-    apply_changes(state, [first], 12)
-    apply_changes(state, changes_since(12, [KEY], snapshot), 14, is_news=False)
+    apply_changes(state, [first], at(12))
+    apply_changes(state, changes_since(at(12), [KEY], snapshot), at(14), is_news=False)
     assert list(state.directory.evacuations) == ["zone-a"]
-    gone = changes_since(14, [KEY], snapshot._replace(evacuations=[], revision=16))
-    apply_changes(state, gone, 16, is_news=False)
+    gone = changes_since(at(14), [KEY], snapshot._replace(evacuations=[], position=at(16)))
+    apply_changes(state, gone, at(16), is_news=False)
     assert not state.directory.evacuations
 
 
@@ -124,7 +124,7 @@
 
     Pattern: the relay is lost between the write of the key and the news of it.
     """
-    item = Item(KEY, b"{}", 11)
+    item = Item(KEY, b"{}", at(11))
     for calm_ms, expected in ((60_000.0, 1), (500.0, 0)):
         state, loop = make_state()
         state.evacuation_ms = WITHIN_MS
--- a/tests/wisteriarock/feed/test_decide.py
+++ b/tests/wisteriarock/feed/test_decide.py
@@ -36,38 +36,40 @@
 from wisteriarock.store.models import Item
 
 from tests.common import function_suite
+from tests.wisteriarock.samples import at
 
 
 def _make_item(revision: int, value: bytes | None = b"v") -> Item:
-    return Item(f"key-{revision}", value, revision)
+    return Item(f"key-{revision}", value, at(revision))
 
 
 def _add_relay(state: FeedState, zone: str, instances: int, now_ms: float = 0.0) -> None:
     value = encode_relay_value(f"front-{zone}", "10.0.0.1", 7_380, instances)
-    apply_relay_item(state, Item(RELAY_KEY_PREFIX + zone, value, 5), now_ms)
+    apply_relay_item(state, Item(RELAY_KEY_PREFIX + zone, value, at(5)), now_ms)
 
 
 def test_changes_of_two_sources_are_applied_once():
     """Guards against a change applied twice, or lost, when two relays deliver it."""
     state = FeedState()
-    reset_history(state, 10)
+    reset_history(state, at(10))
     assert [
-        item.revision for item in record_changes(state, [_make_item(11), _make_item(12)], 12)
+        item.position.revision
+        for item in record_changes(state, [_make_item(11), _make_item(12)], at(12))
     ] == [11, 12]
     assert [
-        item.revision
-        for item in record_changes(state, [_make_item(11), _make_item(12), _make_item(13)], 13)
+        item.position.revision
+        for item in record_changes(state, [_make_item(11), _make_item(12), _make_item(13)], at(13))
     ] == [13]
-    assert record_changes(state, [_make_item(12)], 12) == []
-    assert state.revision == 13
+    assert record_changes(state, [_make_item(12)], at(12)) == []
+    assert state.position.revision == 13
 
 
 def test_answer_round_trip():
     """Guards against values or removals that are altered between instances."""
     state = FeedState()
-    reset_history(state, 10)
-    record_changes(state, [_make_item(11, b"\x00\xff"), _make_item(12, None)], 14)
-    answer = changes_after(state, 10, 20.0, 30.0)
+    reset_history(state, at(10))
+    record_changes(state, [_make_item(11, b"\x00\xff"), _make_item(12, None)], at(14))
+    answer = changes_after(state, at(10), 20.0, 30.0)
     assert answer is not None
     decoded = decode_answer(encode_answer(answer))
     assert decoded is not None
@@ -93,8 +95,8 @@
 def test_standby_answer_carries_no_changes():
     """Guards against sending every change across zones although the local zone's relay has it."""
     state = FeedState()
-    reset_history(state, 10)
-    record_changes(state, [_make_item(11, b"v" * 100_000)], 11)
+    reset_history(state, at(10))
+    record_changes(state, [_make_item(11, b"v" * 100_000)], at(11))
     body = encode_answer(standby_answer(state, 1.0, 2.0))
     assert len(body) < 200
     decoded = decode_answer(body)
@@ -104,39 +106,40 @@
 def test_concurrent_followers_share_an_encoded_answer():
     """Guards against a relay that encodes a large configuration once for each follower."""
     state = FeedState()
-    reset_history(state, 10)
-    record_changes(state, [_make_item(11)], 11)
-    first = encoded_changes(state, 10, 0.0, 0.0, 1_000.0)
-    assert encoded_changes(state, 10, 0.0, 0.0, 1_010.0) is first
-    record_changes(state, [_make_item(12)], 12)
-    decoded = decode_answer(encoded_changes(state, 10, 0.0, 0.0, 1_011.0) or b"")
+    reset_history(state, at(10))
+    record_changes(state, [_make_item(11)], at(11))
+    first = encoded_changes(state, at(10), 0.0, 0.0, 1_000.0)
+    assert encoded_changes(state, at(10), 0.0, 0.0, 1_010.0) is first
+    record_changes(state, [_make_item(12)], at(12))
+    decoded = decode_answer(encoded_changes(state, at(10), 0.0, 0.0, 1_011.0) or b"")
     assert decoded is not None and decoded[0] == [_make_item(11), _make_item(12)]
-    assert encoded_changes(state, 9, 0.0, 0.0, 1_011.0) is None
+    assert encoded_changes(state, at(9), 0.0, 0.0, 1_011.0) is None
 
 
 def test_changes_before_the_history_are_refused():
     """Guards against a follower that misses changes because the relay started later."""
     state = FeedState()
-    reset_history(state, 10)
-    assert changes_after(state, 9, 0.0, 0.0) is None
+    reset_history(state, at(10))
+    assert changes_after(state, at(9), 0.0, 0.0) is None
     record_changes(
-        state, [_make_item(revision) for revision in range(11, 12 + HISTORY_MAX_CHANGES)], 5_000
+        state, [_make_item(revision) for revision in range(11, 12 + HISTORY_MAX_CHANGES)], at(5_000)
     )
-    assert changes_after(state, 10, 0.0, 0.0) is None
-    answer = changes_after(state, 11, 0.0, 0.0)
+    assert changes_after(state, at(10), 0.0, 0.0) is None
+    answer = changes_after(state, at(11), 0.0, 0.0)
     assert answer is not None and len(answer["changes"]) == HISTORY_MAX_CHANGES
 
 
 def test_history_of_large_values_is_bounded():
     """Guards against a relay running out of memory when large versions follow quickly."""
     state = FeedState()
-    reset_history(state, 0)
+    reset_history(state, at(0))
     for revision in range(1, 41):
-        record_changes(state, [_make_item(revision, b"c" * 200_000)], revision)
+        record_changes(state, [_make_item(revision, b"c" * 200_000)], at(revision))
     value_bytes = sum(len(item.value or b"") for item in state.history)
     assert value_bytes <= HISTORY_MAX_BYTES
-    assert changes_after(state, state.history_start_revision, 0.0, 0.0) is not None
-    assert changes_after(state, state.history_start_revision - 1, 0.0, 0.0) is None
+    start = state.history_start
+    assert changes_after(state, start, 0.0, 0.0) is not None
+    assert changes_after(state, at(start.revision - 1), 0.0, 0.0) is None
 
 
 def test_relays_of_own_and_next_zone_are_followed():
@@ -147,9 +150,9 @@
     assert [relay.zone for relay in choose_relays(state, "a", "me")] == ["a", "b"]
     assert [relay.zone for relay in choose_relays(state, "c", "me")] == ["c", "a"]
     assert [relay.zone for relay in choose_relays(state, "a", "front-a")] == ["b"]
-    apply_relay_item(state, Item(RELAY_KEY_PREFIX + "b", None, 9), 0.0)
+    apply_relay_item(state, Item(RELAY_KEY_PREFIX + "b", None, at(9)), 0.0)
     assert [relay.zone for relay in choose_relays(state, "a", "me")] == ["a", "c"]
-    apply_relay_item(state, Item(RELAY_KEY_PREFIX + "c", b"not json", 9), 0.0)
+    apply_relay_item(state, Item(RELAY_KEY_PREFIX + "c", b"not json", at(9)), 0.0)
     assert [relay.zone for relay in choose_relays(state, "a", "me")] == ["a"]
 
 
@@ -172,7 +175,7 @@
     _add_relay(state, "a", 3)
     _add_relay(state, "b", 3)
     count_instances(state, 0.0)
-    apply_relay_item(state, Item(RELAY_KEY_PREFIX + "b", None, 9), 0.0)
+    apply_relay_item(state, Item(RELAY_KEY_PREFIX + "b", None, at(9)), 0.0)
     assert count_instances(state, 1_000.0) == 6
     assert count_instances(state, INSTANCE_COUNT_TTL_MS + 1_000) == 3
 
@@ -237,7 +240,7 @@
     assert relay.gatherers is None
     update_gatherers(relay, own, shape, 195, FOLLOWER_TIMEOUT_MS + 1)
     assert relay.gatherers == (own,)
-    answer = changes_after(relay, 0, 0.0, 0.0)
+    answer = changes_after(relay, at(0), 0.0, 0.0)
     assert answer is not None
     decoded = decode_answer(encode_answer(answer))
     assert decoded is not None and accept_gatherers(follower, decoded[1])
@@ -252,7 +255,7 @@
     """Guards against budget shares for fewer gatherers than there are."""
     state = FeedState("zone-a")
     value = encode_relay_value("front-a", "10.0.0.1", 7_380, 40, 3)
-    apply_relay_item(state, Item(RELAY_KEY_PREFIX + "zone-a", value, 5), 0.0)
+    apply_relay_item(state, Item(RELAY_KEY_PREFIX + "zone-a", value, at(5)), 0.0)
     _add_relay(state, "zone-b", 2)
     assert count_instances(state, 0.0) == 42
     assert count_gatherers(state, 0.0) == 5
--- a/tests/wisteriarock/feed/test_malformed.py
+++ b/tests/wisteriarock/feed/test_malformed.py
@@ -14,6 +14,7 @@
 from wisteriarock.store.models import Item
 
 from tests.common import function_suite
+from tests.wisteriarock.samples import at
 
 NESTED_TEXT = b"[" * 100_000
 
@@ -29,17 +30,17 @@
     texts += [NESTED_TEXT, b"\xff", b"[]", b"7"]
     for text in texts:
         state = FeedState("zone-a")
-        assert apply_relay_item(state, Item(RELAY_KEY_PREFIX + "zone-a", text, 5), 0.0)
+        assert apply_relay_item(state, Item(RELAY_KEY_PREFIX + "zone-a", text, at(5)), 0.0)
         assert state.relays == {}, text[:80]
     state = FeedState("zone-a")
-    item = Item(RELAY_KEY_PREFIX + "zone-a", json.dumps(valid).encode(), 5)
+    item = Item(RELAY_KEY_PREFIX + "zone-a", json.dumps(valid).encode(), at(5))
     assert apply_relay_item(state, item, 0.0)
     assert state.relays["zone-a"].port == 7380
 
 
 def test_malformed_answers_of_relays_are_refused():
     """Guards against an exception that ends the task of a follower."""
-    answer = changes_after(FeedState(), 0, 1.0, 1.0)
+    answer = changes_after(FeedState(), at(0), 1.0, 1.0)
     assert answer is not None
     assert decode_answer(encode_answer(answer)) is not None
     for field in ("revision", "store_age_ms", "calm_ms"):
--- a/tests/wisteriarock/samples.py
+++ b/tests/wisteriarock/samples.py
@@ -5,6 +5,7 @@
 from wisteriarock.balancing.models import Endpoint
 from wisteriarock.catalog.models import Configuration, Limits, Route, Service, WeightedService
 from wisteriarock.discovery.models import EndpointEntry
+from wisteriarock.store.models import Position
 
 
 def make_single_service_route(name: str = "invoices", **changes: object) -> Route:
@@ -64,6 +65,11 @@
     return Endpoint(endpoint_id, service, "10.0.0.1", 8000, zone, 2)
 
 
+def at(revision: int) -> Position:
+    """Return the position of a revision in a store that names no era."""
+    return Position(0, revision)
+
+
 def make_rng() -> random.Random:
     """Return a random generator with a fixed seed."""
     return random.Random(1)
