Test returns of the store in random order with other faults

Writes, copies, returns with and without revisions given out again, lost history and refusals come in random order to two instances; a third one starts at the end. No instance may go back to an older version, and all have to end with the newest one, the same endpoints and one relay.

--- a/tests/wisteriaplatform/test_store_returns.py
+++ b/tests/wisteriaplatform/test_store_returns.py
@@ -1,8 +1,10 @@
 """Tests of a store that comes back from an older copy, with instances, relays and endpoints."""
 
 import asyncio
+import random
 
 from wisteriarock.feed.state import is_relay
+from wisteriarock.front.instance import Instance
 
 from tests.common import function_suite
 from tests.wisteriaplatform.fixtures import (
@@ -15,6 +17,9 @@
     wait_until,
 )
 
+RETURN_SEEDS = (1, 2, 3, 4)
+# A play that takes longer has an instance that stays behind.
+PLAY_MAX_S = 60.0
 # Calls that instances make by then if they go on asking for what the store does not have.
 CALLS_MAX = 400
 
@@ -133,4 +138,86 @@
         assert running.store.state.rows[key].lease == lease
 
 
+class _Play:
+    """A random play of writes, copies, returns and other faults of the store."""
+
+    def __init__(self, running: Deployment, rng: random.Random) -> None:
+        self.running = running
+        self.store = running.store
+        self.rng = rng
+        self.version = 3
+        self.copies = [running.store.take_copy()]
+        self.highest: dict[int, int] = {}
+
+    def check_versions(self, *instances: Instance) -> None:
+        """Check that no instance goes back to an older version in its lifetime."""
+        for instance in instances:
+            configuration = instance.catalog.configuration
+            version = configuration.version if configuration is not None else 0
+            assert version >= self.highest.get(id(instance), 0)
+            self.highest[id(instance)] = version
+
+    def write_version(self) -> None:
+        """Write the newest version, as the operator does."""
+        self.store.put("op/config", operator_configuration(self.version))
+
+    def write_entries(self) -> None:
+        """Write the entries of all endpoints, as they do themselves."""
+        for name, endpoint in self.running.endpoints.items():
+            self.store.put(f"servers/{name}", endpoint.make_entry())
+
+    def step(self) -> None:
+        """Make one random change."""
+        kind = self.rng.choice(("write", "write", "copy", "return", "return", "forget", "down"))
+        if kind == "write":
+            self.version += self.rng.randint(1, 3)
+            self.write_version()
+            self.write_entries()
+        elif kind == "copy":
+            self.copies.append(self.store.take_copy())
+        elif kind == "return":
+            ahead = self.rng.choice((0, 1, 10, 40))
+            self.store.return_from_copy(self.rng.choice(self.copies[-2:]), ahead)
+            # Revisions of former eras are not those of this one.
+            self.copies = [self.store.take_copy()]
+        elif kind == "forget":
+            self.store.discard_history()
+        else:
+            self.store.mode = "ok" if self.store.mode == "busy" else "busy"
+
+
+async def _play_returns(seed: int) -> None:
+    rng = random.Random(seed)
+    async with deployment() as running, another_instance(running, "front-2") as second:
+        _name_first_era(running)
+        await wait_until(lambda: second.discovery.is_loaded)
+        play = _Play(running, rng)
+        for _ in range(12):
+            play.step()
+            await asyncio.sleep(rng.choice((0.0, 0.05, 0.3)))
+            play.check_versions(running.instance, second)
+        play.store.mode = "ok"
+        play.version += 1
+        play.write_version()
+        play.write_entries()
+        async with another_instance(running, "front-3") as third:
+            instances = (running.instance, second, third)
+            for instance in instances:
+                await wait_until(
+                    lambda instance=instance: instance.catalog.configuration is not None
+                    and instance.catalog.configuration.version == play.version
+                )
+            play.check_versions(*instances)
+            names = set(running.endpoints)
+            for instance in instances:
+                await wait_until(lambda instance=instance: set(instance.directory.by_id) == names)
+            await wait_until(lambda: sum(is_relay(each.feed) for each in instances) == 1)
+
+
+async def test_random_returns():
+    """Guards against an instance that stays behind, or goes back, after any order of faults."""
+    for seed in RETURN_SEEDS:
+        await asyncio.wait_for(_play_returns(seed), PLAY_MAX_S)
+
+
 load_tests = function_suite(globals())
