--- a/packages/standins/src/wisteriastandins/soak/command.py
+++ b/packages/standins/src/wisteriastandins/soak/command.py
@@ -15,6 +15,8 @@
     callers: int = 12,
     folder: Path | None = None,
     source: Path | None = None,
+    with_returns: bool = False,
+    only_returns: bool = False,
 ) -> None:
     """Inject seeded faults into the real programs and check the guarantees of the system.
 
@@ -34,11 +36,22 @@
         Folder in which settings and logs are kept, one subfolder per seed.
     source
         Folder with a copy of the programs to run instead of the installed ones.
+    with_returns, only_returns
+        Let the store come back from older copies, beside the other faults or in their place.
     """
     failed = 0
     for number in range(seed, seed + seeds):
         seed_folder = folder / f"seed-{number}" if folder is not None else None
-        options = SoakOptions(number, length_s, instances, callers, source, folder=seed_folder)
+        options = SoakOptions(
+            number,
+            length_s,
+            instances,
+            callers,
+            source,
+            folder=seed_folder,
+            with_returns=with_returns,
+            only_returns=only_returns,
+        )
         result = run_soak(options)
         print("\n".join(format_result(options, result)), flush=True)
         failed += bool(result.violations)
--- a/packages/standins/src/wisteriastandins/soak/faults.py
+++ b/packages/standins/src/wisteriastandins/soak/faults.py
@@ -32,6 +32,7 @@
 from .hostile import play_hostile_callers
 from .models import Disturbance, DrainingEndpoint, Fault, FaultKind, RateLimit
 from .programs import Program
+from .returns import return_store
 from .world import REPLICAS, SoakDeployment, add_endpoint, configure, register, remove_endpoint
 from .zones import evacuate, return_cold
 
@@ -468,6 +469,7 @@
     FaultKind.ENDPOINT_MOVE: _reassign_address,
     FaultKind.CONFIGURE: _configure,
     FaultKind.RESHARD: _reshard,
+    FaultKind.STORE_RETURN: return_store,
 }
 
 
--- a/packages/standins/src/wisteriastandins/soak/models.py
+++ b/packages/standins/src/wisteriastandins/soak/models.py
@@ -51,6 +51,7 @@
     ENDPOINT_MOVE = "endpoint_move"
     CONFIGURE = "configure"
     RESHARD = "reshard"
+    STORE_RETURN = "store_return"
 
 
 class Fault(NamedTuple):
--- a/packages/standins/src/wisteriastandins/soak/plan.py
+++ b/packages/standins/src/wisteriastandins/soak/plan.py
@@ -11,6 +11,9 @@
 SERIES_SHARE = 0.3
 SERIES_PAUSE_S = (0.1, 1.5)
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 6.0
+# Number of returns of the store in a run, and the longest time from the copy to the end of one.
+RETURNS = (1, 4)
+RETURN_MAX_S = 7.0
 # Relative frequency of fault kinds, 1 by default; low for kinds that affect the whole deployment.
 _WEIGHTS = {
     FaultKind.KILL_ALL: 0.25,
@@ -38,7 +41,7 @@
         Duration of the run.
     """
     rng = random.Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.STORE_RETURN]
     weights = [_WEIGHTS.get(kind, 1.0) for kind in kinds]
     end_s = length_s - FAULT_FREE_END_S
     faults = []
@@ -58,6 +61,17 @@
     return sorted(faults)
 
 
+def make_returns(seed: int, length_s: float) -> list[Fault]:
+    """Return returns of the store, some of them within seconds, beside the other faults."""
+    rng = random.Random(f"returns {seed}")
+    end_s = length_s - FAULT_FREE_END_S
+    faults = []
+    for _ in range(rng.randint(*RETURNS)):
+        at_s = rng.uniform(0.0, max(0.0, end_s - RETURN_MAX_S))
+        faults.append(Fault(at_s, FaultKind.STORE_RETURN, rng.randrange(1_000), 0.0))
+    return faults
+
+
 def format_plan(plan: list[Fault]) -> list[str]:
     """Return one line of text for each fault."""
     return [
--- a/packages/standins/src/wisteriastandins/soak/run.py
+++ b/packages/standins/src/wisteriastandins/soak/run.py
@@ -12,8 +12,8 @@
 from .customers import check_allotments, check_customers, check_withdrawn_keys
 from .faults import inject_fault
 from .hostile import check_memory
-from .models import Fault, Observations, Violation
-from .plan import format_plan, make_plan
+from .models import Fault, FaultKind, Observations, Violation
+from .plan import format_plan, make_plan, make_returns
 from .world import SoakDeployment, start_deployment, stop_deployment, track_task
 from .zones import check_cold_endpoints, check_evacuations
 
@@ -32,6 +32,8 @@
         without a fault of the programs.
     folder : Path or None
         Folder in which settings and logs are kept; None uses a temporary folder.
+    with_returns, only_returns : bool
+        Whether the store comes back from older copies beside the other faults, and in their place.
     """
 
     seed: int
@@ -41,6 +43,8 @@
     source: Path | None = None
     check_timing: bool = True
     folder: Path | None = None
+    with_returns: bool = False
+    only_returns: bool = False
 
 
 class SoakResult(NamedTuple):
@@ -64,6 +68,8 @@
 async def _run(options: SoakOptions, folder: Path, plan: list[Fault]) -> SoakResult:
     deployment = SoakDeployment(options.seed, options.instances, folder, options.source)
     try:
+        if any(fault.kind is FaultKind.STORE_RETURN for fault in plan):
+            deployment.store.state.era = 1
         await start_deployment(deployment)
         for program in deployment.programs:
             track_task(deployment, deployment.loop.create_task(poll_readiness(program)))
@@ -98,9 +104,16 @@
     return SoakResult(plan, deployment.observations, violations, started_ms)
 
 
+def _make_faults(options: SoakOptions) -> list[Fault]:
+    faults = [] if options.only_returns else make_plan(options.seed, options.length_s)
+    if options.with_returns or options.only_returns:
+        faults += make_returns(options.seed, options.length_s)
+    return sorted(faults)
+
+
 def run_soak(options: SoakOptions, plan: list[Fault] | None = None) -> SoakResult:
     """Run the given plan, or the plan of the seed, and check the observations."""
-    faults = make_plan(options.seed, options.length_s) if plan is None else plan
+    faults = _make_faults(options) if plan is None else plan
     if options.folder is not None:
         options.folder.mkdir(parents=True, exist_ok=True)
         return asyncio.run(_run(options, options.folder, faults))
@@ -126,5 +139,7 @@
         f"  repeat with: python -m wisteriastandins soak --seed {options.seed} "
         f"--length-s {options.length_s:g} --instances {options.instances} "
         f"--callers {options.callers}"
+        + (" --with-returns" if options.with_returns else "")
+        + (" --only-returns" if options.only_returns else "")
     )
     return lines + [f"  {line}" for line in format_plan(result.plan)]
--- a/packages/standins/src/wisteriastandins/users/store.py
+++ b/packages/standins/src/wisteriastandins/users/store.py
@@ -29,6 +29,7 @@
     history: list[Change]
     revision: int
     leases: dict[int, float]
+    era: int | None
 
 
 class StoreState:
@@ -163,7 +164,9 @@
 
 def take_copy(state: StoreState) -> StoreCopy:
     """Return a copy of the store as it is now."""
-    return StoreCopy(dict(state.rows), list(state.history), state.revision, dict(state.leases))
+    return StoreCopy(
+        dict(state.rows), list(state.history), state.revision, dict(state.leases), state.era
+    )
 
 
 def return_from_copy(state: StoreState, copy: StoreCopy, revisions_ahead: int = 0) -> None:
--- a/tests/wisteriastandins/soak/test_plan.py
+++ b/tests/wisteriastandins/soak/test_plan.py
@@ -2,7 +2,7 @@
 
 from wisteriastandins.soak.const import FAULT_FREE_END_S
 from wisteriastandins.soak.models import FaultKind
-from wisteriastandins.soak.plan import format_plan, make_plan
+from wisteriastandins.soak.plan import format_plan, make_plan, make_returns
 
 from tests.common import function_suite
 
@@ -27,7 +27,8 @@
 def test_every_kind_is_played():
     """Guards against a fault kind that no seed generates, and against faults that never overlap."""
     plans = [make_plan(seed, 60.0) for seed in range(50)]
-    assert {fault.kind for plan in plans for fault in plan} == set(FaultKind)
+    returns = [make_returns(seed, 60.0) for seed in range(50)]
+    assert {fault.kind for plan in plans + returns for fault in plan} == set(FaultKind)
     overlaps = sum(
         1
         for plan in plans
@@ -37,4 +38,13 @@
     assert overlaps > 500
 
 
+def test_returns_do_not_change_the_other_faults():
+    """Guards against seeds that no longer play the faults for which they are kept."""
+    for seed in range(20):
+        assert all(fault.kind is not FaultKind.STORE_RETURN for fault in make_plan(seed, 60.0))
+        returns = make_returns(seed, 60.0)
+        assert returns == make_returns(seed, 60.0)
+        assert returns and all(fault.kind is FaultKind.STORE_RETURN for fault in returns)
+
+
 load_tests = function_suite(globals())
