Bear stale reads, followers without eras and huge eras beside a return

Found by reading: a check that is answered by a part of the store that lags behind the return counted as silence, so that a relay would have taken itself for cut off; a late reply of a former era marked the store as lost; a follower of the release before, which names no era, would have got everything again and again; a relay's answer with an era of 400 digits would have made all later replies old.

Without the change in discovery/reads.py, test_check_that_lags_behind_a_return_is_no_silence fails.

--- a/packages/wisteriarock/src/wisteriarock/discovery/controller.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/controller.py
@@ -34,13 +34,14 @@
 )
 
 # Errors of a watch after which only a full load brings this instance up to date: the changes are
-# gone, too many at once, or malformed.
+# gone, too many at once, malformed, or of another era.
 _UNREADABLE_WATCH = frozenset(
     {
         StoreErrorKind.HISTORY_GONE,
         StoreErrorKind.TOO_LARGE,
         StoreErrorKind.BAD_REPLY,
         StoreErrorKind.RETURNED,
+        StoreErrorKind.FORMER_ERA,
     }
 )
 
--- a/packages/wisteriarock/src/wisteriarock/discovery/reads.py
+++ b/packages/wisteriarock/src/wisteriarock/discovery/reads.py
@@ -20,9 +20,9 @@
     Returns
     -------
     bool
-        Whether the read succeeded, or timed out while the store was sending the reply to another
-        call. A refusal returns False, but shows that the store is reachable, and so clears
-        `is_store_silent`.
+        Whether the read succeeded, its reply was of a former era, or it timed out while the store
+        was sending the reply to another call. A refusal returns False, but shows that the store is
+        reachable, and so clears `is_store_silent`.
     """
     if state.running_check is not None:
         return await asyncio.shield(state.running_check)
@@ -47,8 +47,10 @@
     if outcome.kind is StoreErrorKind.REFUSED:
         state.is_store_silent = False
         return False
-    if state.client.data_at_ms >= state.store_checked_at_ms:
-        # The reply to the check waits behind a large one on the link of this machine.
+    is_sending = state.client.data_at_ms >= state.store_checked_at_ms
+    if is_sending or outcome.kind is StoreErrorKind.FORMER_ERA:
+        # The reply to the check waits behind a large one on the link of this machine, or came from
+        # a part of the store that lags behind its return from a copy.
         state.is_store_silent = False
         return True
     if not state.is_store_silent:
--- a/packages/wisteriarock/src/wisteriarock/feed/decide.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/decide.py
@@ -156,11 +156,14 @@
     return f"{position.era}.{position.revision}"
 
 
-def parse_position(text: str) -> Position | None:
-    """Return the position that a follower names; without an era, the era is 0."""
+def parse_position(text: str, default_era: int) -> Position | None:
+    """Return the position that a follower names, None if it is malformed.
+
+    An instance that does not know eras names a revision alone, which is of the default era.
+    """
     era, dot, revision = text.partition(".")
     if not dot:
-        era, revision = "0", era
+        era, revision = str(default_era), era
     if not (era.isdecimal() and revision.isdecimal() and text.isascii()):
         return None
     if max(len(era), len(revision)) > _POSITION_MAX_DIGITS:
@@ -208,6 +211,8 @@
         data = parse_json(text)
         changes = data["changes"]
         era = int(data.get("era", 0))
+        if not 0 <= era < 10**_POSITION_MAX_DIGITS:
+            return None
         items = (
             None
             if changes is None
--- a/packages/wisteriarock/src/wisteriarock/feed/serving.py
+++ b/packages/wisteriarock/src/wisteriarock/feed/serving.py
@@ -49,7 +49,7 @@
     if lost_zones:
         respond(_lost_zones_answer(feed, lost_zones))
         return _do_nothing
-    after = parse_position(query.get("after", ""))
+    after = parse_position(query.get("after", ""), feed.state.position.era)
     if after is None:
         respond(Answer(400, [], b"no position"))
         return _do_nothing
--- a/tests/wisteriaplatform/test_store_returns.py
+++ b/tests/wisteriaplatform/test_store_returns.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from wisteriarock.discovery.reads import check_store
+from wisteriarock.feed.const import STORE_CHECK_TIMEOUT_MS
 from wisteriarock.feed.state import is_relay
 from wisteriarock.front.instance import Instance
 
@@ -138,6 +140,15 @@
         assert running.store.state.rows[key].lease == lease
 
 
+async def test_check_that_lags_behind_a_return_is_no_silence():
+    """Guards against a relay that takes itself for cut off as a stale read names a former era."""
+    async with deployment() as running:
+        _name_first_era(running)
+        running.instance.eras.learn(2)
+        assert await check_store(running.instance.discovery, STORE_CHECK_TIMEOUT_MS)
+        assert not running.instance.discovery.is_store_silent
+
+
 class _Play:
     """A random play of writes, copies, returns and other faults of the store."""
 
