--- a/packages/standins/src/wisteriastandins/soak/faults.py
+++ b/packages/standins/src/wisteriastandins/soak/faults.py
@@ -55,6 +55,9 @@
 LARGE_CHANGES = 30
 LARGE_CHANGE_BYTES = 150_000
 LARGE_CHANGES_S = 3.0
+# Attempts to listen on a port that was just released, and the time between them.
+PORT_ATTEMPTS = 20
+PORT_RETRY_S = 0.05
 # Number of signals sent to one young process.
 EARLY_SIGNALS = 5
 # Time for which a settings file is incomplete while it is rewritten.
@@ -361,7 +364,12 @@
 
 
 async def _drain_endpoint(deployment: SoakDeployment, endpoint: StubEndpoint) -> None:
-    """Drain an endpoint and stop it after the published drain time."""
+    """Drain an endpoint and stop it after the published drain time.
+
+    Another fault may have removed it already.
+    """
+    if endpoint.endpoint_id not in deployment.endpoints:
+        return
     register(deployment, endpoint, state="draining")
     deployment.observations.draining_endpoints.append(
         DrainingEndpoint(endpoint.endpoint_id, deployment.now_ms())
@@ -383,6 +391,22 @@
     await _drain_endpoint(deployment, endpoint)
 
 
+async def _move_link(link: Link, port: int) -> None:
+    """Listen on another port, unless a connection of the machine holds it all the while."""
+    own_port = link.config["listen_port"]
+    close_link(link)
+    for _ in range(PORT_ATTEMPTS):
+        link.config["listen_port"] = port
+        try:
+            await open_link(link)
+        except OSError:
+            await asyncio.sleep(PORT_RETRY_S)
+        else:
+            return
+    link.config["listen_port"] = own_port
+    await open_link(link)
+
+
 async def _reassign_address(deployment: SoakDeployment, fault: Fault) -> None:
     """Stop an endpoint abruptly and give its address to an endpoint of another service.
 
@@ -393,14 +417,17 @@
     service = others[fault.target % len(others)]
     if _has_no_spare(deployment, endpoint.service):
         await add_endpoint(deployment, endpoint.service, fault.target % len(ZONES))
-    link = deployment.links[endpoint.endpoint_id]
+    link = deployment.links.get(endpoint.endpoint_id)
+    # Another fault may have removed it meanwhile.
+    if link is None:
+        return
     port = link.config["listen_port"]
     await remove_endpoint(deployment, endpoint.endpoint_id, keep_entry=True)
     successor = await add_endpoint(deployment, service, fault.target % len(ZONES))
     successor_link = deployment.links[successor.endpoint_id]
-    close_link(successor_link)
-    successor_link.config["listen_port"] = port
-    await open_link(successor_link)
+    if successor.endpoint_id not in deployment.endpoints:
+        return
+    await _move_link(successor_link, port)
     register(deployment, successor)
     await asyncio.sleep(ENTRY_TTL_S)
     deployment.store.remove(f"servers/{endpoint.endpoint_id}")
--- a/packages/standins/src/wisteriastandins/soak/world.py
+++ b/packages/standins/src/wisteriastandins/soak/world.py
@@ -163,8 +163,9 @@
     endpoint.is_deadly = lambda request: request.target.decode() == DEADLY_PATH
     endpoint.on_deadly_end = lambda request_id: _replace_ended(deployment, endpoint, request_id)
     await endpoint.start()
-    deployment.endpoints[endpoint_id] = endpoint
     deployment.links[endpoint_id] = await _create_link(deployment, endpoint_id, endpoint.port)
+    # Only now, as other faults take each endpoint for one that has a link.
+    deployment.endpoints[endpoint_id] = endpoint
     register(deployment, endpoint)
     return endpoint
 
