--- a/packages/standins/src/wisteriastandins/users/store.py
+++ b/packages/standins/src/wisteriastandins/users/store.py
@@ -22,13 +22,20 @@
     row: Row | None
 
 
+class Lease(NamedTuple):
+    """Lifetime of a lease, and the time at which it ends unless it is renewed."""
+
+    ttl_ms: float
+    end_ms: float
+
+
 class StoreCopy(NamedTuple):
     """What a copy of the store holds."""
 
     rows: dict[str, Row]
     history: list[Change]
     revision: int
-    leases: dict[int, float]
+    leases: dict[int, Lease]
     era: int | None
 
 
@@ -51,7 +58,7 @@
         self.revision = 1
         self.discarded_revision = 1
         self.page_size = page_size
-        self.leases: dict[int, float] = {}
+        self.leases: dict[int, Lease] = {}
         self.next_lease = 77_000
         self.era: int | None = None
 
@@ -143,10 +150,19 @@
 def create_lease(state: StoreState, now_ms: float, ttl_ms: float) -> int:
     """Create a lease and return its id."""
     state.next_lease += 1
-    state.leases[state.next_lease] = now_ms + ttl_ms
+    state.leases[state.next_lease] = Lease(ttl_ms, now_ms + ttl_ms)
     return state.next_lease
 
 
+def renew_lease(state: StoreState, lease: int, now_ms: float) -> bool:
+    """Renew a lease; return whether the store knows it."""
+    known = state.leases.get(lease)
+    if known is None:
+        return False
+    state.leases[lease] = known._replace(end_ms=now_ms + known.ttl_ms)
+    return True
+
+
 def end_lease(state: StoreState, lease: int) -> None:
     """End a lease and remove its keys."""
     if state.leases.pop(lease, None) is None:
@@ -158,8 +174,9 @@
 
 def expire_leases(state: StoreState, now_ms: float) -> None:
     """End the leases whose lifetime has passed."""
-    for lease in [lease for lease, end_ms in state.leases.items() if end_ms <= now_ms]:
-        end_lease(state, lease)
+    ended = [number for number, lease in state.leases.items() if lease.end_ms <= now_ms]
+    for number in ended:
+        end_lease(state, number)
 
 
 def take_copy(state: StoreState) -> StoreCopy:
--- a/packages/standins/src/wisteriastandins/users/store_server.py
+++ b/packages/standins/src/wisteriastandins/users/store_server.py
@@ -20,6 +20,7 @@
     end_lease,
     expire_leases,
     list_page,
+    renew_lease,
     return_from_copy,
     take_copy,
     transact,
@@ -111,8 +112,9 @@
             end_lease(self.state, int(parts.path.rpartition("/")[2]))
             _reply(respond, 200, {})
         elif parts.path.startswith("/api/kv-keep/"):
-            known = int(parts.path.rpartition("/")[2]) in self.state.leases
-            _reply(respond, 200 if known else 404, {})
+            lease = int(parts.path.rpartition("/")[2])
+            is_known = renew_lease(self.state, lease, self.loop.time() * 1000)
+            _reply(respond, 200 if is_known else 404, {})
         else:
             _reply(respond, 404, {})
         return lambda: None
