Pass the era on in a test that replaces a decoder

test_failed_task_is_started_again replaced decode_events by a function of one argument, which the change for the store's returns calls with two: the test waited for ever.

--- a/tests/wisteriaplatform/test_odd_records.py
+++ b/tests/wisteriaplatform/test_odd_records.py
@@ -99,12 +99,12 @@
         decode = instance.discovery.format.decode_events
         failures = 0
 
-        def decode_or_raise(body: bytes) -> object:
+        def decode_or_raise(body: bytes, era: int) -> object:
             nonlocal failures
             if failures < 2:
                 failures += 1
                 raise RuntimeError("unexpected")
-            return decode(body)
+            return decode(body, era)
 
         instance.discovery.format = instance.discovery.format._replace(
             decode_events=decode_or_raise  # type: ignore[arg-type]
