--- a/review/13/run.py
+++ b/review/13/run.py
@@ -14,7 +14,7 @@
 EVACUATION_S, STABILITY_S = 5.0, 5.0
 AWAY_S, COPY_AGE_S = 2.0, 4.0
 # The operator's write is tried again every so often while the store is away.
-RETRY_S = 0.05
+RETRY_S = 0.01
 ZONE = "zone-a"
 PAUSE_S = 0.05
 
